--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,108 @@
+// Package cloud is the client of the cloud's interface.
+package cloud
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/state"
+	"shalestage.example/shalestage/internal/wire"
+)
+
+const callTimeout = 5 * time.Second
+
+// Client talks to the cloud.
+type Client struct {
+	base  string
+	http  *http.Client
+	limit *rate.Limiter
+	log   *slog.Logger
+}
+
+// New returns a client. Only the leader calls, but two may for a moment.
+func New(addr string, rps float64, log *slog.Logger) *Client {
+	return &Client{base: "http://" + addr, http: state.NewHTTPClient(4), limit: rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps))), log: log}
+}
+
+func (c *Client) call(method, path string, body, into any) (int, store.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := c.limit.Wait(ctx); err != nil {
+		return 0, store.Refused
+	}
+	code, err := state.Do(ctx, c.http, method, c.base+path, body, into)
+	switch {
+	case err != nil:
+		c.log.Info("cloud", "path", path, "err", err)
+		return code, store.Unknown
+	case code == http.StatusOK:
+		return code, store.OK
+	}
+	c.log.Debug("cloud", "path", path, "code", code)
+	return code, store.Refused
+}
+
+// Types reads the price list. Entries that make no sense are left out.
+func (c *Client) Types() (store.Outcome, []fleet.Type) {
+	var b wire.MachineTypes
+	_, o := c.call(http.MethodGet, wire.TypesPath, nil, &b)
+	var out []fleet.Type
+	for _, t := range b.Types {
+		ty, err := t.Type()
+		if err != nil {
+			c.log.Error("cloud", "err", err)
+			continue
+		}
+		out = append(out, ty)
+	}
+	return o, out
+}
+
+// Rent asks for machines. Failed means that none are to be had.
+func (c *Client) Rent(request string, r scale.Rent) (store.Outcome, []string) {
+	var b struct {
+		wire.Names
+		wire.Problem
+	}
+	code, o := c.call(http.MethodPost, wire.HostsPath,
+		wire.RentRequest{Request: request, Type: r.Pool.Type, Zone: r.Pool.Zone, Spot: r.Pool.Spot, Count: r.Count}, &b)
+	if code == http.StatusServiceUnavailable && b.Error == "no capacity" {
+		return store.Failed, nil
+	}
+	return o, b.Machines
+}
+
+// Return gives machines back.
+func (c *Client) Return(names []string) store.Outcome {
+	_, o := c.call(http.MethodPost, wire.ReturnPath, wire.Names{Machines: names}, nil)
+	return o
+}
+
+// List reads the machine list.
+func (c *Client) List() (store.Outcome, []wire.Host) {
+	var out []wire.Host
+	after := ""
+	for {
+		var h wire.Hosts
+		q := url.Values{"page": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		if _, o := c.call(http.MethodGet, wire.HostsPath+"?"+q.Encode(), nil, &h); o != store.OK {
+			return o, nil
+		}
+		out = append(out, h.Machines...)
+		if !h.More || len(h.Machines) == 0 {
+			return store.OK, out
+		}
+		after = h.Machines[len(h.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,214 @@
+// Package config reads and checks the settings file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Settings is what one controller is told about itself and its deployment.
+type Settings struct {
+	Node       string     `json:"node_name"`
+	Zone       string     `json:"site"`
+	Listen     string     `json:"listen"`
+	PeerListen string     `json:"internal_addr"`
+	Peers      []Peer     `json:"peers"`
+	Services   Services   `json:"services"`
+	Deployment Deployment `json:"deployment"`
+	Tuning     Tuning     `json:"tuning"`
+}
+
+// Peer names another controller.
+type Peer struct {
+	Node string `json:"node_name"`
+	Zone string `json:"site"`
+	Addr string `json:"endpoint"`
+}
+
+// Services holds the addresses of the outside services.
+type Services struct {
+	Cloud string `json:"cloud"`
+	State string `json:"state"`
+}
+
+// Deployment describes what all controllers share.
+type Deployment struct {
+	Size       int         `json:"size"`
+	Zones      []string    `json:"zones"`
+	Teams      []Team      `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Workers    Workers     `json:"workers"`
+	State      State       `json:"state"`
+	Cloud      Cloud       `json:"cloud"`
+	Quota      Quota       `json:"quota"`
+	ClockErrMs float64     `json:"clock_error_ms"`
+}
+
+// Team holds a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective restates one of the users' aims.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+}
+
+// Workers holds the timing that every worker follows.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud's interface.
+type Cloud struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// Quota is what one controller may use.
+type Quota struct {
+	CPU     float64 `json:"cpu"`
+	RAMMB   float64 `json:"ram_mb"`
+	FDLimit int     `json:"fd_limit"`
+}
+
+// Tuning holds the knobs worth turning; each has a default, so the section may be absent.
+type Tuning struct {
+	Fairness     float64 `json:"fairness"`        // f of the paper's section 3.4, in [0, 1)
+	EpsilonScale float64 `json:"epsilon_scale"`   // factor on the paper's epsilon
+	ImagePenalty float64 `json:"image_penalty"`   // share of the alignment lost without the image
+	LeaseS       float64 `json:"leader_lease_s"`  // life of the leader's lease
+	SpareShare   float64 `json:"spare_share"`     // idle room kept ready, as a share of recent demand
+	IdleS        float64 `json:"idle_return_s"`   // idle time after which a machine is returned
+	DemandS      float64 `json:"demand_memory_s"` // how long a peak of demand is remembered
+}
+
+// DefaultTuning returns the knobs' defaults.
+func DefaultTuning() Tuning {
+	return Tuning{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1, LeaseS: 5, SpareShare: 0.25, IdleS: 20, DemandS: 60}
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(b)
+}
+
+// Parse checks the text of a settings file. Unknown fields are ignored.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{Tuning: DefaultTuning()}
+	if err := json.Unmarshal(b, s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) && te.Field != "" {
+			return nil, fmt.Errorf("%s: want %s, got %s", te.Field, te.Type, te.Value)
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	d := &s.Deployment
+	addrs := []struct{ field, v string }{
+		{"listen", s.Listen}, {"internal_addr", s.PeerListen},
+		{"services.cloud", s.Services.Cloud}, {"services.state", s.Services.State},
+	}
+	for i, p := range s.Peers {
+		addrs = append(addrs, struct{ field, v string }{fmt.Sprintf("peers[%d].endpoint", i), p.Addr})
+		if p.Node == "" || p.Node == s.Node {
+			return fmt.Errorf("peers[%d].node_name: missing or this node's own", i)
+		}
+	}
+	if s.Node == "" {
+		return errors.New("node_name: missing")
+	}
+	for _, a := range addrs {
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			return fmt.Errorf("%s: want IP:PORT, got %q", a.field, a.v)
+		}
+	}
+	if d.Size < 1 || d.Size != len(s.Peers)+1 {
+		return fmt.Errorf("deployment.size: want %d (the peers and this node), got %d", len(s.Peers)+1, d.Size)
+	}
+	if d.State.TxnOps < 2 {
+		return errors.New("deployment.state.txn_ops: want at least 2")
+	}
+	if d.Quota.FDLimit < 32 {
+		return errors.New("deployment.quota.fd_limit: want at least 32")
+	}
+	seen := map[string]bool{}
+	for i, t := range d.Teams {
+		if t.Name == "" || seen[t.Name] {
+			return fmt.Errorf("deployment.teams[%d].name: missing or repeated", i)
+		}
+		seen[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0 && v < 1e9) {
+				return fmt.Errorf("deployment.teams[%d]: amount %v out of range", i, v)
+			}
+		}
+	}
+	t := s.Tuning
+	ranges := []struct {
+		field     string
+		v, lo, hi float64
+	}{
+		{"deployment.workers.report_s", d.Workers.ReportS, 0.1, 600},
+		{"deployment.workers.lease_s", d.Workers.LeaseS, 1, 3600},
+		{"deployment.workers.cancel_s", d.Workers.CancelS, 1, 3600},
+		{"deployment.state.rps", d.State.RPS, 1, 1e6},
+		{"deployment.state.write_rps", d.State.WriteRPS, 1, 1e6},
+		{"deployment.state.value_kb", d.State.ValueKB, 2, 1e6},
+		{"deployment.cloud.rps", d.Cloud.RPS, 0.1, 1e6},
+		{"deployment.cloud.list_lag_s", d.Cloud.ListLagS, 0, 3600},
+		{"deployment.quota.cpu", d.Quota.CPU, 0.001, 1024},
+		{"deployment.quota.ram_mb", d.Quota.RAMMB, 32, 1e7},
+		{"deployment.clock_error_ms", d.ClockErrMs, 0, 60000},
+		{"tuning.fairness", t.Fairness, 0, 0.999},
+		{"tuning.epsilon_scale", t.EpsilonScale, 0, 100},
+		{"tuning.image_penalty", t.ImagePenalty, 0, 1},
+		{"tuning.leader_lease_s", t.LeaseS, 1, 60},
+		{"tuning.spare_share", t.SpareShare, 0, 10},
+		{"tuning.idle_return_s", t.IdleS, 1, 3600},
+		{"tuning.demand_memory_s", t.DemandS, 1, 3600},
+	}
+	for _, r := range ranges {
+		if math.IsNaN(r.v) || r.v < r.lo || r.v > r.hi {
+			return fmt.Errorf("%s: want %g to %g, got %g", r.field, r.lo, r.hi, r.v)
+		}
+	}
+	return nil
+}
+
+// LeaseTime is how long a worker keeps its tasks without an answer.
+func (s *Settings) LeaseTime() unit.Micros { return unit.Seconds(s.Deployment.Workers.LeaseS) }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,239 @@
+// Package core decides everything that a controller does. It is pure: events
+// and the present time go in by method calls, effects come out of Drain. It
+// has no clock, no goroutine and no randomness of its own.
+package core
+
+import (
+	"encoding/json"
+	"log/slog"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Team holds a team's guarantee and limit, in thousandths; 0 means none.
+type Team struct {
+	Name      string
+	Guarantee pack.Vec
+	Limit     pack.Vec
+}
+
+// Config is what the core is told at its start.
+type Config struct {
+	Node        string
+	Size        int
+	Zones       []string
+	Teams       []Team
+	Lease       unit.Micros // a worker's lease
+	ReportEvery unit.Micros
+	LeaderTTL   unit.Micros
+	ListLag     unit.Micros
+	TxnOps      int
+	ValueKB     float64
+	StateRate   float64
+	WriteRate   float64
+	CloudRate   float64
+	Pack        pack.Params
+	Scale       scale.Params
+	Log         *slog.Logger
+}
+
+// ReqID names a request that waits for an answer.
+type ReqID uint64
+
+// Effect is something for the outer layers to do.
+type Effect any
+
+// Effects. Each request to an outside service is answered by the method named
+// in its comment, exactly once, whatever happens.
+type (
+	// Reply answers a user's or a worker's request.
+	Reply struct {
+		Req  ReqID
+		Code int
+		Body any // JobAnswer, Orders, Redirect or Problem
+		// RetryAfter tells a user when to come back; 0: not said.
+		RetryAfter unit.Micros
+	}
+	// List reads all keys (OnList).
+	List struct{}
+	// Watch reads changes after a revision (OnChanges). Fresh asks for an answer at once.
+	Watch struct {
+		After uint64
+		Wait  unit.Micros
+		Fresh bool
+	}
+	// Commit sends a transaction (OnCommit).
+	Commit struct {
+		Lane LaneID
+		Txn  *store.Txn
+	}
+	// OpenLease asks for a lease (OnLease).
+	OpenLease struct{ TTL unit.Micros }
+	// RenewLease extends a lease (OnRenew).
+	RenewLease struct{ ID uint64 }
+	// CloseLease ends a lease; no answer is needed.
+	CloseLease struct{ ID uint64 }
+	// FetchTypes reads the price list (OnTypes).
+	FetchTypes struct{}
+	// RentHosts asks for machines (OnRent).
+	RentHosts struct {
+		Request string
+		Rent    scale.Rent
+	}
+	// ReturnHosts gives machines back (OnReturn).
+	ReturnHosts struct{ Names []string }
+	// ListHosts reads the machine list (OnHosts).
+	ListHosts struct{}
+)
+
+// Bodies of replies.
+type (
+	// JobAnswer tells a job's state. Counts are given to polls only.
+	JobAnswer struct {
+		ID            string
+		Status        ledger.Status
+		Counts        bool
+		Done, Running int
+	}
+	// Orders answers a report.
+	Orders struct {
+		Token    uint64
+		Commands []fleet.Command
+	}
+	// Redirect sends a worker to another node, if Node is known.
+	Redirect struct{ Node string }
+	// Problem says why a request was refused.
+	Problem struct{ Text string }
+)
+
+// LaneID tells the two transaction lanes apart.
+type LaneID int
+
+// Lanes: users' changes and the leader's do not wait for each other.
+const (
+	UserLane LaneID = iota
+	LeaderLane
+	lanes
+)
+
+// Core is one controller's whole state.
+type Core struct {
+	cfg     Config
+	log     *slog.Logger
+	now     unit.Micros // steady
+	wall    unit.Micros // time of day
+	out     []Effect
+	teams   map[string]*Team
+	replica *store.Replica
+	lanes   [lanes]*store.Lane
+
+	jobs    map[string]*ledger.Job
+	types   map[string]*fleet.Type
+	claim   lead.Claim // of the present leader; Node "" if none
+	term    lead.Term
+	records map[string]stored // machine records
+	chunk   int               // tasks per finished-task record
+
+	sync   syncState
+	leader *leader // nil unless this node leads
+	stand  candidacy
+}
+
+type stored struct {
+	rec   fleet.Record
+	stamp uint64
+}
+
+// New returns a controller's core that has seen nothing yet.
+func New(cfg Config) *Core {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{},
+		types: map[string]*fleet.Type{}, records: map[string]stored{}, chunk: ledger.ChunkTasks(cfg.ValueKB)}
+	for i := range cfg.Teams {
+		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
+	}
+	c.replica = store.NewReplica(c.learn)
+	share := cfg.WriteRate / float64(2*cfg.Size)
+	for i := range c.lanes {
+		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256, Rate: share}
+	}
+	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
+	c.lanes[LeaderLane].Rate = cfg.WriteRate * 0.45
+	return c
+}
+
+// Drain returns the effects since the last call.
+func (c *Core) Drain() []Effect {
+	c.pump()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+// pump sends what is due: transactions and reads of the state service.
+func (c *Core) pump() {
+	for id, l := range c.lanes {
+		if t := l.Next(c.now); t != nil {
+			c.emit(Commit{LaneID(id), t})
+		}
+	}
+	c.pumpSync()
+}
+
+// at moves time on; time never goes back.
+func (c *Core) at(now unit.Micros) { c.now = max(c.now, now) }
+
+// Tick lets time pass. wall is the time of day.
+func (c *Core) Tick(now, wall unit.Micros) {
+	c.at(now)
+	c.wall = wall
+	c.tickSync()
+	c.tickStand()
+	if c.leader != nil {
+		c.tickLeader()
+	}
+}
+
+// OnCommit takes a transaction's outcome. What was put is known at once.
+func (c *Core) OnCommit(now unit.Micros, lane LaneID, t *store.Txn, o store.Outcome, rev uint64, failed []string) {
+	c.at(now)
+	c.heard(o)
+	if o == store.OK {
+		for _, ch := range t.Changes {
+			if ch.Value != nil {
+				c.replica.Learn(store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev})
+			}
+		}
+	}
+	if o != store.OK {
+		c.wantSync(nil)
+	}
+	c.lanes[lane].Finish(now, o, rev, failed)
+}
+
+// Keys of the state service.
+const (
+	root       = "shalestage/"
+	jobPrefix  = root + "job/"
+	donePrefix = root + "progress/" // JOB/CHUNK; listed after the jobs
+	machPrefix = root + "machine/"
+	typePrefix = root + "type/"
+	leadKey    = root + "leader"
+	termKey    = root + "term"
+	blockKey   = root + "block/0"
+)
+
+// Root is the prefix of every key that the service uses.
+const Root = root
+
+func mustJSON(v any) json.RawMessage { return lead.Encode(v) }
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,199 @@
+// Package fleet keeps machines: their sessions, leases and reported tasks.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Type is a kind of machine that the cloud rents out.
+type Type struct {
+	Name     string      `json:"name"`
+	Capacity pack.Vec    `json:"capacity"`
+	CacheMB  int64       `json:"cache_mb"`
+	FetchMBs int64       `json:"fetch_mb_per_s"`
+	Boot     unit.Micros `json:"boot"`
+	Zones    []string    `json:"zones"`
+
+	Price     float64 `json:"price"`
+	SpotPrice float64 `json:"spot_price"`
+}
+
+// Record is a machine's value in the state service. A task may start only on
+// a machine whose record is stored with Up, so that a new leader knows every
+// machine that may hold tasks.
+type Record struct {
+	Type string `json:"type"`
+	Zone string `json:"zone"`
+	Spot bool   `json:"spot"`
+	Up   bool   `json:"up"`
+}
+
+// DecodeRecord reads a stored machine record.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, err
+	}
+	if r.Type == "" || r.Zone == "" {
+		return r, errors.New("no type or zone")
+	}
+	return r, nil
+}
+
+// State is what a machine reports of an attempt.
+type State int
+
+// States of a task on a machine.
+const (
+	Fetching State = iota
+	Running
+	Saving
+	Exited
+)
+
+// Cause is why a task exited.
+type Cause int
+
+// Causes of an exit.
+const (
+	Other Cause = iota
+	Completed
+	Stopped
+	Failed
+	NoRoom
+	Busy
+	Unknown
+)
+
+// Task is one attempt in a report.
+type Task struct {
+	ID      ledger.TaskID
+	Attempt uint64
+	State   State
+	Cause   Cause
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine string
+	Addr    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Session uint64
+	Seq     uint64
+	Token   uint64
+	Notice  unit.Micros // until the cloud takes it; Never: no notice
+	Tasks   []Task
+}
+
+// Machine is what the leader knows of one machine.
+type Machine struct {
+	Name   string
+	Record Record
+	Stored uint64 // version of the stored record; 0: none
+	Wanted bool   // a write of the record is under way
+
+	Type      *Type
+	Rented    unit.Micros // when it was rented or first heard of
+	Session   uint64
+	Seq       uint64
+	LastSeen  unit.Micros // last report; 0: none yet
+	LeaseEnd  unit.Micros // its tasks are surely gone from then on
+	Accounted bool        // it reported under this leader's token
+	Notice    unit.Micros // when the cloud takes it; Never: no notice
+	Tasks     map[ledger.TaskID]Attempt
+	IdleSince unit.Micros
+	Lost      bool // its lease ran out unheard
+	Sick      bool // it fails what it starts: nothing more starts there
+	Leaving   bool // a return is under way
+
+	Failures int      // blame for failed tasks since one completed here
+	images   []string // most recently used last
+}
+
+// Attempt is one attempt that may be on the machine.
+type Attempt struct {
+	Number  uint64
+	Team    string
+	Demand  pack.Vec
+	State   State
+	Started unit.Micros // when it was commanded or first seen
+	Live    unit.Micros // when it was first seen with its image; 0: not yet
+}
+
+// New returns a machine that has not reported yet.
+func New(name string, r Record, t *Type, now unit.Micros) *Machine {
+	return &Machine{Name: name, Record: r, Type: t, Rented: now, Notice: unit.Never, IdleSince: now,
+		Tasks: map[ledger.TaskID]Attempt{}}
+}
+
+// Newer reports whether a report comes after all that were seen.
+func (m *Machine) Newer(r *Report) bool {
+	return r.Session > m.Session || (r.Session == m.Session && r.Seq > m.Seq)
+}
+
+// Used returns the room that tasks may take.
+func (m *Machine) Used() pack.Vec {
+	var v pack.Vec
+	for _, t := range m.Tasks {
+		v = v.Add(t.Demand)
+	}
+	return v
+}
+
+// HasImage reports whether the image was used here lately.
+func (m *Machine) HasImage(image string) bool {
+	for _, i := range m.images {
+		if i == image {
+			return true
+		}
+	}
+	return false
+}
+
+// keepImages bounds the images remembered of one machine.
+const keepImages = 64
+
+// UseImage records that an image is on the machine.
+func (m *Machine) UseImage(image string) {
+	for i, x := range m.images {
+		if x == image {
+			m.images = append(append(m.images[:i:i], m.images[i+1:]...), image)
+			return
+		}
+	}
+	m.images = append(m.images, image)
+	if len(m.images) > keepImages {
+		m.images = m.images[1:]
+	}
+}
+
+// Settled reports whether tasks may start here: everything on the machine is
+// known, a new leader would know of the machine, and it is meant to stay.
+func (m *Machine) Settled() bool {
+	return m.Accounted && m.Stored != 0 && m.Record.Up && m.Type != nil && !m.Lost && !m.Sick && !m.Leaving
+}
+
+// Op is what a command asks of a worker.
+type Op int
+
+// The three commands.
+const (
+	Start Op = iota
+	Stop
+	Forget
+)
+
+// Command is one order to a worker about an attempt.
+type Command struct {
+	Op      Op
+	ID      ledger.TaskID
+	Attempt uint64
+	Grace   unit.Micros // of a Stop; 0 stops at once
+}
--- /dev/null
+++ b/internal/core/leader.go
@@ -0,0 +1,702 @@
+package core
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// candidacy is an attempt to become leader.
+type candidacy struct {
+	opening bool
+	sent    unit.Micros
+	after   unit.Micros // not tried before
+}
+
+// leader is what a controller knows and does while it leads.
+type leader struct {
+	pass     uint64 // lease in the state service
+	term     uint64
+	stamp    uint64 // version of the leader's record; guards every write
+	auth     lead.Authority
+	ready    bool // the picture is complete enough to answer reports
+	renewing bool
+	renewAt  unit.Micros
+	lastHold unit.Micros // when the renewal under way was sent
+
+	began       unit.Micros
+	attempts    uint64
+	requests    uint64
+	machines    map[string]*fleet.Machine
+	writing     map[string]bool        // machine records being stored
+	gone        map[string]unit.Micros // machines returned lately: the list may still show them
+	unaccounted map[string]bool        // machines on which earlier leaders' tasks may run
+	active      map[string]*ledger.Job
+	order       []*ledger.Job // active jobs by submission
+	within      map[string]bool
+	orderStale  bool
+	usage       map[string]pack.Vec
+	total       pack.Vec // capacity of all machines
+
+	scaler    *scale.Scaler
+	typesAt   unit.Micros
+	hostsAt   unit.Micros
+	planAt    unit.Micros
+	flushAt   unit.Micros
+	cloudWait unit.Micros
+	renting   int
+	lastHeard unit.Micros // last report
+}
+
+const authorityMargin = 100_000 // 0.1 s for the service's own slack and ours
+
+// tickStand seeks the lead when nobody holds it, and keeps it once held.
+func (c *Core) tickStand() {
+	if l := c.leader; l != nil {
+		if !l.renewing && c.now >= l.renewAt {
+			l.renewing, l.lastHold = true, c.now
+			c.emit(RenewLease{l.pass})
+		}
+		return
+	}
+	s := &c.stand
+	free := c.claim.Node == "" || c.claim.Node == c.cfg.Node // our own: left by this node's last process
+	if !c.sync.loaded || !free || s.opening || c.now < s.after || c.now-c.sync.lastOK > unit.Second {
+		if c.sync.loaded && free && !s.opening && c.now >= s.after {
+			c.wantSync(nil)
+		}
+		return
+	}
+	s.opening, s.sent = true, c.now
+	c.emit(OpenLease{c.cfg.LeaderTTL})
+}
+
+// OnLease takes a new lease's outcome and claims the lead with it.
+func (c *Core) OnLease(now unit.Micros, o store.Outcome, id uint64) {
+	c.at(now)
+	c.heard(o)
+	s := &c.stand
+	if o != store.OK {
+		s.opening, s.after = false, now+unit.Second/2
+		return
+	}
+	term := c.term.Term + 1
+	claim := lead.Claim{Term: term, Node: c.cfg.Node}
+	// One block holds every machine and the whole of every limit: see docs/design.md.
+	block := lead.Block{Term: term, Controller: c.cfg.Node, Machines: []string{"*"}, LimitShare: 1}
+	sent := s.sent
+	c.lanes[LeaderLane].Add(&store.Write{
+		Guards: []store.Guard{{Key: leadKey, Stamp: c.replica.Stamp(leadKey)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)}},
+		Changes: []store.Change{
+			{Key: leadKey, Value: mustJSON(claim), Lease: id},
+			{Key: termKey, Value: mustJSON(lead.Term{Term: term})},
+			{Key: blockKey, Value: mustJSON(block)},
+		},
+		Done: func(o store.Outcome, rev uint64) {
+			s.opening = false
+			if o != store.OK {
+				// Ending the lease also keeps a late claim from being carried out.
+				s.after = c.now + unit.Second/5
+				c.emit(CloseLease{id})
+				c.wantSync(nil)
+				return
+			}
+			c.lead(id, term, rev, sent)
+		},
+	})
+}
+
+// lead begins a term. Reports are answered once a read that began after the
+// claim was stored has shown everything that earlier leaders stored.
+func (c *Core) lead(pass, term, stamp uint64, sent unit.Micros) {
+	l := &leader{pass: pass, term: term, stamp: stamp, began: c.now, lastHeard: c.now,
+		auth: lead.Authority{TTL: c.cfg.LeaderTTL, Margin: authorityMargin}, renewAt: sent + c.cfg.LeaderTTL/5}
+	l.auth.Renewed(sent)
+	c.leader = l
+	c.log.Info("leading", "term", term)
+	c.rebuild(l)
+}
+
+func (c *Core) rebuild(l *leader) {
+	c.wantSync(func(ok bool) {
+		if c.leader != l {
+			return
+		}
+		if !ok {
+			c.rebuild(l)
+			return
+		}
+		l.machines = map[string]*fleet.Machine{}
+		l.unaccounted = map[string]bool{}
+		l.writing, l.gone = map[string]bool{}, map[string]unit.Micros{}
+		l.active = map[string]*ledger.Job{}
+		l.usage = map[string]pack.Vec{}
+		l.scaler = scale.New(c.cfg.Scale)
+		for _, name := range sortedKeys(c.records) {
+			r := c.records[name]
+			m := c.newMachine(l, name, r.rec)
+			m.Stored = r.stamp
+			if r.rec.Up {
+				// An earlier leader may have started tasks there, and its last
+				// answer may have been accepted just before this term began.
+				m.LeaseEnd = c.now + c.leaseBound()
+				l.unaccounted[name] = true
+			}
+		}
+		for _, id := range sortedKeys(c.jobs) {
+			if j := c.jobs[id]; j.Active() {
+				j.Reset()
+				l.addJob(j)
+				j.Held = len(l.unaccounted) > 0
+			}
+		}
+		l.ready = true
+		c.log.Info("picture read", "term", l.term, "jobs", len(l.active), "machines", len(l.machines))
+	})
+}
+
+// leaseBound is the time after which tasks of a machine that gets no answer
+// are surely gone.
+func (c *Core) leaseBound() unit.Micros { return unit.Longest(c.cfg.Lease) + unit.Second/5 }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (c *Core) newMachine(l *leader, name string, r fleet.Record) *fleet.Machine {
+	m := fleet.New(name, r, c.types[r.Type], c.now)
+	l.machines[name] = m
+	return m
+}
+
+// resign gives the lead up, so that another controller can take it at once.
+func (c *Core) resign(why string, pause unit.Micros) {
+	l := c.leader
+	c.log.Warn("resigning", "term", l.term, "why", why)
+	c.leader = nil
+	c.stand.after = c.now + pause
+	c.lanes[LeaderLane].Clear()
+	c.emit(CloseLease{l.pass})
+	if c.claim.Node == c.cfg.Node {
+		c.claim = lead.Claim{} // the record goes with the lease
+	}
+	for _, j := range c.jobs {
+		if j.Active() {
+			j.Reset()
+		}
+	}
+	c.wantSync(nil)
+}
+
+// OnRenew takes a renewal's outcome.
+func (c *Core) OnRenew(now unit.Micros, id uint64, o store.Outcome) {
+	c.at(now)
+	c.heard(o)
+	l := c.leader
+	if l == nil || l.pass != id {
+		return
+	}
+	l.renewing = false
+	switch o {
+	case store.OK:
+		l.auth.Renewed(l.lastHold)
+		l.renewAt = l.lastHold + c.cfg.LeaderTTL/5
+	case store.Failed:
+		c.resign("the lease has ended", unit.Second/5)
+	default:
+		l.renewAt = now + c.cfg.LeaderTTL/10
+	}
+}
+
+func (l *leader) addJob(j *ledger.Job) {
+	if l.active == nil || l.active[j.ID] == j {
+		return // not built yet, or known
+	}
+	l.active[j.ID] = j
+	l.orderStale = true
+}
+
+// jobOver forgets a job that is done or cancelled. Its tasks on machines keep
+// counting against the team until the machines report them gone.
+func (l *leader) jobOver(c *Core, j *ledger.Job, s ledger.Status) {
+	delete(l.active, j.ID)
+	l.orderStale = true
+	c.log.Info("job over", "job", j.ID, "status", s)
+}
+
+// machineStored notes that a machine's record is stored.
+func (l *leader) machineStored(c *Core, name string) {
+	if m := l.machines[name]; m != nil {
+		r := c.records[name]
+		m.Stored, m.Record = r.stamp, r.rec
+	}
+}
+
+// sortJobs keeps the active jobs in the order of submission, and notes which
+// fit their team's guarantee together with the team's earlier jobs.
+func (c *Core) sortJobs(l *leader) {
+	if l.orderStale {
+		l.orderStale = false
+		l.order = l.order[:0]
+		for _, j := range l.active {
+			l.order = append(l.order, j)
+		}
+		sort.Slice(l.order, func(a, b int) bool {
+			x, y := l.order[a], l.order[b]
+			if x.Record.Submitted != y.Record.Submitted {
+				return x.Record.Submitted < y.Record.Submitted
+			}
+			return x.ID < y.ID
+		})
+	}
+	l.within = map[string]bool{}
+	sum := map[string]pack.Vec{}
+	for _, j := range l.order {
+		s := j.Spec()
+		t := c.teams[s.Team]
+		if t == nil || t.Guarantee == (pack.Vec{}) {
+			continue
+		}
+		v := sum[s.Team].Add(s.Demand.Times(int64(s.Tasks - j.Finished())))
+		sum[s.Team] = v
+		ok := true
+		for i, g := range t.Guarantee {
+			ok = ok && (v[i] <= g || g == 0 && i != pack.CPU)
+		}
+		l.within[j.ID] = ok
+	}
+	l.total = pack.Vec{}
+	for _, m := range l.machines {
+		if m.Type != nil && !m.Leaving {
+			l.total = l.total.Add(m.Type.Capacity)
+		}
+	}
+}
+
+// tickLeader does what a leader does as time passes.
+func (c *Core) tickLeader() {
+	l := c.leader
+	if !l.ready || !l.auth.Valid(c.now) {
+		return
+	}
+	if n := c.knownUp(l); n > 0 && c.now-l.lastHeard > 4*c.cfg.ReportEvery {
+		c.resign("no worker can reach this node", 10*unit.Second)
+		return
+	}
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		if m.LeaseEnd != 0 && c.now >= m.LeaseEnd {
+			c.lost(l, m)
+		}
+	}
+	if c.now >= l.flushAt {
+		l.flushAt = c.now + unit.Second
+		c.sortJobs(l)
+		for _, j := range l.order {
+			c.flush(l, j)
+		}
+	}
+	c.storeMachines(l)
+	c.tickCloud(l)
+}
+
+func (c *Core) knownUp(l *leader) int {
+	n := 0
+	for _, m := range l.machines {
+		if m.LastSeen != 0 || m.LeaseEnd != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// lost notes that a machine's lease has run out: nothing runs there any more.
+func (c *Core) lost(l *leader, m *fleet.Machine) {
+	c.log.Info("machine lost", "machine", m.Name, "tasks", len(m.Tasks))
+	m.LeaseEnd = 0
+	m.LastSeen = 0
+	m.Lost = true // until it reports again
+	m.IdleSince = c.now
+	for id := range m.Tasks {
+		c.taskGone(l, m, id)
+	}
+	l.accounted(c, m)
+}
+
+// accounted notes that all that runs on a machine is known.
+func (l *leader) accounted(c *Core, m *fleet.Machine) {
+	m.Accounted = true
+	if !l.unaccounted[m.Name] {
+		return
+	}
+	delete(l.unaccounted, m.Name)
+	if len(l.unaccounted) == 0 {
+		c.log.Info("all machines accounted for", "term", l.term, "after_s", (c.now - l.began).Seconds())
+		for _, j := range l.active {
+			j.Held = false
+		}
+	}
+}
+
+// taskGone notes that an attempt is on its machine no more.
+func (c *Core) taskGone(l *leader, m *fleet.Machine, id ledger.TaskID) {
+	a, ok := m.Tasks[id]
+	if !ok {
+		return
+	}
+	delete(m.Tasks, id)
+	l.usage[a.Team] = l.usage[a.Team].Sub(a.Demand)
+	if j := c.jobs[id.Job]; j != nil {
+		if p, ok := j.Place(id.Task); ok && p.Machine == m.Name && p.Attempt == a.Number {
+			j.Release(id.Task)
+		}
+	}
+	if len(m.Tasks) == 0 {
+		m.IdleSince = c.now
+	}
+}
+
+// taskOn notes that an attempt may be on a machine.
+func (c *Core) taskOn(l *leader, m *fleet.Machine, id ledger.TaskID, a fleet.Attempt) {
+	if old, ok := m.Tasks[id]; ok {
+		l.usage[old.Team] = l.usage[old.Team].Sub(old.Demand)
+	}
+	m.Tasks[id] = a
+	l.usage[a.Team] = l.usage[a.Team].Add(a.Demand)
+}
+
+// leaderWrite queues a change that only the leader of this term may make.
+func (c *Core) leaderWrite(l *leader, done func(store.Outcome), guardKey string, changes ...store.Change) bool {
+	return c.lanes[LeaderLane].Add(&store.Write{
+		Guards:  []store.Guard{{Key: leadKey, Stamp: l.stamp}, {Key: guardKey, Stamp: c.replica.Stamp(guardKey)}},
+		Changes: changes,
+		Done:    func(o store.Outcome, _ uint64) { done(o) },
+	})
+}
+
+// storeMachines brings the stored machine records up to date: tasks may start
+// only on machines that a new leader would know of.
+func (c *Core) storeMachines(l *leader) {
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		up := m.LastSeen != 0 || m.Record.Up
+		if l.writing[name] || m.Leaving || m.Stored != 0 && m.Record.Up == up {
+			continue
+		}
+		r := m.Record
+		r.Up = up
+		c.writeMachine(l, name, store.Change{Value: mustJSON(r)})
+	}
+	for _, name := range sortedKeys(c.records) {
+		if l.machines[name] == nil && !l.writing[name] {
+			c.writeMachine(l, name, store.Change{})
+		}
+	}
+}
+
+func (c *Core) writeMachine(l *leader, name string, ch store.Change) {
+	l.writing[name] = true
+	ch.Key = machPrefix + name
+	c.leaderWrite(l, func(o store.Outcome) {
+		delete(l.writing, name)
+		if o == store.OK && ch.Value == nil {
+			delete(c.records, name) // the copy follows with the next read
+		}
+	}, ch.Key, ch)
+}
+
+// flush stores finished tasks: the job's end, or the chunks that changed.
+func (c *Core) flush(l *leader, j *ledger.Job) {
+	if !j.Active() || !j.Dirty() {
+		return
+	}
+	chunks := j.DirtyChunks()
+	again := func() {
+		for _, n := range chunks {
+			j.MarkDirty(n)
+		}
+	}
+	key := jobPrefix + j.ID
+	if j.AllFinished() {
+		rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
+		changes := []store.Change{{Key: key, Value: rec.Encode()}}
+		for n := 0; n <= (j.Record.Tasks-1)/c.chunk && len(changes) < c.cfg.TxnOps; n++ {
+			if k := progressKey(j.ID, n); c.replica.Stamp(k) != 0 {
+				changes = append(changes, store.Change{Key: k})
+			}
+		}
+		c.leaderWrite(l, func(o store.Outcome) {
+			if o != store.OK && j.Active() {
+				again()
+			}
+		}, key, changes...)
+		return
+	}
+	for _, n := range chunks {
+		k := progressKey(j.ID, n)
+		// The record covers all that is finished now; what is added before it
+		// is sent goes into the next one.
+		c.leaderWrite(l, func(o store.Outcome) {
+			if o != store.OK && j.Active() {
+				j.MarkDirty(n)
+			}
+		}, k, store.Change{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk)})})
+	}
+}
+
+func progressKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", donePrefix, id, chunk) }
+
+// tickCloud talks to the cloud: prices, the machine list, renting and returning.
+func (c *Core) tickCloud(l *leader) {
+	if c.now < l.cloudWait {
+		return
+	}
+	if c.now >= l.typesAt {
+		l.typesAt = c.now + 20*unit.Second
+		c.emit(FetchTypes{})
+	}
+	if len(c.types) == 0 {
+		return
+	}
+	if c.now >= l.hostsAt {
+		l.hostsAt = c.now + max(5*unit.Second, c.cfg.ListLag)
+		c.emit(ListHosts{})
+	}
+	if c.now >= l.planAt {
+		l.planAt = c.now + unit.Second
+		c.plan(l)
+	}
+}
+
+// plan rents and returns machines.
+func (c *Core) plan(l *leader) {
+	if len(l.unaccounted) > 0 && c.now < l.began+c.leaseBound() {
+		return // what runs, and so what is needed, is not known yet
+	}
+	needs := map[scale.Group]scale.Need{}
+	perTeam := map[string]pack.Vec{}
+	for _, j := range l.order {
+		s := j.Spec()
+		if s == nil || c.now < j.NotBefore {
+			continue
+		}
+		n := j.Record.Tasks - j.Finished()
+		if t := c.teams[s.Team]; t != nil {
+			for i, lim := range t.Limit { // the team's limit bounds what can run at once
+				if lim > 0 && s.Demand[i] > 0 {
+					n = min(n, int(max(0, lim-perTeam[s.Team][i])/s.Demand[i]))
+				}
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		v := s.Demand.Times(int64(n))
+		perTeam[s.Team] = perTeam[s.Team].Add(v)
+		var names []string
+		for _, t := range c.fitting(s) {
+			names = append(names, t.Name)
+		}
+		sort.Strings(names)
+		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot}
+		need := needs[g]
+		need.Tasks += n
+		need.Total = need.Total.Add(v)
+		need.Types = names
+		needs[g] = need
+	}
+	var ms []scale.Machine
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		if m.Leaving || m.Lost || m.Sick || m.Notice != unit.Never {
+			continue
+		}
+		sm := scale.Machine{Name: name, Pool: poolOf(m), Used: m.Used(), Booted: m.LastSeen != 0}
+		if len(m.Tasks) == 0 {
+			sm.Idle = c.now - m.IdleSince + 1
+		}
+		ms = append(ms, sm)
+	}
+	rents, back := l.scaler.Plan(c.now, needs, ms, c.types)
+	if l.renting == 0 {
+		for _, r := range rents {
+			l.requests++
+			l.renting++
+			// A name that no other term uses: names must never come again.
+			c.emit(RentHosts{Request: fmt.Sprintf("r-%d-%d", l.term, l.requests), Rent: r})
+		}
+	}
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		boot := 30 * unit.Second
+		if m.Type != nil {
+			boot = 6*m.Type.Boot + 10*unit.Second
+		}
+		switch {
+		case m.Leaving:
+		case m.Sick && m.Accounted && len(m.Tasks) == 0,
+			m.Lost && c.now-m.IdleSince > 10*unit.Second,
+			m.LastSeen == 0 && m.LeaseEnd == 0 && c.now-m.Rented > boot:
+			back = append(back, name)
+		}
+	}
+	if len(back) > 100 {
+		back = back[:100]
+	}
+	if len(back) > 0 {
+		for _, name := range back {
+			l.machines[name].Leaving = true
+		}
+		c.emit(ReturnHosts{back})
+	}
+}
+
+func poolOf(m *fleet.Machine) scale.Pool {
+	return scale.Pool{Type: m.Record.Type, Zone: m.Record.Zone, Spot: m.Record.Spot}
+}
+
+// OnTypes takes the price list. Types are stored, so that every node knows
+// them, whenever anything but prices has changed.
+func (c *Core) OnTypes(now unit.Micros, o store.Outcome, types []fleet.Type) {
+	c.at(now)
+	l := c.leader
+	if o != store.OK {
+		if l != nil {
+			l.typesAt = now + 2*unit.Second
+		}
+		return
+	}
+	for _, t := range types {
+		key := typePrefix + t.Name
+		old := c.types[t.Name]
+		c.setType(t)
+		if l != nil && l.ready && (old == nil || c.replica.Stamp(key) == 0) {
+			c.leaderWrite(l, func(o store.Outcome) {}, key, store.Change{Key: key, Value: mustJSON(t)})
+		}
+	}
+	if l != nil {
+		for _, m := range l.machines {
+			if m.Type == nil {
+				m.Type = c.types[m.Record.Type]
+			}
+		}
+	}
+}
+
+// OnRent takes a rental's outcome.
+func (c *Core) OnRent(now unit.Micros, r RentHosts, o store.Outcome, names []string) {
+	c.at(now)
+	l := c.leader
+	if l == nil || !l.ready {
+		return // whoever leads now finds the machines in reports and in the list
+	}
+	l.renting = max(0, l.renting-1)
+	switch o {
+	case store.OK:
+		l.scaler.Granted(r.Rent.Pool)
+		if len(names) < r.Rent.Count {
+			l.scaler.Refused(now, r.Rent.Pool)
+		}
+		for _, n := range names {
+			if l.machines[n] == nil {
+				c.newMachine(l, n, fleet.Record{Type: r.Rent.Pool.Type, Zone: r.Rent.Pool.Zone, Spot: r.Rent.Pool.Spot})
+			}
+		}
+		c.log.Info("rented", "type", r.Rent.Pool.Type, "zone", r.Rent.Pool.Zone, "spot", r.Rent.Pool.Spot, "asked", r.Rent.Count, "got", len(names))
+	case store.Failed: // no capacity
+		l.scaler.Refused(now, r.Rent.Pool)
+	default:
+		l.cloudWait = now + 2*unit.Second
+	}
+}
+
+// OnReturn takes a return's outcome: after OK the machines and all that ran on
+// them are gone.
+func (c *Core) OnReturn(now unit.Micros, names []string, o store.Outcome) {
+	c.at(now)
+	l := c.leader
+	if l == nil || !l.ready {
+		return
+	}
+	for _, n := range names {
+		m := l.machines[n]
+		if m == nil {
+			continue
+		}
+		if o != store.OK {
+			m.Leaving = false // the next plan tries again
+			continue
+		}
+		for id := range m.Tasks {
+			c.taskGone(l, m, id)
+		}
+		l.accounted(c, m)
+		delete(l.machines, n)
+		l.gone[n] = c.now
+		c.log.Info("returned", "machine", n)
+	}
+	if o != store.OK {
+		l.cloudWait = now + 2*unit.Second
+	}
+}
+
+// Host is a machine on the cloud's list.
+type Host struct {
+	Name   string
+	Record fleet.Record
+	Failed bool
+	Age    unit.Micros
+}
+
+// OnHosts takes the machine list. It may be old: it proves only that a machine
+// exists or has failed, never that one is absent.
+func (c *Core) OnHosts(now unit.Micros, o store.Outcome, hosts []Host) {
+	c.at(now)
+	l := c.leader
+	if o != store.OK || l == nil || !l.ready {
+		return
+	}
+	for n, at := range l.gone {
+		if now-at > 4*c.cfg.ListLag+60*unit.Second {
+			delete(l.gone, n)
+		}
+	}
+	var failed []string
+	for _, h := range hosts {
+		m := l.machines[h.Name]
+		if _, gone := l.gone[h.Name]; gone {
+			continue
+		}
+		switch {
+		case h.Failed:
+			if m == nil || !m.Leaving {
+				failed = append(failed, h.Name)
+			}
+			if m != nil {
+				m.Leaving = true
+			}
+		case m == nil && h.Age > 2*c.cfg.ListLag+2*unit.Second && now-l.began > 2*c.cfg.ListLag:
+			// Rented by a request that was carried out late, or whose answer was
+			// lost. Adopted: the next plan uses it or gives it back.
+			m = c.newMachine(l, h.Name, h.Record)
+			m.Rented = now - h.Age
+			c.log.Info("adopted", "machine", h.Name)
+		}
+	}
+	if len(failed) > 0 {
+		c.emit(ReturnHosts{failed[:min(len(failed), 100)]})
+	}
+}
--- /dev/null
+++ b/internal/core/ledger/ledger.go
@@ -0,0 +1,475 @@
+// Package ledger keeps jobs, their finished tasks and what teams use.
+package ledger
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/bits"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Status of a job, as stored and as told to users.
+type Status string
+
+// A job is Pending or Running until it is Done or Cancelled, which are final.
+const (
+	Pending   Status = "pending"
+	Running   Status = "running"
+	Done      Status = "done"
+	Cancelled Status = "cancelled"
+)
+
+// Final reports whether a job's status can no longer change.
+func (s Status) Final() bool { return s == Done || s == Cancelled }
+
+// Priority orders work; larger goes first.
+type Priority int
+
+// The four priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+// MaxTasks bounds the tasks of one job.
+const MaxTasks = 100_000
+
+// Spec is what a user submitted, as stored in the job's record.
+type Spec struct {
+	Class      string      `json:"class"`
+	Team       string      `json:"team"`
+	Service    bool        `json:"service,omitempty"`
+	Priority   Priority    `json:"priority"`
+	Tasks      int         `json:"tasks"`
+	Demand     pack.Vec    `json:"demand"`
+	Types      []string    `json:"types,omitempty"`
+	AnyType    bool        `json:"any_type,omitempty"`
+	Zone       string      `json:"zone,omitempty"`
+	OneZone    bool        `json:"one_zone,omitempty"`
+	Spread     bool        `json:"spread,omitempty"`
+	Spot       bool        `json:"spot,omitempty"`
+	Image      string      `json:"image"`
+	ImageMB    int64       `json:"image_mb"`
+	Estimate   unit.Micros `json:"estimate"`
+	Checkpoint unit.Micros `json:"checkpoint,omitempty"`
+	Save       unit.Micros `json:"save,omitempty"`
+	Deadline   unit.Micros `json:"deadline,omitempty"` // from submission; 0: none
+}
+
+// Record is a job's value in the state service. Once a job is final only the
+// status and the number of tasks are kept, and of a cancelled job what its
+// tasks take, as some may still be running when the next leader comes.
+type Record struct {
+	Status    Status      `json:"status"`
+	Tasks     int         `json:"tasks"`
+	Team      string      `json:"team,omitempty"`
+	Demand    pack.Vec    `json:"demand,omitzero"`
+	Submitted unit.Micros `json:"submitted,omitempty"` // time of day
+	Spec      *Spec       `json:"spec,omitempty"`
+}
+
+// Encode returns the record's stored form.
+func (r Record) Encode() json.RawMessage {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // plain data: cannot fail
+	}
+	return b
+}
+
+// DecodeRecord reads a stored record.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return r, err
+	}
+	switch {
+	case r.Status.Final():
+		r.Spec = nil
+	case r.Status != Pending:
+		return r, fmt.Errorf("status %q", r.Status)
+	case r.Spec == nil || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks:
+		return r, errors.New("no usable description")
+	}
+	return r, nil
+}
+
+var idForm = regexp.MustCompile(`^wk-(\d{6}|[1-9]\d{6,17})$`)
+
+// ValidID reports whether a job id has the form that users give ids.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job  string
+	Task int
+}
+
+func (t TaskID) String() string { return t.Job + "/" + strconv.Itoa(t.Task) }
+
+// ParseTaskID reads JOB/N.
+func ParseTaskID(s string) (TaskID, error) {
+	job, num, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(num)
+	if !ok || err != nil || n < 0 || n >= MaxTasks || !ValidID(job) || strconv.Itoa(n) != num {
+		return TaskID{}, fmt.Errorf("task id %q", s)
+	}
+	return TaskID{job, n}, nil
+}
+
+// Set is a set of small numbers.
+type Set struct {
+	words []uint64
+	n     int
+}
+
+// Has reports whether i is in the set.
+func (s *Set) Has(i int) bool {
+	return i/64 < len(s.words) && s.words[i/64]&(1<<(i%64)) != 0
+}
+
+// Add puts i into the set and reports whether it is new there.
+func (s *Set) Add(i int) bool {
+	if s.Has(i) {
+		return false
+	}
+	for len(s.words) <= i/64 {
+		s.words = append(s.words, 0)
+	}
+	s.words[i/64] |= 1 << (i % 64)
+	s.n++
+	return true
+}
+
+// Len returns how many numbers are in the set.
+func (s *Set) Len() int { return s.n }
+
+// Ranges writes the members within [lo, hi) relative to lo, as "0-4,7".
+func (s *Set) Ranges(lo, hi int) string {
+	var b strings.Builder
+	for i := lo; i < hi; {
+		if !s.Has(i) {
+			if i%64 == 0 && (i/64 >= len(s.words) || s.words[i/64] == 0) {
+				i += 64
+			} else {
+				i++
+			}
+			continue
+		}
+		j := i
+		for j+1 < hi && s.Has(j+1) {
+			j++
+		}
+		if b.Len() > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(i - lo))
+		if j > i {
+			b.WriteByte('-')
+			b.WriteString(strconv.Itoa(j - lo))
+		}
+		i = j + 1
+	}
+	return b.String()
+}
+
+// AddRanges reads what Ranges wrote. Nothing is added when the text is malformed.
+func (s *Set) AddRanges(text string, lo, hi int) error {
+	if text == "" {
+		return nil
+	}
+	type span struct{ a, b int }
+	var spans []span
+	for _, part := range strings.Split(text, ",") {
+		first, last, isRange := strings.Cut(part, "-")
+		if !isRange {
+			last = first
+		}
+		a, err1 := strconv.Atoi(first)
+		b, err2 := strconv.Atoi(last)
+		if err1 != nil || err2 != nil || a < 0 || b < a || lo+b >= hi {
+			return fmt.Errorf("range %q", part)
+		}
+		spans = append(spans, span{a, b})
+	}
+	for _, sp := range spans {
+		for i := sp.a; i <= sp.b; i++ {
+			s.Add(lo + i)
+		}
+	}
+	return nil
+}
+
+// Count returns the number of members within [lo, hi), whole words at a time
+// where it can.
+func (s *Set) Count(lo, hi int) int {
+	n := 0
+	for i := lo; i < hi; {
+		if i%64 == 0 && i+64 <= hi {
+			if i/64 >= len(s.words) {
+				break
+			}
+			n += bits.OnesCount64(s.words[i/64])
+			i += 64
+			continue
+		}
+		if s.Has(i) {
+			n++
+		}
+		i++
+	}
+	return n
+}
+
+// ChunkTasks returns how many tasks one finished-task record covers, so that
+// even the worst pattern of ranges stays under the state service's value limit.
+func ChunkTasks(valueKB float64) int {
+	limit := int(valueKB*1024) - 64
+	n := 256
+	for n < 1<<17 && (n*2)/2*6 <= limit { // every other task: n/2 numbers of at most 5 digits and a comma
+		n *= 2
+	}
+	return n
+}
+
+// Place is where an attempt of a task may be running.
+type Place struct {
+	Machine string
+	Attempt uint64
+	Zone    string
+	Live    bool // the machine reported it on board with its image
+}
+
+// Job is an unfinished job in memory, or the mere status of a finished one.
+type Job struct {
+	ID     string
+	Stamp  uint64 // version of the job's record
+	Record Record
+
+	finished Set // known to be done
+	stored   Set // done and stored
+	places   map[int]Place
+	ready    []int // tasks that may start, the next one last
+	dirty    map[int]bool
+
+	Errors     map[string]int // machines on which tasks failed, while none has worked
+	Worked     bool           // some task completed
+	NotBefore  unit.Micros    // failed lately: not started before this
+	FirstStart unit.Micros
+	Held       bool // may have been started by an earlier leader: wait until all machines are accounted for
+}
+
+// Spec returns the job's description; nil once the job is final.
+func (j *Job) Spec() *Spec { return j.Record.Spec }
+
+// Active reports whether the job still has work to do.
+func (j *Job) Active() bool { return !j.Record.Status.Final() }
+
+// Finished returns how many tasks are done.
+func (j *Job) Finished() int {
+	if j.Record.Status == Done {
+		return j.Record.Tasks
+	}
+	return j.finished.Len()
+}
+
+// IsFinished reports whether a task is done.
+func (j *Job) IsFinished(task int) bool { return j.Record.Status == Done || j.finished.Has(task) }
+
+// IsStored reports whether it is stored that a task is done.
+func (j *Job) IsStored(task int) bool { return j.Record.Status == Done || j.stored.Has(task) }
+
+// AllFinished reports whether every task is done.
+func (j *Job) AllFinished() bool {
+	return j.Record.Status == Done || (j.finished.Len() == j.Record.Tasks && j.Record.Tasks > 0)
+}
+
+// Ready returns how many tasks may start.
+func (j *Job) Ready() int { return len(j.ready) }
+
+// Placed returns how many tasks may be running.
+func (j *Job) Placed() int { return len(j.places) }
+
+// Live returns how many tasks run, as their machines last reported.
+func (j *Job) Live() int {
+	n := 0
+	for _, p := range j.places {
+		if p.Live {
+			n++
+		}
+	}
+	return n
+}
+
+// Place returns where a task may be running.
+func (j *Job) Place(task int) (Place, bool) {
+	p, ok := j.places[task]
+	return p, ok
+}
+
+// ZoneCounts returns how many tasks may be running in each zone.
+func (j *Job) ZoneCounts() map[string]int {
+	m := map[string]int{}
+	for _, p := range j.places {
+		m[p.Zone]++
+	}
+	return m
+}
+
+// LoadFinished reads a stored chunk of finished tasks.
+func (j *Job) LoadFinished(chunk, chunkTasks int, ranges string) error {
+	lo := chunk * chunkTasks
+	hi := min(lo+chunkTasks, j.Record.Tasks)
+	if err := j.stored.AddRanges(ranges, lo, hi); err != nil {
+		return err
+	}
+	return j.finished.AddRanges(ranges, lo, hi)
+}
+
+// Reset forgets where tasks are, as a new leader must: every unfinished task is ready.
+func (j *Job) Reset() {
+	j.places = map[int]Place{}
+	j.ready = j.ready[:0]
+	j.dirty = map[int]bool{}
+	j.Errors = map[string]int{}
+	if j.Active() {
+		for t := j.Record.Tasks - 1; t >= 0; t-- {
+			if !j.finished.Has(t) {
+				j.ready = append(j.ready, t)
+			}
+		}
+	}
+}
+
+// Take returns the next ready task and records where it goes.
+func (j *Job) Take(p Place) int {
+	t := j.ready[len(j.ready)-1]
+	j.ready = j.ready[:len(j.ready)-1]
+	j.places[t] = p
+	return t
+}
+
+// Adopt records a task that a machine reports although it was not placed there.
+func (j *Job) Adopt(task int, p Place) {
+	for i, t := range j.ready {
+		if t == task {
+			j.ready = append(j.ready[:i], j.ready[i+1:]...)
+			break
+		}
+	}
+	j.places[task] = p
+}
+
+// SetLive records that a placed task is on its machine with its image.
+func (j *Job) SetLive(task int) {
+	p := j.places[task]
+	p.Live = true
+	j.places[task] = p
+}
+
+// Release records that an attempt is no longer anywhere; unless it is done the task is ready again.
+func (j *Job) Release(task int) {
+	if _, ok := j.places[task]; !ok {
+		return
+	}
+	delete(j.places, task)
+	if j.Active() && !j.finished.Has(task) {
+		j.ready = append(j.ready, task)
+	}
+}
+
+// Finish records that a task is done, wherever it was.
+func (j *Job) Finish(task, chunkTasks int) {
+	if !j.Active() || task >= j.Record.Tasks || !j.finished.Add(task) {
+		return
+	}
+	j.Worked = true
+	j.Errors = map[string]int{}
+	j.dirty[task/chunkTasks] = true
+	if _, ok := j.places[task]; ok {
+		return // released when its machine's report is through
+	}
+	for i, t := range j.ready {
+		if t == task {
+			j.ready = append(j.ready[:i], j.ready[i+1:]...)
+			return
+		}
+	}
+}
+
+// DirtyChunks returns the chunks with finished tasks not yet handed over for
+// storing, and clears the list.
+func (j *Job) DirtyChunks() []int {
+	var out []int
+	for c := range j.dirty {
+		out = append(out, c)
+	}
+	sort.Ints(out)
+	clear(j.dirty)
+	return out
+}
+
+// MarkDirty puts a chunk back on the list of those to be stored.
+func (j *Job) MarkDirty(chunk int) { j.dirty[chunk] = true }
+
+// Dirty reports whether there are finished tasks to store.
+func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
+
+// ChunkRanges returns the text to store for a chunk.
+func (j *Job) ChunkRanges(chunk, chunkTasks int) string {
+	lo := chunk * chunkTasks
+	return j.finished.Ranges(lo, min(lo+chunkTasks, j.Record.Tasks))
+}
+
+// Settle makes the job final: only its status is kept.
+func (j *Job) Settle(r Record, stamp uint64) {
+	j.Record, j.Stamp = r, stamp
+	j.ready, j.dirty = nil, map[int]bool{}
+	j.finished, j.stored = Set{}, Set{}
+}
+
+// AllowsType reports whether a job's tasks may run on a machine type.
+func (s *Spec) AllowsType(name string) bool {
+	if s.AnyType {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Allows reports whether a job's tasks may run on a kind of machine, whatever
+// the job's other tasks do.
+func (s *Spec) Allows(typ, zone string, spot bool) bool {
+	return (!spot || s.Spot) && (s.Zone == "" || s.Zone == zone) && s.AllowsType(typ)
+}
+
+// ZonePermits reports whether one more task may go to a zone, given where the
+// job's other tasks may be running.
+func (j *Job) ZonePermits(zone string) bool {
+	s := j.Spec()
+	if !s.OneZone && !s.Spread {
+		return true
+	}
+	counts := j.ZoneCounts()
+	if s.OneZone {
+		for z := range counts {
+			if z != zone {
+				return false
+			}
+		}
+	}
+	return !s.Spread || counts[zone] < (s.Tasks+1)/2
+}
--- /dev/null
+++ b/internal/core/reports.go
@@ -0,0 +1,282 @@
+package core
+
+import (
+	"net/http"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// token is what this leader's commands carry.
+func (l *leader) token() uint64 { return lead.Token(l.term, 0) }
+
+// Report takes a worker's report. Only a node whose authority is certain
+// answers 200; any other answer would hold the worker while its lease runs out.
+func (c *Core) Report(now unit.Micros, req ReqID, r *fleet.Report) {
+	c.at(now)
+	l := c.leader
+	switch {
+	case l == nil && c.claim.Node != c.cfg.Node:
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{c.claim.Node})
+		return
+	case l == nil || !l.ready || !l.auth.Valid(now):
+		c.reply(req, http.StatusServiceUnavailable, Problem{"no authority at present"})
+		return
+	case r.Token > l.token():
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{})
+		c.resign("a worker has seen a higher token", unit.Second)
+		return
+	}
+	l.lastHeard = now
+	m := l.machines[r.Machine]
+	if m == nil {
+		m = c.newMachine(l, r.Machine, fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+		delete(l.gone, r.Machine)
+	}
+	orders := Orders{Token: l.token()}
+	if !m.Newer(r) {
+		c.reply(req, http.StatusOK, orders) // late: nobody waits for this answer
+		return
+	}
+	if m.LastSeen == 0 {
+		m.IdleSince = now
+		c.log.Info("machine up", "machine", m.Name, "type", r.Type, "spot", r.Spot, "after_s", (now - m.Rented).Seconds())
+	}
+	m.Session, m.Seq, m.LastSeen, m.Lost = r.Session, r.Seq, now, false
+	m.LeaseEnd = now + c.leaseBound()
+	if r.Notice != unit.Never {
+		m.Notice = now + r.Notice
+	} else {
+		m.Notice = unit.Never
+	}
+	if r.Token == l.token() {
+		// The worker has taken an answer of this term, so that it drops every
+		// answer of earlier ones: its list shows all that can be there. A report
+		// without our token proves nothing, as it may have been under way while
+		// an earlier leader started tasks.
+		orders.Commands = c.reconcile(l, m, r)
+		l.accounted(c, m)
+		if m.Settled() && m.Notice == unit.Never {
+			orders.Commands = append(orders.Commands, c.fill(l, m)...)
+		}
+	}
+	c.reply(req, http.StatusOK, orders)
+}
+
+// reconcile brings what is known of a machine in line with its report.
+//
+// A worker has one report in flight, and drops answers to reports it has given
+// up. So a start that was sent in an earlier answer and does not show in a
+// newer report was never carried out and never will be.
+func (c *Core) reconcile(l *leader, m *fleet.Machine, r *fleet.Report) []fleet.Command {
+	var forget, stop []fleet.Command
+	seen := make(map[ledger.TaskID]bool, len(r.Tasks))
+	var exited []fleet.Task
+	for _, t := range r.Tasks {
+		if t.State == fleet.Exited {
+			exited = append(exited, t)
+			continue
+		}
+		seen[t.ID] = true
+		if c.onBoard(l, m, t) {
+			stop = append(stop, fleet.Command{Op: fleet.Stop, ID: t.ID, Attempt: t.Attempt})
+		}
+	}
+	for _, t := range exited {
+		if c.exited(l, m, t) {
+			forget = append(forget, fleet.Command{Op: fleet.Forget, ID: t.ID, Attempt: t.Attempt})
+		}
+	}
+	for id := range m.Tasks {
+		if !seen[id] {
+			c.taskGone(l, m, id)
+		}
+	}
+	return append(forget, stop...)
+}
+
+// onBoard takes in a task that is on a machine, and reports whether it must stop.
+func (c *Core) onBoard(l *leader, m *fleet.Machine, t fleet.Task) bool {
+	j := c.jobs[t.ID.Job]
+	a, known := m.Tasks[t.ID]
+	if !known || a.Number != t.Attempt {
+		a = fleet.Attempt{Number: t.Attempt, Started: c.now}
+		switch {
+		case j != nil && j.Active():
+			a.Team, a.Demand = j.Spec().Team, j.Spec().Demand
+		case j != nil:
+			a.Team, a.Demand = j.Record.Team, j.Record.Demand
+		}
+	}
+	a.State = t.State
+	if t.State != fleet.Fetching && a.Live == 0 {
+		a.Live = c.now
+	}
+	c.taskOn(l, m, t.ID, a)
+	if j == nil || !j.Active() || t.ID.Task >= j.Record.Tasks {
+		return true
+	}
+	p, placed := j.Place(t.ID.Task)
+	switch {
+	case j.IsFinished(t.ID.Task):
+		return true
+	case !placed:
+		j.Adopt(t.ID.Task, ledger.Place{Machine: m.Name, Attempt: t.Attempt, Zone: m.Record.Zone})
+	case p.Machine != m.Name:
+		c.log.Error("task is on two machines", "task", t.ID.String(), "one", p.Machine, "other", m.Name)
+		return true
+	case p.Attempt != t.Attempt:
+		j.Release(t.ID.Task)
+		j.Adopt(t.ID.Task, ledger.Place{Machine: m.Name, Attempt: t.Attempt, Zone: m.Record.Zone})
+	}
+	if t.State != fleet.Fetching {
+		j.SetLive(t.ID.Task)
+		m.UseImage(j.Spec().Image)
+	}
+	return false
+}
+
+// exited takes in a task that has exited, and reports whether its machine may
+// forget it. A finished task is kept there until it is stored that it is done.
+func (c *Core) exited(l *leader, m *fleet.Machine, t fleet.Task) bool {
+	j := c.jobs[t.ID.Job]
+	if a, ok := m.Tasks[t.ID]; ok && a.Number == t.Attempt && j != nil && j.Active() && !j.IsFinished(t.ID.Task) {
+		switch t.Cause {
+		case fleet.Failed:
+			c.failed(l, m, j)
+		case fleet.Unknown, fleet.NoRoom, fleet.Busy:
+			c.log.Warn("start refused", "task", t.ID.String(), "machine", m.Name, "cause", int(t.Cause))
+			j.NotBefore = max(j.NotBefore, c.now+unit.Second)
+		}
+	}
+	if t.Cause != fleet.Completed || j == nil || !j.Active() || t.ID.Task >= j.Record.Tasks {
+		return true
+	}
+	if j.IsStored(t.ID.Task) {
+		return true
+	}
+	if !j.IsFinished(t.ID.Task) {
+		m.Failures = 0
+		m.UseImage(j.Spec().Image)
+		j.Finish(t.ID.Task, c.chunk)
+		if j.AllFinished() {
+			c.flush(l, j) // users wait for it
+		}
+	}
+	return false
+}
+
+// failed weighs who is to blame for a failed task: a job that has worked
+// elsewhere, or a second job failing here, speaks against the machine; a job
+// that has only ever failed, on several machines, speaks against itself.
+func (c *Core) failed(l *leader, m *fleet.Machine, j *ledger.Job) {
+	j.Errors[m.Name]++
+	switch {
+	case j.Worked:
+		m.Failures += 2
+	case j.Errors[m.Name] == 1 && len(j.Errors) < 3:
+		m.Failures++
+	}
+	if len(j.Errors) >= 2 && !j.Worked {
+		n := 0
+		for _, k := range j.Errors {
+			n += k
+		}
+		j.NotBefore = c.now + min(unit.Second<<min(n, 6), 60*unit.Second)
+	}
+	c.log.Info("task failed", "job", j.ID, "machine", m.Name, "blame", m.Failures, "machines", len(j.Errors))
+	if m.Failures >= 2 && !m.Sick {
+		m.Sick = true
+		c.log.Warn("machine fails its tasks", "machine", m.Name)
+	}
+}
+
+// fill starts tasks on a machine that has reported free room.
+func (c *Core) fill(l *leader, m *fleet.Machine) []fleet.Command {
+	if len(l.active) == 0 {
+		return nil
+	}
+	if l.orderStale || l.within == nil {
+		c.sortJobs(l)
+	}
+	free := m.Type.Capacity.Sub(m.Used())
+	var jobs []*ledger.Job
+	var views []pack.Job
+	perTeam := map[string]int{}
+	for _, j := range l.order {
+		if j.Active() {
+			perTeam[j.Spec().Team]++
+		}
+	}
+	for _, j := range l.order {
+		s := j.Spec()
+		if s == nil || j.Ready() == 0 || j.Held || c.now < j.NotBefore ||
+			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
+			continue
+		}
+		tier := int(s.Priority)
+		if l.within[j.ID] {
+			tier += int(ledger.Production) + 1
+		}
+		held := pack.Dominant(l.total, s.Demand) * float64(j.Placed())
+		views = append(views, pack.Job{
+			Demand:   s.Demand,
+			Pending:  j.Ready(),
+			Work:     float64(j.Record.Tasks-j.Finished()) * s.Estimate.Seconds(),
+			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
+			Tier:     tier,
+			Cached:   m.HasImage(s.Image),
+			Deferred: !j.Worked && len(j.Errors) > 1,
+		})
+		jobs = append(jobs, j)
+	}
+	var out []fleet.Command
+	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
+		j := jobs[i]
+		s := j.Spec()
+		if !c.permits(l, s) || !j.ZonePermits(m.Record.Zone) {
+			return false
+		}
+		l.attempts++
+		n := lead.Attempt(l.term, l.attempts)
+		id := ledger.TaskID{Job: j.ID, Task: j.Take(ledger.Place{Machine: m.Name, Attempt: n, Zone: m.Record.Zone})}
+		c.taskOn(l, m, id, fleet.Attempt{Number: n, Team: s.Team, Demand: s.Demand, Started: c.now})
+		out = append(out, fleet.Command{Op: fleet.Start, ID: id, Attempt: n})
+		return true
+	})
+	return out
+}
+
+// permits reports whether a team's limit leaves room for one more task. Until
+// all machines are accounted for, those that are not may be full of its tasks.
+func (c *Core) permits(l *leader, s *ledger.Spec) bool {
+	t := c.teams[s.Team]
+	if t == nil {
+		return false
+	}
+	use := l.usage[s.Team].Add(s.Demand)
+	for name := range l.unaccounted {
+		if m := l.machines[name]; m != nil && m.Type != nil {
+			use = use.Add(m.Type.Capacity.Sub(m.Used()))
+		} else if t.Limit != (pack.Vec{}) {
+			return false
+		}
+	}
+	return withinLimit(t.Limit, use)
+}
+
+// teamShare is a team's fair share of the whole: by guarantee where there are
+// any, else equal.
+func (c *Core) teamShare(team string) float64 {
+	var sum int64
+	for _, t := range c.cfg.Teams {
+		sum += t.Guarantee[pack.CPU]
+	}
+	if t := c.teams[team]; sum > 0 && t != nil {
+		return float64(t.Guarantee[pack.CPU]) / float64(sum)
+	}
+	return 1 / float64(max(len(c.cfg.Teams), 1))
+}
--- /dev/null
+++ b/internal/core/store/store.go
@@ -0,0 +1,244 @@
+// Package store keeps a copy of the state service's keys and groups changes
+// into transactions. It does no input or output itself.
+package store
+
+import (
+	"encoding/json"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Guard is a condition: the key has this version (0: it does not exist).
+type Guard struct {
+	Key   string
+	Stamp uint64
+}
+
+// Change is a put, or a delete where Value is nil.
+type Change struct {
+	Key   string
+	Value json.RawMessage
+	Lease uint64
+}
+
+// Event is a change that happened at a revision.
+type Event struct {
+	Key   string
+	Value json.RawMessage // nil: deleted
+	Stamp uint64
+}
+
+// Outcome is what is known of a request to an outside service.
+type Outcome int
+
+// Outcomes. Unknown means that it may have been carried out or may yet be.
+const (
+	OK      Outcome = iota
+	Refused         // surely not carried out
+	Failed          // a guard did not hold, or the thing is gone
+	Unknown
+)
+
+// Replica is the copy. Rev is the revision up to which it is complete.
+type Replica struct {
+	Rev    uint64
+	stamps map[string]uint64
+	apply  func(Event)
+}
+
+// NewReplica returns an empty copy that hands every news to apply, once and in order per key.
+func NewReplica(apply func(Event)) *Replica {
+	return &Replica{stamps: map[string]uint64{}, apply: apply}
+}
+
+// Stamp returns a key's version in the copy, 0 if it does not exist.
+func (r *Replica) Stamp(key string) uint64 { return r.stamps[key] }
+
+// Learn applies one event unless something newer is known of its key.
+func (r *Replica) Learn(e Event) {
+	if e.Stamp <= r.stamps[e.Key] {
+		return
+	}
+	if e.Value == nil {
+		if _, ok := r.stamps[e.Key]; !ok {
+			return
+		}
+		delete(r.stamps, e.Key)
+	} else {
+		r.stamps[e.Key] = e.Stamp
+	}
+	r.apply(e)
+}
+
+// Advance applies what a watch answered: all changes after the given revision up to rev.
+func (r *Replica) Advance(after, rev uint64, events []Event) {
+	if after > r.Rev {
+		return // a gap: the copy was taken anew meanwhile
+	}
+	for _, e := range events {
+		if e.Stamp > r.Rev {
+			r.Learn(e)
+		}
+	}
+	r.Rev = max(r.Rev, rev)
+}
+
+// Reload takes a full listing that began at rev: keys it lacks are gone unless
+// the copy knows that they were written later.
+func (r *Replica) Reload(rev uint64, items []Event) {
+	listed := make(map[string]bool, len(items))
+	for _, e := range items {
+		listed[e.Key] = true
+		r.Learn(e)
+	}
+	for k, s := range r.stamps {
+		if !listed[k] && s <= rev {
+			delete(r.stamps, k)
+			r.apply(Event{Key: k, Stamp: rev})
+		}
+	}
+	r.Rev = rev
+}
+
+// Write is one group of changes that go together.
+type Write struct {
+	Guards  []Guard
+	Changes []Change
+	// Done is told the outcome, and the revision where it is OK.
+	Done func(o Outcome, rev uint64)
+}
+
+// Txn is a transaction made of several writes.
+type Txn struct {
+	Guards  []Guard
+	Changes []Change
+	writes  []*Write
+}
+
+// Lane queues writes and has one transaction under way at a time.
+type Lane struct {
+	MaxOps   int
+	MaxBytes int
+	MaxQueue int
+	Rate     float64 // changes a second
+
+	queue   []*Write
+	current *Txn
+	credit  float64
+	last    unit.Micros
+	holdOff unit.Micros
+}
+
+// Add queues a write; it reports false when the queue is full.
+func (l *Lane) Add(w *Write) bool {
+	if len(l.queue) >= l.MaxQueue {
+		return false
+	}
+	l.queue = append(l.queue, w)
+	return true
+}
+
+// Len returns how many writes wait or are under way.
+func (l *Lane) Len() int {
+	n := len(l.queue)
+	if l.current != nil {
+		n += len(l.current.writes)
+	}
+	return n
+}
+
+// Next returns the next transaction to send, or nil.
+func (l *Lane) Next(now unit.Micros) *Txn {
+	l.credit = min(l.credit+l.Rate*(now-l.last).Seconds(), max(float64(l.MaxOps), l.Rate))
+	l.last = now
+	if l.current != nil || len(l.queue) == 0 || now < l.holdOff {
+		return nil
+	}
+	t := &Txn{}
+	guards := map[string]uint64{}
+	touched := map[string]bool{}
+	size := 0
+	for len(l.queue) > 0 {
+		w := l.queue[0]
+		n, clash := 0, false
+		for _, c := range w.Changes {
+			n += 2*len(c.Key) + len(c.Value) + 200
+			clash = clash || touched[c.Key]
+		}
+		for _, g := range w.Guards {
+			s, ok := guards[g.Key]
+			clash = clash || (ok && s != g.Stamp)
+		}
+		if len(t.writes) > 0 && (clash || len(t.Changes)+len(w.Changes) > l.MaxOps || size+n > l.MaxBytes ||
+			float64(len(t.Changes)+len(w.Changes)) > l.credit || len(guards)+len(w.Guards) > 4*l.MaxOps) {
+			break
+		}
+		if len(t.writes) == 0 && float64(len(w.Changes)) > l.credit {
+			return nil
+		}
+		l.queue = l.queue[1:]
+		t.writes = append(t.writes, w)
+		size += n
+		for _, c := range w.Changes {
+			touched[c.Key] = true
+			t.Changes = append(t.Changes, c)
+		}
+		for _, g := range w.Guards {
+			if _, ok := guards[g.Key]; !ok {
+				guards[g.Key] = g.Stamp
+				t.Guards = append(t.Guards, g)
+			}
+		}
+	}
+	l.credit -= float64(len(t.Changes))
+	l.current = t
+	return t
+}
+
+// Finish takes the outcome of the transaction under way. Writes whose guards
+// failed are told so; the others of that transaction go again, ahead of the
+// queue. Refused writes also go again after a pause, as nothing was carried out.
+func (l *Lane) Finish(now unit.Micros, o Outcome, rev uint64, failed []string) {
+	t := l.current
+	l.current = nil
+	if t == nil {
+		return
+	}
+	if o == Refused {
+		l.holdOff = now + 300_000
+	}
+	bad := map[string]bool{}
+	for _, k := range failed {
+		bad[k] = true
+	}
+	var again []*Write
+	var tell []func()
+	for _, w := range t.writes {
+		o := o
+		if o == Failed && len(failed) > 0 {
+			hit := false
+			for _, g := range w.Guards {
+				hit = hit || bad[g.Key]
+			}
+			if !hit {
+				again = append(again, w)
+				continue
+			}
+		}
+		tell = append(tell, func() { w.Done(o, rev) })
+	}
+	l.queue = append(again, l.queue...)
+	for _, f := range tell {
+		f()
+	}
+}
+
+// Clear drops everything that waits, telling each that it was refused. What
+// is under way still gets its outcome.
+func (l *Lane) Clear() {
+	q := l.queue
+	l.queue = nil
+	for _, w := range q {
+		w.Done(Refused, 0)
+	}
+}
--- /dev/null
+++ b/internal/core/sync.go
@@ -0,0 +1,242 @@
+package core
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// syncState drives the copy of the state service's keys. One listing fills
+// it, a watch keeps it fresh, and a read without waiting proves it fresh: a
+// request that must not get an old answer waits for a read that began after
+// the request arrived. Requests that arrive together share one read.
+type syncState struct {
+	loaded    bool
+	listing   bool
+	watching  bool
+	reading   bool
+	retryAt   unit.Micros
+	nextRead  unit.Micros
+	nextWatch unit.Micros
+	current   []func(ok bool) // told when the read under way ends
+	waiting   []func(ok bool) // wait for the next read
+	want      bool
+	lastOK    unit.Micros // the state service last answered
+	everOK    bool
+}
+
+const (
+	watchWait = 5 * unit.Second
+	maxWaiter = 2000
+)
+
+// wantSync asks for a fresh read; f, if any, is told whether it worked.
+func (c *Core) wantSync(f func(ok bool)) {
+	if f != nil && len(c.sync.waiting) >= maxWaiter {
+		f(false)
+		return
+	}
+	c.sync.want = true
+	if f != nil {
+		c.sync.waiting = append(c.sync.waiting, f)
+	}
+}
+
+// heard notes whether the state service serves this node.
+func (c *Core) heard(o store.Outcome) {
+	if o == store.OK || o == store.Failed {
+		c.sync.lastOK, c.sync.everOK = c.now, true
+	}
+}
+
+func (c *Core) tickSync() {
+	s := &c.sync
+	if !s.loaded && !s.listing && c.now >= s.retryAt {
+		s.listing = true
+		c.emit(List{})
+	}
+	if s.loaded && !s.watching && c.now >= s.retryAt && c.now >= s.nextWatch {
+		s.watching = true
+		// A watch ends with every change, so a third of the budget bounds them.
+		s.nextWatch = c.now + unit.Seconds(3*float64(c.cfg.Size)/c.cfg.StateRate)
+		c.emit(Watch{After: c.replica.Rev, Wait: watchWait})
+	}
+}
+
+func (c *Core) pumpSync() {
+	s := &c.sync
+	if !s.want || s.reading || !s.loaded || c.now < s.nextRead {
+		return
+	}
+	s.want, s.reading = false, true
+	s.current, s.waiting = s.waiting, nil
+	// Half of the request budget is for reads, shared by all controllers.
+	s.nextRead = c.now + unit.Seconds(2*float64(c.cfg.Size)/c.cfg.StateRate)
+	c.emit(Watch{After: c.replica.Rev, Fresh: true})
+}
+
+// OnList takes a full listing that began at rev.
+func (c *Core) OnList(now unit.Micros, o store.Outcome, rev uint64, items []store.Event) {
+	c.at(now)
+	c.heard(o)
+	s := &c.sync
+	s.listing = false
+	if o != store.OK {
+		s.retryAt = now + unit.Second/2
+		return
+	}
+	c.replica.Reload(rev, items)
+	s.loaded = true
+	c.log.Info("state loaded", "keys", len(items), "revision", rev)
+	c.wantSync(nil)
+	c.tickSync()
+}
+
+// OnChanges takes a watch's answer. gone means that the service no longer has
+// all changes since then, so the copy is taken anew.
+func (c *Core) OnChanges(now unit.Micros, w Watch, o store.Outcome, rev uint64, events []store.Event, gone bool) {
+	c.at(now)
+	c.heard(o)
+	s := &c.sync
+	var told []func(bool)
+	if w.Fresh {
+		s.reading = false
+		told, s.current = s.current, nil
+	} else {
+		s.watching = false
+	}
+	if o == store.OK {
+		c.replica.Advance(w.After, rev, events)
+	} else if gone {
+		s.loaded = false
+	} else if !w.Fresh {
+		s.retryAt = now + unit.Second/2
+	} else {
+		s.nextRead = max(s.nextRead, now+unit.Second/4)
+	}
+	c.tickSync()
+	for _, f := range told {
+		f(o == store.OK)
+	}
+}
+
+// learn takes one change of the copy. Records that cannot be read are logged
+// and skipped: they end no process.
+func (c *Core) learn(e store.Event) {
+	var err error
+	switch {
+	case e.Key == leadKey:
+		c.claim = lead.Claim{}
+		if e.Value != nil {
+			err = json.Unmarshal(e.Value, &c.claim)
+		}
+	case e.Key == termKey:
+		if e.Value != nil {
+			err = json.Unmarshal(e.Value, &c.term)
+		}
+	case strings.HasPrefix(e.Key, jobPrefix):
+		err = c.learnJob(e.Key[len(jobPrefix):], e)
+	case strings.HasPrefix(e.Key, donePrefix):
+		err = c.learnFinished(e.Key[len(donePrefix):], e)
+	case strings.HasPrefix(e.Key, machPrefix):
+		err = c.learnMachine(e.Key[len(machPrefix):], e)
+	case strings.HasPrefix(e.Key, typePrefix):
+		err = c.learnType(e)
+	}
+	if err != nil {
+		c.log.Error("unusable record", "key", e.Key, "err", err)
+	}
+}
+
+func (c *Core) learnJob(id string, e store.Event) error {
+	if e.Value == nil {
+		return nil // job records are never removed
+	}
+	r, err := ledger.DecodeRecord(e.Value)
+	if err != nil {
+		return err
+	}
+	j := c.jobs[id]
+	if j == nil {
+		j = &ledger.Job{ID: id, Stamp: e.Stamp, Record: r}
+		c.jobs[id] = j
+		j.Reset()
+	}
+	if r.Status.Final() {
+		if j.Active() && c.leader != nil {
+			c.leader.jobOver(c, j, r.Status)
+		}
+		j.Settle(r, e.Stamp)
+	} else {
+		j.Stamp = e.Stamp
+		if c.leader != nil {
+			c.leader.addJob(j)
+		}
+	}
+	return nil
+}
+
+// finishedRecord is the stored form of one chunk of finished tasks.
+type finishedRecord struct {
+	Tasks string `json:"tasks"`
+}
+
+func (c *Core) learnFinished(key string, e store.Event) error {
+	id, num, ok := strings.Cut(key, "/")
+	j := c.jobs[id]
+	n, err := strconv.Atoi(num)
+	if e.Value == nil || j == nil || !j.Active() || !ok {
+		return nil
+	}
+	if err != nil || n < 0 || n > ledger.MaxTasks {
+		return err
+	}
+	var f finishedRecord
+	if err := json.Unmarshal(e.Value, &f); err != nil {
+		return err
+	}
+	return j.LoadFinished(n, c.chunk, f.Tasks)
+}
+
+func (c *Core) learnMachine(name string, e store.Event) error {
+	if e.Value == nil {
+		delete(c.records, name)
+		return nil
+	}
+	r, err := fleet.DecodeRecord(e.Value)
+	if err != nil {
+		return err
+	}
+	c.records[name] = stored{r, e.Stamp}
+	if c.leader != nil {
+		c.leader.machineStored(c, name)
+	}
+	return nil
+}
+
+func (c *Core) learnType(e store.Event) error {
+	if e.Value == nil {
+		return nil
+	}
+	var t fleet.Type
+	if err := json.Unmarshal(e.Value, &t); err != nil {
+		return err
+	}
+	c.setType(t)
+	return nil
+}
+
+// setType keeps the type's identity, as machines point to it.
+func (c *Core) setType(t fleet.Type) {
+	if old := c.types[t.Name]; old != nil {
+		*old = t
+		return
+	}
+	c.types[t.Name] = &t
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,219 @@
+package core
+
+import (
+	"net/http"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// retryAfter is when a user who could not be served should come back.
+const retryAfter = 1 * unit.Second
+
+func (c *Core) reply(req ReqID, code int, body any) { c.emit(Reply{Req: req, Code: code, Body: body}) }
+
+// unavailable tells a user at once that the request could not be taken.
+func (c *Core) unavailable(req ReqID, why string) {
+	c.emit(Reply{Req: req, Code: http.StatusServiceUnavailable, Body: Problem{why}, RetryAfter: retryAfter})
+}
+
+// answer tells a job's state; code is 200 except for a job accepted just now.
+func (c *Core) answer(req ReqID, code int, j *ledger.Job, counts bool) {
+	a := JobAnswer{ID: j.ID, Status: j.Record.Status, Counts: counts, Done: j.Finished()}
+	if j.Active() {
+		a.Running = j.Live()
+		if a.Running > 0 || c.leader == nil && a.Done > 0 {
+			a.Status = ledger.Running
+		}
+	}
+	c.reply(req, code, a)
+}
+
+// Submit takes a submission. bad, if any, says why its body is malformed: that
+// matters only if the id is not known, as a known job is always answered with
+// its state.
+func (c *Core) Submit(now unit.Micros, req ReqID, id string, spec *ledger.Spec, bad string) {
+	c.at(now)
+	if j := c.jobs[id]; j != nil {
+		c.Query(now, req, id)
+		return
+	}
+	if spec != nil && len(c.types) > 0 && c.impossible(spec) == "" {
+		c.accept(req, id, spec)
+		return
+	}
+	// Before a refusal for good, make sure that no other node has accepted it.
+	c.wantSync(func(ok bool) {
+		j := c.jobs[id]
+		switch {
+		case !ok:
+			c.unavailable(req, "state service does not answer")
+		case j != nil:
+			c.answer(req, http.StatusOK, j, false)
+		case spec == nil:
+			c.reply(req, http.StatusBadRequest, Problem{bad})
+		case len(c.types) == 0:
+			c.unavailable(req, "machine types are not known yet")
+		default:
+			if why := c.impossible(spec); why != "" {
+				c.reply(req, http.StatusUnprocessableEntity, Problem{why})
+				return
+			}
+			c.accept(req, id, spec)
+		}
+	})
+}
+
+// impossible says why a job can never run, or "".
+func (c *Core) impossible(s *ledger.Spec) string {
+	t := c.teams[s.Team]
+	if t == nil {
+		return "unknown team"
+	}
+	if len(c.fitting(s)) == 0 {
+		return "a task fits no allowed machine type"
+	}
+	d := s.Demand
+	if s.Service {
+		d = d.Times(int64(s.Tasks))
+	}
+	if !withinLimit(t.Limit, d) {
+		return "needs more than the team's limit"
+	}
+	return ""
+}
+
+// withinLimit reports whether use stays within a limit, where 0 means none.
+func withinLimit(limit, use pack.Vec) bool {
+	for i, l := range limit {
+		if l > 0 && use[i] > l {
+			return false
+		}
+	}
+	return true
+}
+
+// fitting returns the machine types on which a job's tasks can run.
+func (c *Core) fitting(s *ledger.Spec) []*fleet.Type {
+	var out []*fleet.Type
+	for _, t := range c.types {
+		if s.Demand.Fits(t.Capacity) && s.AllowsType(t.Name) && (s.Zone == "" || contains(t.Zones, s.Zone)) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// accept stores a new job and then answers 201. Where it is not sure that the
+// job is stored the user is told to ask again; asking again does no harm.
+func (c *Core) accept(req ReqID, id string, spec *ledger.Spec) {
+	key := jobPrefix + id
+	rec := ledger.Record{Status: ledger.Pending, Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
+	ok := c.lanes[UserLane].Add(&store.Write{
+		Guards:  []store.Guard{{Key: key}},
+		Changes: []store.Change{{Key: key, Value: rec.Encode()}},
+		Done: func(o store.Outcome, _ uint64) {
+			switch o {
+			case store.OK:
+				c.reply(req, http.StatusCreated, JobAnswer{ID: id, Status: ledger.Pending})
+			case store.Failed: // another node, or an earlier try, was first
+				c.Query(c.now, req, id)
+			default:
+				c.unavailable(req, "state service does not answer")
+			}
+		},
+	})
+	if !ok {
+		c.unavailable(req, "too many submissions")
+	}
+}
+
+// Query answers a poll. Only a final state may come from the copy as it is:
+// any other must be at least as new as the poll.
+func (c *Core) Query(now unit.Micros, req ReqID, id string) {
+	c.at(now)
+	if j := c.jobs[id]; j != nil && !j.Active() {
+		c.answer(req, http.StatusOK, j, true)
+		return
+	}
+	c.wantSync(func(ok bool) {
+		j := c.jobs[id]
+		switch {
+		case !ok:
+			c.unavailable(req, "state service does not answer")
+		case j == nil:
+			c.reply(req, http.StatusNotFound, Problem{"no such job"})
+		default:
+			c.answer(req, http.StatusOK, j, true)
+		}
+	})
+}
+
+// Abort cancels a job and answers once that is stored.
+func (c *Core) Abort(now unit.Micros, req ReqID, id string) {
+	c.at(now)
+	j := c.jobs[id]
+	if j == nil {
+		c.wantSync(func(ok bool) {
+			switch {
+			case !ok:
+				c.unavailable(req, "state service does not answer")
+			case c.jobs[id] == nil:
+				c.reply(req, http.StatusNotFound, Problem{"no such job"})
+			default:
+				c.Abort(c.now, req, id)
+			}
+		})
+		return
+	}
+	if !j.Active() {
+		c.answer(req, http.StatusOK, j, false)
+		return
+	}
+	key := jobPrefix + id
+	rec := ledger.Record{Status: ledger.Cancelled, Tasks: j.Record.Tasks, Team: j.Spec().Team, Demand: j.Spec().Demand}
+	ok := c.lanes[UserLane].Add(&store.Write{
+		Guards:  []store.Guard{{Key: key, Stamp: j.Stamp}},
+		Changes: []store.Change{{Key: key, Value: rec.Encode()}},
+		Done: func(o store.Outcome, _ uint64) {
+			switch o {
+			case store.OK:
+				c.reply(req, http.StatusOK, JobAnswer{ID: id, Status: ledger.Cancelled})
+			case store.Failed: // done, or cancelled by another node, meanwhile
+				c.wantSync(func(ok bool) {
+					if !ok || j.Active() {
+						c.unavailable(req, "try again")
+						return
+					}
+					c.answer(req, http.StatusOK, j, false)
+				})
+			default:
+				c.unavailable(req, "state service does not answer")
+			}
+		},
+	})
+	if !ok {
+		c.unavailable(req, "too many requests")
+	}
+}
+
+// Ready reports whether this node can take requests.
+func (c *Core) Ready(now unit.Micros) bool {
+	c.at(now)
+	return c.sync.loaded && len(c.types) > 0 && now-c.sync.lastOK < 6*unit.Second
+}
+
+// Answer answers a request that needed no more than a look.
+func (c *Core) Answer(req ReqID, code int) { c.reply(req, code, nil) }
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,219 @@
+// Package state is the client of the state service.
+package state
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/wire"
+)
+
+// deadlines of requests: the service answers within a few hundred
+// milliseconds, so that a lost request is noticed soon.
+const (
+	callTimeout = 1500 * time.Millisecond
+	listTimeout = 10 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// Client talks to the state service.
+type Client struct {
+	base  string
+	http  *http.Client
+	limit *rate.Limiter
+	log   *slog.Logger
+}
+
+// New returns a client. rps is this node's share of the request budget.
+func New(addr string, rps float64, log *slog.Logger) *Client {
+	return &Client{
+		base:  "http://" + addr,
+		http:  NewHTTPClient(8),
+		limit: rate.NewLimiter(rate.Limit(rps), max(4, int(rps))),
+		log:   log,
+	}
+}
+
+// NewHTTPClient returns a client for a service on the same network: few
+// connections, and none waited for long.
+func NewHTTPClient(conns int) *http.Client {
+	d := net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: conns,
+		MaxConnsPerHost:     conns,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// call does one request. The outcome is Unknown where the request may have
+// been carried out; a status other than 200 is returned for the caller to judge.
+func (c *Client) call(method, path string, timeout time.Duration, body, into any) (int, store.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	code, err := Do(ctx, c.http, method, c.base+path, body, into)
+	if err != nil {
+		c.log.Debug("state service", "method", method, "path", path, "err", err)
+		return code, store.Unknown
+	}
+	switch code {
+	case http.StatusOK:
+		return code, store.OK
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		c.log.Debug("state service", "method", method, "path", path, "code", code)
+		return code, store.Refused
+	}
+	return code, store.Failed
+}
+
+// Do sends a JSON request and reads a JSON answer. Answers that cannot be read are errors.
+func Do(ctx context.Context, hc *http.Client, method, url string, body, into any) (int, error) {
+	var rd io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return 0, err
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, rd)
+	if err != nil {
+		return 0, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := hc.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if into != nil && len(b) > 0 && (resp.StatusCode < 500 || json.Valid(b)) {
+		if err := json.Unmarshal(b, into); err != nil {
+			return resp.StatusCode, fmt.Errorf("unreadable answer: %w", err)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+// List reads every key with the prefix, and the revision at which it began.
+func (c *Client) List(prefix string) (store.Outcome, uint64, []store.Event) {
+	var rev uint64
+	var out []store.Event
+	after := ""
+	for page := 0; ; page++ {
+		if !c.limit.Allow() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		q := url.Values{"starts": {prefix}, "page": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var l wire.Listing
+		_, o := c.call(http.MethodGet, wire.KeysPath+"?"+q.Encode(), listTimeout, nil, &l)
+		if o != store.OK {
+			return o, 0, nil
+		}
+		if page == 0 {
+			rev = l.Revision
+		}
+		for _, it := range l.Items {
+			out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+		}
+		if !l.More || len(l.Items) == 0 {
+			return store.OK, rev, out
+		}
+		after = l.Items[len(l.Items)-1].Key
+	}
+}
+
+// Watch reads the changes after a revision, waiting for one if there is none.
+// gone means that the service no longer has them all.
+func (c *Client) Watch(prefix string, after uint64, wait unit.Micros) (o store.Outcome, rev uint64, events []store.Event, gone bool) {
+	if !c.limit.Allow() {
+		return store.Refused, 0, nil, false
+	}
+	q := fmt.Sprintf("%s?starts=%s&after=%d&wait_ms=%d", wire.WatchPath, url.QueryEscape(prefix), after, wait/1000)
+	timeout := callTimeout
+	if wait > 0 {
+		timeout += time.Duration(wait) * time.Microsecond
+	} else {
+		timeout = time.Second
+	}
+	var ch wire.Changes
+	code, o := c.call(http.MethodGet, q, timeout, nil, &ch)
+	if o != store.OK {
+		return o, 0, nil, code == http.StatusGone
+	}
+	for _, e := range ch.Events {
+		if e.Put != "" {
+			events = append(events, store.Event{Key: e.Put, Value: e.Value, Stamp: e.Stamp})
+		} else {
+			events = append(events, store.Event{Key: e.Delete, Stamp: e.Stamp})
+		}
+	}
+	return store.OK, ch.Revision, events, false
+}
+
+// Commit sends a transaction.
+func (c *Client) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
+	if !c.limit.Allow() {
+		return store.Refused, 0, nil
+	}
+	body := wire.Commit{If: []wire.Guard{}, Then: []wire.Change{}}
+	for _, g := range t.Guards {
+		body.If = append(body.If, wire.Guard{Key: g.Key, Stamp: g.Stamp})
+	}
+	for _, ch := range t.Changes {
+		if ch.Value == nil {
+			body.Then = append(body.Then, wire.Change{Delete: ch.Key})
+		} else {
+			body.Then = append(body.Then, wire.Change{Put: ch.Key, Value: ch.Value, Lease: ch.Lease})
+		}
+	}
+	var r wire.CommitResult
+	code, o := c.call(http.MethodPost, wire.CommitPath, callTimeout, body, &r)
+	if o == store.Failed && code != http.StatusConflict {
+		c.log.Error("state service refused a transaction", "code", code, "err", r.Error)
+	}
+	return o, r.Revision, r.Failed
+}
+
+// OpenLease obtains a lease.
+func (c *Client) OpenLease(ttl unit.Micros) (store.Outcome, uint64) {
+	var l wire.Lease
+	_, o := c.call(http.MethodPost, wire.HoldsPath, callTimeout, wire.LeaseRequest{TTLMillis: int64(ttl / 1000)}, &l)
+	return o, l.ID
+}
+
+// RenewLease extends a lease. Failed means that it has ended. Renewals go
+// ahead of the budget: nothing may delay them.
+func (c *Client) RenewLease(id uint64) store.Outcome {
+	code, o := c.call(http.MethodPost, fmt.Sprintf("%s/%d/extend", wire.HoldsPath, id), time.Second, nil, nil)
+	if o == store.Failed && code != http.StatusNotFound {
+		return store.Unknown
+	}
+	return o
+}
+
+// CloseLease ends a lease.
+func (c *Client) CloseLease(id uint64) {
+	c.call(http.MethodDelete, fmt.Sprintf("%s/%d", wire.HoldsPath, id), callTimeout, nil, nil)
+}
