Claim the lead only where the copy still shows it free

Two controllers led at once: a claim learnt between asking for a lease and using it gave the later claim the other's version as its guard. A leader that sees another's claim now also resigns.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -68,7 +68,7 @@
 		return
 	}
 	s := &c.stand
-	free := c.claim.Node == "" || c.claim.Node == c.cfg.Node // our own: left by this node's last process
+	free := c.leadFree()
 	if !c.sync.loaded || !free || s.opening || c.now < s.after || c.now-c.sync.lastOK > unit.Second {
 		if c.sync.loaded && free && !s.opening && c.now >= s.after {
 			c.wantSync(nil)
@@ -79,6 +79,10 @@
 	c.emit(OpenLease{c.cfg.LeaderTTL})
 }
 
+// leadFree reports whether nobody leads, as far as this node knows. A claim of
+// this node's own was left by its last process, which has surely ended.
+func (c *Core) leadFree() bool { return c.claim.Node == "" || c.claim.Node == c.cfg.Node }
+
 // OnLease takes a new lease's outcome and claims the lead with it.
 func (c *Core) OnLease(now unit.Micros, o store.Outcome, id uint64) {
 	c.at(now)
@@ -88,6 +92,13 @@
 		s.opening, s.after = false, now+unit.Second/2
 		return
 	}
+	if !c.leadFree() {
+		// Another node was first. Its claim may be in the copy already, so that
+		// a guard on the version we know would not keep us from replacing it.
+		s.opening = false
+		c.emit(CloseLease{id})
+		return
+	}
 	term := c.term.Term + 1
 	claim := lead.Claim{Term: term, Node: c.cfg.Node}
 	// One block holds every machine and the whole of every limit: see docs/design.md.
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -136,6 +136,9 @@
 		if e.Value != nil {
 			err = json.Unmarshal(e.Value, &c.claim)
 		}
+		if l := c.leader; l != nil && c.claim.Term != l.term {
+			c.resign("the claim is another's or gone", unit.Second/5)
+		}
 	case e.Key == termKey:
 		if e.Value != nil {
 			err = json.Unmarshal(e.Value, &c.term)
