--- /dev/null
+++ b/internal/core/explain.go
@@ -0,0 +1,35 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Explain says in a few lines why a job is where it is, for operators' logs
+// and for failed tests.
+func (c *Core) Explain(id string) string {
+	j := c.jobs[id]
+	if j == nil {
+		return id + ": not known"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s, finished %d of %d, ready %d, placed %d, held %v, not before %.1f, now %.1f, failed on %d machines",
+		id, j.Record.Status, j.Finished(), j.Record.Tasks, j.Ready(), j.Placed(), j.Held, j.NotBefore.Seconds(), c.now.Seconds(), len(j.Errors))
+	l := c.leader
+	if l == nil {
+		s := c.sync
+		fmt.Fprintf(&b, "; led by %q; opening %v after %.1f; loaded %v listing %v reading %v watching %v heard %.1f; lane %d", c.claim.Node,
+			c.stand.opening, c.stand.after.Seconds(), s.loaded, s.listing, s.reading, s.watching, s.lastOK.Seconds(), c.lanes[LeaderLane].Len())
+		return b.String()
+	}
+	if s := j.Spec(); s != nil {
+		fmt.Fprintf(&b, "; team %s uses %v", s.Team, l.usage[s.Team])
+	}
+	fmt.Fprintf(&b, "; term %d, unaccounted %d, renting %d, cloud waits until %.1f", l.term, len(l.unaccounted), l.renting, l.cloudWait.Seconds())
+	for _, name := range sortedKeys(l.machines) {
+		m := l.machines[name]
+		fmt.Fprintf(&b, "\n  %s %s/%s spot %v: up %v, tasks %d, settled %v (accounted %v stored %v lost %v sick %v leaving %v)",
+			name, m.Record.Type, m.Record.Zone, m.Record.Spot, m.LastSeen != 0, len(m.Tasks), m.Settled(), m.Accounted, m.Stored != 0, m.Lost, m.Sick, m.Leaving)
+	}
+	return b.String()
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -113,8 +113,9 @@
 	Sick      bool // it fails what it starts: nothing more starts there
 	Leaving   bool // a return is under way
 
-	Failures int      // blame for failed tasks since one completed here
-	images   []string // most recently used last
+	Failures int         // blame for failed tasks since one completed here
+	FailedAt unit.Micros // last failure
+	images   []string    // most recently used last
 }
 
 // Attempt is one attempt that may be on the machine.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -19,6 +19,7 @@
 	opening bool
 	sent    unit.Micros
 	after   unit.Micros // not tried before
+	deafAt  unit.Micros // when this node last resigned because no worker reached it
 }
 
 // leader is what a controller knows and does while it leads.
@@ -303,7 +304,8 @@
 	if !l.ready || !l.auth.Valid(c.now) {
 		return
 	}
-	if n := c.knownUp(l); n > 0 && c.now-l.lastHeard > 4*c.cfg.ReportEvery {
+	if c.deaf(l) {
+		c.stand.deafAt = c.now
 		c.resign("no worker can reach this node", 10*unit.Second)
 		return
 	}
@@ -324,14 +326,20 @@
 	c.tickCloud(l)
 }
 
-func (c *Core) knownUp(l *leader) int {
-	n := 0
+// deaf reports whether this leader should let another controller try, as no
+// worker has reached it for a while. It must not do so again and again: where
+// the machines are really gone, their leases have to run out under one leader.
+func (c *Core) deaf(l *leader) bool {
+	if c.cfg.Size == 1 || c.now-l.lastHeard <= 4*c.cfg.ReportEvery ||
+		c.stand.deafAt != 0 && c.now-c.stand.deafAt < 60*unit.Second+2*c.leaseBound() {
+		return false
+	}
 	for _, m := range l.machines {
 		if m.LastSeen != 0 || m.LeaseEnd != 0 {
-			n++
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // lost notes that a machine's lease has run out: nothing runs there any more.
@@ -431,31 +439,16 @@
 
 // flush stores finished tasks: the job's end, or the chunks that changed.
 func (c *Core) flush(l *leader, j *ledger.Job) {
-	if !j.Active() || !j.Dirty() {
+	if !j.Active() || j.Closing {
 		return
 	}
-	chunks := j.DirtyChunks()
-	again := func() {
-		for _, n := range chunks {
-			j.MarkDirty(n)
-		}
-	}
-	key := jobPrefix + j.ID
 	if j.AllFinished() {
-		rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
-		changes := []store.Change{{Key: key, Value: rec.Encode()}}
-		for n := 0; n <= (j.Record.Tasks-1)/c.chunk && len(changes) < c.cfg.TxnOps; n++ {
-			if k := progressKey(j.ID, n); c.replica.Stamp(k) != 0 {
-				changes = append(changes, store.Change{Key: k})
-			}
-		}
-		c.leaderWrite(l, func(o store.Outcome) {
-			if o != store.OK && j.Active() {
-				again()
-			}
-		}, key, changes...)
+		// Not only when there is something new: an earlier leader may have stored
+		// the last task and ended before it could store the job's end.
+		c.closeJob(l, j)
 		return
 	}
+	chunks := j.DirtyChunks()
 	for _, n := range chunks {
 		k := progressKey(j.ID, n)
 		// The record covers all that is finished now; what is added before it
@@ -468,6 +461,20 @@
 	}
 }
 
+// closeJob stores that a job is done, and drops its records of finished tasks.
+func (c *Core) closeJob(l *leader, j *ledger.Job) {
+	key := jobPrefix + j.ID
+	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
+	changes := []store.Change{{Key: key, Value: rec.Encode()}}
+	for n := 0; n <= (j.Record.Tasks-1)/c.chunk && len(changes) < c.cfg.TxnOps; n++ {
+		if k := progressKey(j.ID, n); c.replica.Stamp(k) != 0 {
+			changes = append(changes, store.Change{Key: k})
+		}
+	}
+	j.Closing = true
+	c.leaderWrite(l, func(store.Outcome) { j.Closing = false }, key, changes...)
+}
+
 func progressKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", donePrefix, id, chunk) }
 
 // tickCloud talks to the cloud: prices, the machine list, renting and returning.
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -261,11 +261,11 @@
 	ready    []int // tasks that may start, the next one last
 	dirty    map[int]bool
 
-	Errors     map[string]int // machines on which tasks failed, while none has worked
-	Worked     bool           // some task completed
-	NotBefore  unit.Micros    // failed lately: not started before this
-	FirstStart unit.Micros
-	Held       bool // may have been started by an earlier leader: wait until all machines are accounted for
+	Errors    map[string]int // machines on which tasks failed, while none has worked
+	Worked    bool           // some task completed
+	NotBefore unit.Micros    // failed lately: not started before this
+	Closing   bool           // its end is being stored
+	Held      bool           // may have been started by an earlier leader: wait until all machines are accounted for
 }
 
 // Spec returns the job's description; nil once the job is final.
@@ -341,6 +341,7 @@
 	j.ready = j.ready[:0]
 	j.dirty = map[int]bool{}
 	j.Errors = map[string]int{}
+	j.Closing = false
 	if j.Active() {
 		for t := j.Record.Tasks - 1; t >= 0; t-- {
 			if !j.finished.Has(t) {
@@ -421,9 +422,6 @@
 // MarkDirty puts a chunk back on the list of those to be stored.
 func (j *Job) MarkDirty(chunk int) { j.dirty[chunk] = true }
 
-// Dirty reports whether there are finished tasks to store.
-func (j *Job) Dirty() bool { return len(j.dirty) > 0 }
-
 // ChunkRanges returns the text to store for a chunk.
 func (j *Job) ChunkRanges(chunk, chunkTasks int) string {
 	lo := chunk * chunkTasks
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -159,7 +159,9 @@
 		return true
 	}
 	if !j.IsFinished(t.ID.Task) {
-		m.Failures = 0
+		if a, ok := m.Tasks[t.ID]; ok && a.Started > m.FailedAt {
+			m.Failures, m.Sick = 0, false // what it started since then works
+		}
 		m.UseImage(j.Spec().Image)
 		j.Finish(t.ID.Task, c.chunk)
 		if j.AllFinished() {
@@ -174,11 +176,12 @@
 // that has only ever failed, on several machines, speaks against itself.
 func (c *Core) failed(l *leader, m *fleet.Machine, j *ledger.Job) {
 	j.Errors[m.Name]++
+	m.FailedAt = c.now
 	switch {
 	case j.Worked:
 		m.Failures += 2
-	case j.Errors[m.Name] == 1 && len(j.Errors) < 3:
-		m.Failures++
+	case j.Errors[m.Name] <= 2 && len(j.Errors) < 3:
+		m.Failures++ // a second try on the same machine tells as much as a second job
 	}
 	if len(j.Errors) >= 2 && !j.Worked {
 		n := 0
