--- /dev/null
+++ b/internal/core/ledger/ledger_test.go
@@ -0,0 +1,132 @@
+package ledger
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// What is stored of finished tasks reads back the same, and stays under the
+// state service's limit whatever the pattern.
+func TestRangesRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kb := rapid.IntRange(2, 64).Draw(t, "value_kb")
+		chunk := ChunkTasks(float64(kb))
+		lo := chunk * rapid.IntRange(0, 3).Draw(t, "chunk")
+		var s Set
+		step := rapid.IntRange(1, 5).Draw(t, "step")
+		for i := lo; i < lo+chunk; i += step {
+			if step < 3 || rapid.IntRange(0, 9).Draw(t, "skip") > 0 {
+				s.Add(i)
+			}
+		}
+		text := s.Ranges(lo, lo+chunk)
+		if len(text)+32 > kb*1024 {
+			t.Fatalf("%d bytes for a limit of %d KiB", len(text), kb)
+		}
+		var back Set
+		if err := back.AddRanges(text, lo, lo+chunk); err != nil {
+			t.Fatal(err)
+		}
+		if back.Len() != s.Len() || back.Ranges(lo, lo+chunk) != text {
+			t.Fatalf("%q reads back as %q", text, back.Ranges(lo, lo+chunk))
+		}
+	})
+}
+
+func FuzzRanges(f *testing.F) {
+	f.Add("0-4,7")
+	f.Add("-1")
+	f.Add("3-2,")
+	f.Fuzz(func(t *testing.T, text string) {
+		var s Set
+		err := s.AddRanges(text, 0, 2048)
+		if err != nil && s.Len() > 0 {
+			t.Fatalf("%q is malformed and yet added %d", text, s.Len())
+		}
+		for i := 2048; i < 4096; i++ {
+			if s.Has(i) {
+				t.Fatalf("%q reaches beyond its chunk", text)
+			}
+		}
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"status":"done","tasks":3}`))
+	f.Add([]byte(`{"status":"pending","tasks":1,"spec":{"tasks":1}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeRecord(b)
+		if err == nil && !r.Status.Final() && (r.Spec == nil || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks) {
+			t.Fatalf("%s read as %+v", b, r)
+		}
+	})
+}
+
+// A job's tasks are each in one place only: ready, placed or finished.
+func TestJobAccounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "tasks")
+		j := &Job{ID: "wk-000001", Record: Record{Status: Pending, Tasks: n, Spec: &Spec{Tasks: n}}}
+		j.Reset()
+		placed, finished := map[int]bool{}, map[int]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				if j.Ready() == 0 {
+					t.Skip()
+				}
+				k := j.Take(Place{Machine: "m"})
+				if placed[k] || finished[k] {
+					t.Fatalf("task %d taken though placed or finished", k)
+				}
+				placed[k] = true
+			},
+			"adopt": func(t *rapid.T) {
+				k := rapid.IntRange(0, n-1).Draw(t, "task")
+				if placed[k] || finished[k] {
+					t.Skip()
+				}
+				j.Adopt(k, Place{Machine: "m"})
+				placed[k] = true
+			},
+			"finish": func(t *rapid.T) {
+				k := rapid.IntRange(0, n-1).Draw(t, "task")
+				j.Finish(k, 256)
+				finished[k] = true
+			},
+			"release": func(t *rapid.T) {
+				k := rapid.IntRange(0, n-1).Draw(t, "task")
+				j.Release(k)
+				delete(placed, k)
+			},
+			"": func(t *rapid.T) {
+				ready := 0
+				for k := range n {
+					if !placed[k] && !finished[k] {
+						ready++
+					}
+				}
+				if j.Ready() != ready || j.Placed() != len(placed) || j.Finished() != len(finished) {
+					t.Fatalf("ready %d placed %d finished %d, want %d %d %d", j.Ready(), j.Placed(), j.Finished(), ready, len(placed), len(finished))
+				}
+				if j.AllFinished() != (len(finished) == n) {
+					t.Fatalf("all finished: %v with %d of %d", j.AllFinished(), len(finished), n)
+				}
+			},
+		})
+	})
+}
+
+func TestIDForms(t *testing.T) {
+	for id, want := range map[string]bool{"wk-000412": true, "wk-1234567": true, "wk-412": false, "wk-0001234": false,
+		"job-000412": false, "wk-00041x": false, "": false, "wk-000412/3": false} {
+		if ValidID(id) != want {
+			t.Errorf("%q: %v", id, !want)
+		}
+	}
+	for s, want := range map[string]bool{"wk-000412/3": true, "wk-000412/03": false, "wk-000412": false, "wk-000412/-1": false, "wk-000412/100000": false} {
+		if _, err := ParseTaskID(s); (err == nil) != want {
+			t.Errorf("%q: %v", s, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,130 @@
+package wire
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+)
+
+const good = `{"name_id":"wk-000412","jobline":"train","crew":"vision","shape":"sweep","urgency":"urgent","cues":16,
+ "cores":8.0,"cards":1.0,"memory_gb":64.0,"reel":"img-07","image_gb":6.2,"rigs":["g8"],"hall":null,
+ "same_place":true,"apart":false,"standby":true,"runtime_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"curtain_s":900.0}`
+
+func edit(t *testing.T, name string, value any) []byte {
+	var m map[string]any
+	if err := json.Unmarshal([]byte(good), &m); err != nil {
+		t.Fatal(err)
+	}
+	if value == "DROP" {
+		delete(m, name)
+	} else {
+		m[name] = value
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestSubmission(t *testing.T) {
+	id, s, err := DecodeSubmission([]byte(good))
+	if err != nil || id != "wk-000412" || s.Tasks != 16 || s.Demand[0] != 8000 || s.Priority != ledger.High || !s.OneZone || s.Deadline.Seconds() != 900 {
+		t.Fatalf("%q %+v %v", id, s, err)
+	}
+	for _, name := range []string{"rigs", "hall", "curtain_s"} {
+		for _, v := range []any{nil, "DROP"} {
+			if _, _, err := DecodeSubmission(edit(t, name, v)); err != nil {
+				t.Errorf("%s may be null or absent: %v", name, err)
+			}
+		}
+	}
+	if _, _, err := DecodeSubmission(edit(t, "news", 1)); err != nil {
+		t.Errorf("unknown field: %v", err)
+	}
+}
+
+func TestBadSubmissions(t *testing.T) {
+	for _, name := range []string{"name_id", "jobline", "crew", "shape", "urgency", "cues", "cores", "cards", "memory_gb", "reel",
+		"image_gb", "same_place", "apart", "standby", "runtime_s", "bookmark_s", "stow_s"} {
+		for _, v := range []any{"DROP", nil, []int{1}, map[string]int{}} {
+			if _, _, err := DecodeSubmission(edit(t, name, v)); err == nil {
+				t.Errorf("%s = %v is taken", name, v)
+			}
+		}
+	}
+	for name, vs := range map[string][]any{
+		"name_id": {"wk-1", "x", 7}, "shape": {"ensemble", ""}, "urgency": {"soon"}, "cues": {0, -1, 100001, 1.5, "2"},
+		"cores": {-1, 1e300, "8"}, "memory_gb": {-0.5}, "runtime_s": {-1}, "curtain_s": {-1, "x"}, "rigs": {"g8", []int{1}, []string{""}},
+		"hall": {1, ""}, "same_place": {1, "true"},
+	} {
+		for _, v := range vs {
+			if _, _, err := DecodeSubmission(edit(t, name, v)); err == nil {
+				t.Errorf("%s = %v is taken", name, v)
+			}
+		}
+	}
+	for _, body := range []string{"", "null", "[]", "7", "{", good + "x", strings.Replace(good, "8.0", "NaN", 1), strings.Replace(good, "8.0", "1e999", 1)} {
+		if _, _, err := DecodeSubmission([]byte(body)); err == nil {
+			t.Errorf("%.20q is taken", body)
+		}
+	}
+}
+
+const goodReport = `{"stagehand":"n-000231","address":"10.1.0.232:9000","rig":"g8","hall":"a","standby":true,
+ "shift":1,"tally":88,"baton":41,"warning_s":2.5,
+ "cues":[{"cue":"wk-000412/3","take":2,"status":"running"},{"cue":"wk-000398/0","take":1,"status":"ended","cause":"done"}]}`
+
+func TestReport(t *testing.T) {
+	r, err := DecodeReport([]byte(goodReport))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Machine != "n-000231" || r.Token != 41 || r.Notice.Seconds() != 2.5 || len(r.Tasks) != 2 ||
+		r.Tasks[0].State != fleet.Running || r.Tasks[1].Cause != fleet.Completed {
+		t.Fatalf("%+v", r)
+	}
+	for _, old := range []string{`"n-000231"`, `"rig":"g8"`, `"shift":1`, `"tally":88`, `"baton":41`, `"standby":true`,
+		`"running"`, `"take":2`, `"wk-000412/3"`} {
+		for _, v := range []string{`null`, `-1`, `{}`, `"x y"`} {
+			bad := strings.Replace(goodReport, old, v, 1)
+			if i := strings.Index(old, ":"); i > 0 {
+				bad = strings.Replace(goodReport, old, old[:i+1]+v, 1)
+			}
+			if _, err := DecodeReport([]byte(bad)); err == nil && !(v == `"x y"` && old == `"rig":"g8"`) {
+				t.Errorf("%s replaced by %s is taken", old, v)
+			}
+		}
+	}
+}
+
+func FuzzDecodeSubmission(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"name_id":"wk-000412","cues":1e99}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		id, s, err := DecodeSubmission(b)
+		if err != nil {
+			return
+		}
+		if !ledger.ValidID(id) || s.Tasks < 1 || s.Demand[0] < 0 || s.Estimate < 0 {
+			t.Fatalf("%q %+v", id, s)
+		}
+		rec := ledger.Record{Status: ledger.Pending, Tasks: s.Tasks, Spec: s}
+		if _, err := ledger.DecodeRecord(rec.Encode()); err != nil {
+			t.Fatalf("accepted, but its record cannot be read: %v", err)
+		}
+	})
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(goodReport))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeReport(b)
+		if err == nil && (r.Machine == "" || r.Type == "" || r.Zone == "" || r.Notice < 0) {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
