--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -99,15 +99,19 @@
 		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
 		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
 		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, WriteRate: d.State.WriteRPS,
-		CloudRate: d.Cloud.RPS,
-		Pack:      pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
-		Scale:     scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), IdleReturn: unit.Seconds(t.IdleS)},
-		Log:       log,
+		CloudRate:  d.Cloud.RPS,
+		Pack:       pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
+		Scale:      scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), IdleReturn: unit.Seconds(t.IdleS)},
+		RoundShare: t.RoundShare,
+		Log:        log,
 	}
 	for _, tm := range d.Teams {
 		c.Teams = append(c.Teams, core.Team{Name: tm.Name,
 			Guarantee: pack.Vec{unit.MilliDown(tm.CPUs), unit.MilliDown(tm.GPUs)},
 			Limit:     pack.Vec{unit.MilliDown(tm.CPUsMax), unit.MilliDown(tm.GPUsMax)}})
 	}
+	for _, o := range d.Objectives {
+		c.Objectives = append(c.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS)})
+	}
 	return c
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,12 +23,20 @@
 	Limit     pack.Vec
 }
 
+// Objective is one of the users' aims for a class of jobs.
+type Objective struct {
+	Kind   string // "wait", "finished", "deadline" or "guarantee"
+	Class  string
+	Within unit.Micros
+}
+
 // Config is what the core is told at its start.
 type Config struct {
 	Node        string
 	Size        int
 	Zones       []string
 	Teams       []Team
+	Objectives  []Objective
 	Lease       unit.Micros // a worker's lease
 	ReportEvery unit.Micros
 	LeaderTTL   unit.Micros
@@ -40,6 +48,7 @@
 	CloudRate   float64
 	Pack        pack.Params
 	Scale       scale.Params
+	RoundShare  float64 // share of a job's time that renting counts on for tasks one after the other
 	Log         *slog.Logger
 }
 
--- /dev/null
+++ b/internal/core/demand.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"math"
+	"sort"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// ratio learns how long tasks of a class really run, as a share of what their
+// owners estimate ("earlier runs of the same or similar jobs", 3.3.1).
+type ratio struct {
+	mean float64
+	n    int
+}
+
+// ratioMemory is how many tasks the mean looks back on.
+const ratioMemory = 50
+
+func (r *ratio) add(x float64) {
+	r.n++
+	r.mean += (x - r.mean) / float64(min(r.n, ratioMemory))
+}
+
+// learnRun takes in how long a task ran.
+func (l *leader) learnRun(s *ledger.Spec, took unit.Micros) {
+	if s.Service || s.Estimate <= 0 || took <= 0 {
+		return
+	}
+	r := l.runtimes[s.Class]
+	if r == nil {
+		r = &ratio{}
+		l.runtimes[s.Class] = r
+	}
+	r.add(math.Min(float64(took)/float64(s.Estimate), 10))
+}
+
+// runtime is how long a task of the job is expected to run: the owner's
+// estimate, corrected by what the class has shown once a few tasks are through.
+func (l *leader) runtime(s *ledger.Spec) unit.Micros {
+	if r := l.runtimes[s.Class]; r != nil && r.n >= 5 {
+		return unit.Micros(float64(s.Estimate) * r.mean)
+	}
+	return s.Estimate
+}
+
+// patience bounds the time a job without any aim is given, in run times.
+const patience = 8
+
+// timeLeft is the time in which a job should be done, by its deadline or by
+// the strictest aim for its class.
+func (c *Core) timeLeft(l *leader, j *ledger.Job) unit.Micros {
+	s := j.Spec()
+	run := l.runtime(s)
+	left := unit.Never
+	if s.Deadline > 0 {
+		left = s.Deadline
+	}
+	for _, o := range c.cfg.Objectives {
+		if o.Class != s.Class || o.Within <= 0 {
+			continue
+		}
+		switch o.Kind {
+		case "finished":
+			left = min(left, o.Within)
+		case "wait":
+			left = min(left, o.Within+run)
+		}
+	}
+	if left == unit.Never {
+		left = patience * run
+	}
+	return left - (c.wall - j.Record.Submitted)
+}
+
+// needs adds up the work at hand, by what pools it may use. A job needs no
+// more room than lets it end in time: where there is time for several tasks
+// one after the other, fewer machines do.
+func (c *Core) needs(l *leader) map[scale.Group]scale.Need {
+	needs := map[scale.Group]scale.Need{}
+	perTeam := map[string]pack.Vec{}
+	for _, j := range l.order {
+		s := j.Spec()
+		if s == nil || c.now < j.NotBefore {
+			continue
+		}
+		n := j.Record.Tasks - j.Finished()
+		if run := l.runtime(s); !s.Service && run > 0 {
+			rounds := c.cfg.RoundShare * c.timeLeft(l, j).Seconds() / run.Seconds()
+			if rounds > 1 {
+				n = int(math.Ceil(float64(n) / rounds))
+			}
+		}
+		n = max(n, j.Placed())
+		if t := c.teams[s.Team]; t != nil {
+			for i, lim := range t.Limit { // the team's limit bounds what can run at once
+				if lim > 0 && s.Demand[i] > 0 {
+					n = min(n, int(max(0, lim-perTeam[s.Team][i])/s.Demand[i]))
+				}
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		v := s.Demand.Times(int64(n))
+		perTeam[s.Team] = perTeam[s.Team].Add(v)
+		var names []string
+		for _, t := range c.fitting(s) {
+			names = append(names, t.Name)
+		}
+		sort.Strings(names)
+		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot}
+		need := needs[g]
+		need.Tasks += n
+		need.Total = need.Total.Add(v)
+		need.Types = names
+		needs[g] = need
+	}
+	return needs
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
@@ -47,6 +46,7 @@
 	usage       map[string]pack.Vec
 	total       pack.Vec // capacity of all machines
 
+	runtimes  map[string]*ratio // by class
 	scaler    *scale.Scaler
 	typesAt   unit.Micros
 	hostsAt   unit.Micros
@@ -152,6 +152,7 @@
 		l.active = map[string]*ledger.Job{}
 		l.usage = map[string]pack.Vec{}
 		l.scaler = scale.New(c.cfg.Scale)
+		l.runtimes = map[string]*ratio{}
 		for _, name := range sortedKeys(c.records) {
 			r := c.records[name]
 			m := c.newMachine(l, name, r.rec)
@@ -504,38 +505,7 @@
 	if len(l.unaccounted) > 0 && c.now < l.began+c.leaseBound() {
 		return // what runs, and so what is needed, is not known yet
 	}
-	needs := map[scale.Group]scale.Need{}
-	perTeam := map[string]pack.Vec{}
-	for _, j := range l.order {
-		s := j.Spec()
-		if s == nil || c.now < j.NotBefore {
-			continue
-		}
-		n := j.Record.Tasks - j.Finished()
-		if t := c.teams[s.Team]; t != nil {
-			for i, lim := range t.Limit { // the team's limit bounds what can run at once
-				if lim > 0 && s.Demand[i] > 0 {
-					n = min(n, int(max(0, lim-perTeam[s.Team][i])/s.Demand[i]))
-				}
-			}
-		}
-		if n <= 0 {
-			continue
-		}
-		v := s.Demand.Times(int64(n))
-		perTeam[s.Team] = perTeam[s.Team].Add(v)
-		var names []string
-		for _, t := range c.fitting(s) {
-			names = append(names, t.Name)
-		}
-		sort.Strings(names)
-		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot}
-		need := needs[g]
-		need.Tasks += n
-		need.Total = need.Total.Add(v)
-		need.Types = names
-		needs[g] = need
-	}
+	needs := c.needs(l)
 	var ms []scale.Machine
 	for _, name := range sortedKeys(l.machines) {
 		m := l.machines[name]
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -162,6 +162,9 @@
 		if a, ok := m.Tasks[t.ID]; ok && a.Started > m.FailedAt {
 			m.Failures, m.Sick = 0, false // what it started since then works
 		}
+		if a, ok := m.Tasks[t.ID]; ok && a.Live > 0 {
+			l.learnRun(j.Spec(), c.now-a.Live)
+		}
 		m.UseImage(j.Spec().Image)
 		j.Finish(t.ID.Task, c.chunk)
 		if j.AllFinished() {
@@ -228,7 +231,7 @@
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
 			Pending:  j.Ready(),
-			Work:     float64(j.Record.Tasks-j.Finished()) * s.Estimate.Seconds(),
+			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
 			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
 			Tier:     tier,
 			Cached:   m.HasImage(s.Image),
