Cheaper room first; rent only what finds work once it is up

Work now waits for cheaper machines about to report; a machine is rented only if each of its slots will find 20 s of work; the base follows what runs on average.

Tried without help: spare room of 0.2 and 0.5, a 60 s memory, 40 s of work a slot.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,15 +102,16 @@
 	EpsilonScale float64 `json:"epsilon_scale"`   // factor on the paper's epsilon
 	ImagePenalty float64 `json:"image_penalty"`   // share of the alignment lost without the image
 	LeaseS       float64 `json:"leader_lease_s"`  // life of the leader's lease
-	SpareShare   float64 `json:"spare_share"`     // idle room kept ready, as a share of recent demand
+	SpareShare   float64 `json:"spare_share"`     // room kept above average demand, as a share of it
 	IdleS        float64 `json:"idle_return_s"`   // idle time after which a machine is returned
-	DemandS      float64 `json:"demand_memory_s"` // time in which a remembered peak of demand halves
+	DemandS      float64 `json:"demand_memory_s"` // time over which demand is averaged
+	WorthS       float64 `json:"worth_s"`         // work that must wait for each slot of a machine to be worth renting
 	RoundShare   float64 `json:"round_share"`     // share of a job's time that renting counts on for tasks one after the other
 }
 
 // DefaultTuning returns the knobs' defaults.
 func DefaultTuning() Tuning {
-	return Tuning{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1, LeaseS: 5, SpareShare: 0.25, IdleS: 20, DemandS: 60, RoundShare: 0.5}
+	return Tuning{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1, LeaseS: 5, SpareShare: 0, IdleS: 10, DemandS: 30, WorthS: 20, RoundShare: 0.5}
 }
 
 // Load reads and checks a settings file.
@@ -202,6 +203,7 @@
 		{"tuning.spare_share", t.SpareShare, 0, 10},
 		{"tuning.idle_return_s", t.IdleS, 1, 3600},
 		{"tuning.demand_memory_s", t.DemandS, 1, 3600},
+		{"tuning.worth_s", t.WorthS, 1, 3600},
 		{"tuning.round_share", t.RoundShare, 0, 1},
 	}
 	for _, r := range ranges {
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -116,9 +116,47 @@
 		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot}
 		need := needs[g]
 		need.Tasks += n
+		need.Running += j.Placed()
+		// Of running tasks about half is still to do.
+		need.Work += l.runtime(s) * unit.Micros(2*(j.Record.Tasks-j.Finished())-j.Placed()) / 2
 		need.Total = need.Total.Add(v)
 		need.Types = names
 		needs[g] = need
 	}
 	return needs
 }
+
+// logFleet tells an operator what there is and what it does.
+func (c *Core) logFleet(l *leader) {
+	type pool struct {
+		count, booting, idle int
+		used, capacity       int64
+	}
+	var kinds [2]pool // ordinary, spot
+	for _, m := range l.machines {
+		k := &kinds[0]
+		if m.Record.Spot {
+			k = &kinds[1]
+		}
+		k.count++
+		if m.LastSeen == 0 {
+			k.booting++
+		} else if len(m.Tasks) == 0 {
+			k.idle++
+		}
+		if m.Type != nil {
+			k.capacity += m.Type.Capacity[pack.CPU]
+			k.used += m.Used()[pack.CPU]
+		}
+	}
+	ready, placed := 0, 0
+	for _, j := range l.order {
+		ready += j.Ready()
+		placed += j.Placed()
+	}
+	for i, name := range []string{"ordinary", "spot"} {
+		k := kinds[i]
+		c.log.Info("fleet", "kind", name, "machines", k.count, "booting", k.booting, "idle", k.idle, "cpus_used", k.used/1000, "cpus", k.capacity/1000)
+	}
+	c.log.Info("work", "jobs", len(l.order), "tasks_waiting", ready, "tasks_placed", placed)
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -52,6 +52,7 @@
 	hostsAt   unit.Micros
 	planAt    unit.Micros
 	flushAt   unit.Micros
+	logAt     unit.Micros
 	cloudWait unit.Micros
 	renting   int
 	lastHeard unit.Micros // last report
@@ -498,6 +499,10 @@
 		l.planAt = c.now + unit.Second
 		c.plan(l)
 	}
+	if c.now >= l.logAt {
+		l.logAt = c.now + 10*unit.Second
+		c.logFleet(l)
+	}
 }
 
 // plan rents and returns machines.
@@ -512,7 +517,7 @@
 		if m.Leaving || m.Lost || m.Sick || m.Notice != unit.Never {
 			continue
 		}
-		sm := scale.Machine{Name: name, Pool: poolOf(m), Used: m.Used(), Booted: m.LastSeen != 0}
+		sm := scale.Machine{Name: name, Pool: poolOf(m), Used: m.Used(), Booted: m.LastSeen != 0, Age: c.now - m.Rented}
 		if len(m.Tasks) == 0 {
 			sm.Idle = c.now - m.IdleSince + 1
 		}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -209,6 +209,7 @@
 		c.sortJobs(l)
 	}
 	free := m.Type.Capacity.Sub(m.Used())
+	cheaper := c.cheaperRoom(l, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
 	perTeam := map[string]int{}
@@ -223,6 +224,10 @@
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
 			continue
 		}
+		pending := j.Ready() - cheaper.take(j)
+		if pending <= 0 {
+			continue
+		}
 		tier := int(s.Priority)
 		if l.within[j.ID] {
 			tier += int(ledger.Production) + 1
@@ -230,7 +235,7 @@
 		held := pack.Dominant(l.total, s.Demand) * float64(j.Placed())
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
-			Pending:  j.Ready(),
+			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
 			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
 			Tier:     tier,
@@ -286,3 +291,56 @@
 	}
 	return 1 / float64(max(len(c.cfg.Teams), 1))
 }
+
+// room is free room on machines that cost less than the one at hand.
+type room struct {
+	machines []*fleet.Machine
+	free     []pack.Vec
+}
+
+// cheaperRoom finds the free room that cheaper machines are about to report.
+// Work that fits there waits for it, so that the dearer machines run empty and
+// can be returned.
+func (c *Core) cheaperRoom(l *leader, m *fleet.Machine) *room {
+	r := &room{}
+	limit := coreCost(m) * 0.9
+	for _, name := range sortedKeys(l.machines) {
+		x := l.machines[name]
+		if x == m || !x.Settled() || x.Notice != unit.Never || coreCost(x) >= limit || c.now-x.LastSeen > 3*c.cfg.ReportEvery/2 {
+			continue
+		}
+		if f := x.Type.Capacity.Sub(x.Used()); f[pack.CPU] > 0 {
+			r.machines = append(r.machines, x)
+			r.free = append(r.free, f)
+		}
+	}
+	return r
+}
+
+// take sets room aside for a job's ready tasks, and returns for how many.
+func (r *room) take(j *ledger.Job) int {
+	s := j.Spec()
+	left := j.Ready()
+	for i, x := range r.machines {
+		if !s.Allows(x.Record.Type, x.Record.Zone, x.Record.Spot) {
+			continue
+		}
+		for left > 0 && s.Demand.Fits(r.free[i]) {
+			r.free[i] = r.free[i].Sub(s.Demand)
+			left--
+		}
+	}
+	return j.Ready() - left
+}
+
+// coreCost is what a machine costs by CPU.
+func coreCost(m *fleet.Machine) float64 {
+	if m.Type == nil || m.Type.Capacity[pack.CPU] == 0 {
+		return 0
+	}
+	p := m.Type.Price
+	if m.Record.Spot {
+		p = m.Type.SpotPrice
+	}
+	return p / float64(m.Type.Capacity[pack.CPU])
+}
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -26,11 +26,14 @@
 }
 
 // Need is how much work a group has: tasks that would run at once if there
-// were room, and their demands added up.
+// were room, their demands added up, and the time that all of its unfinished
+// tasks will take, one after the other.
 type Need struct {
-	Tasks int
-	Total pack.Vec
-	Types []string
+	Tasks   int
+	Running int // tasks placed at present
+	Total   pack.Vec
+	Work    unit.Micros
+	Types   []string
 }
 
 // Machine is what scaling sees of a machine.
@@ -40,12 +43,17 @@
 	Used   pack.Vec
 	Idle   unit.Micros // for how long it has held no task; 0: it holds some
 	Booted bool
+	Age    unit.Micros // since it was rented
 }
 
+// leastCharge is the time that every rented machine is charged for.
+const leastCharge = 60 * unit.Second
+
 // Params are the knobs of scaling.
 type Params struct {
-	Spare      float64     // room kept above remembered demand
-	Memory     unit.Micros // time in which a remembered peak halves
+	Spare      float64     // room kept above average demand
+	Memory     unit.Micros // time over which demand is averaged
+	Worth      unit.Micros // work that must wait for each slot of a machine to be worth renting
 	IdleReturn unit.Micros
 }
 
@@ -58,13 +66,14 @@
 // Scaler remembers demand and refusals.
 type Scaler struct {
 	p       Params
-	peaks   map[Group]*peak
+	usual   map[Group]*usual
 	refused map[Pool]refusal
 }
 
-type peak struct {
-	tasks float64
-	avg   [3]float64
+// usual is what a group has needed lately.
+type usual struct {
+	tasks float64    // placed, on average
+	avg   [3]float64 // demand of a task
 	types []string
 	at    unit.Micros
 }
@@ -76,7 +85,7 @@
 
 // New returns a scaler without memory.
 func New(p Params) *Scaler {
-	return &Scaler{p: p, peaks: map[Group]*peak{}, refused: map[Pool]refusal{}}
+	return &Scaler{p: p, usual: map[Group]*usual{}, refused: map[Pool]refusal{}}
 }
 
 // Refused records that the cloud has no more of a pool; granted clears it.
@@ -108,8 +117,8 @@
 // Plan returns what to rent and what to return, given all work at hand.
 func (s *Scaler) Plan(now unit.Micros, needs map[Group]Need, machines []Machine, types map[string]*fleet.Type) ([]Rent, []string) {
 	s.remember(now, needs)
-	groups := make([]Group, 0, len(s.peaks))
-	for g := range s.peaks {
+	groups := make([]Group, 0, len(s.usual))
+	for g := range s.usual {
 		groups = append(groups, g)
 	}
 	sort.Slice(groups, func(i, j int) bool {
@@ -117,8 +126,8 @@
 		if a.Spot != b.Spot {
 			return !a.Spot // what may use fewer pools chooses first
 		}
-		if len(s.peaks[a].types) != len(s.peaks[b].types) {
-			return len(s.peaks[a].types) < len(s.peaks[b].types)
+		if len(s.usual[a].types) != len(s.usual[b].types) {
+			return len(s.usual[a].types) < len(s.usual[b].types)
 		}
 		if a.Zone != b.Zone {
 			return a.Zone > b.Zone
@@ -162,89 +171,108 @@
 		return x.Name < y.Name
 	})
 	var rents []Rent
+	var work [2]float64 // of all groups so far, by whether they may use spot
+	var had [2]float64
 	for _, g := range groups {
-		pk := s.peaks[g]
-		need := math.Max(float64(needs[g].Tasks), pk.tasks*(1+s.p.Spare))
+		us := s.usual[g]
+		need := math.Max(float64(needs[g].Tasks), us.tasks*(1+s.p.Spare))
+		wants := need
 		for _, i := range order {
 			m := machines[i]
 			if need < 0.5 {
 				break
 			}
-			if !usable(g, pk.types, m.Pool) {
+			if !usable(g, us.types, m.Pool) {
 				continue
 			}
-			n := math.Min(need, slots(left[i], pk.avg))
+			n := math.Min(need, slots(left[i], us.avg))
 			if n <= 0 {
 				continue
 			}
 			wanted[i] = true
 			need -= n
 			for r := range left[i] {
-				left[i][r] -= int64(n * pk.avg[r])
+				left[i][r] -= int64(n * us.avg[r])
 			}
 		}
+		kind := 0
+		if g.Spot {
+			kind = 1
+		}
+		work[kind] += needs[g].Work.Seconds()
+		had[kind] += wants - need
 		if need < 0.5 {
 			continue
 		}
-		best, bestCost, bestCount := Pool{}, math.Inf(1), 0
-		for _, name := range pk.types {
-			t := types[name]
-			if t == nil {
-				continue
-			}
-			each := slots(t.Capacity, pk.avg)
-			if each <= 0 {
-				continue
-			}
-			for _, z := range t.Zones {
-				for _, spot := range []bool{true, false} {
-					p := Pool{name, z, spot}
-					if !usable(g, pk.types, p) || s.refused[p].until > now {
-						continue
-					}
-					count := int(math.Ceil(need/each - 0.05))
-					cost := float64(max(count, 1)) * price(p)
-					if cost < bestCost-1e-9 {
-						best, bestCost, bestCount = p, cost, max(count, 1)
-					}
-				}
-			}
-		}
-		if bestCount > 0 {
-			rents = append(rents, Rent{best, min(bestCount, 50)})
+		if r, ok := s.offer(now, g, us, need, work[kind], had[kind], types, price); ok {
+			rents = append(rents, r)
 		}
 	}
 	var back []string
 	for i, m := range machines {
-		if !wanted[i] && m.Booted && m.Idle >= s.p.IdleReturn {
+		// Until then it costs the same whether it stays or goes.
+		if !wanted[i] && m.Booted && m.Idle >= s.p.IdleReturn && m.Age >= leastCharge-2*unit.Second {
 			back = append(back, m.Name)
 		}
 	}
 	return rents, back
 }
 
-// remember lets the peaks fade and raises them to present needs.
-func (s *Scaler) remember(now unit.Micros, needs map[Group]Need) {
-	for g, pk := range s.peaks {
-		pk.tasks *= math.Exp2(-float64(now-pk.at) / float64(s.p.Memory))
-		pk.at = now
-		if pk.tasks < 0.2 && needs[g].Tasks == 0 {
-			delete(s.peaks, g)
+// offer chooses the cheapest way to fill a shortfall, if any is worth it: by
+// the time a machine is up, the slots there are will have done part of the
+// work, of this group and those that chose before it, and each new slot must
+// find enough of the rest.
+func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short, work, slotsHad float64, types map[string]*fleet.Type, price func(Pool) float64) (Rent, bool) {
+	best, bestCost := Rent{}, math.Inf(1)
+	for _, name := range us.types {
+		t := types[name]
+		if t == nil {
+			continue
 		}
-	}
-	for g, n := range needs {
-		if n.Tasks == 0 {
+		each := slots(t.Capacity, us.avg)
+		if each <= 0 {
 			continue
 		}
-		pk := s.peaks[g]
-		if pk == nil {
-			pk = &peak{at: now}
-			s.peaks[g] = pk
+		boot := t.Boot.Seconds()
+		rest := work + us.tasks*(boot+s.p.Worth.Seconds()) - slotsHad*boot
+		want := math.Min(short, rest/s.p.Worth.Seconds())
+		if want < 0.5 {
+			continue
 		}
-		pk.types = n.Types
-		pk.tasks = math.Max(pk.tasks, float64(n.Tasks)/(1+s.p.Spare))
-		for r := range pk.avg {
-			pk.avg[r] = float64(n.Total[r]) / float64(n.Tasks)
+		count := max(int(math.Ceil(want/each-0.05)), 1)
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				p := Pool{name, z, spot}
+				if !usable(g, us.types, p) || s.refused[p].until > now {
+					continue
+				}
+				if cost := float64(count) * price(p) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
+					best, bestCost = Rent{p, min(count, 50)}, cost
+				}
+			}
+		}
+	}
+	return best, best.Count > 0
+}
+
+// remember brings the averages up to date.
+func (s *Scaler) remember(now unit.Micros, needs map[Group]Need) {
+	for g, n := range needs {
+		if n.Tasks > 0 && s.usual[g] == nil {
+			s.usual[g] = &usual{at: now}
+		}
+	}
+	for g, us := range s.usual {
+		n := needs[g]
+		us.tasks += (float64(n.Running) - us.tasks) * (1 - math.Exp(-float64(now-us.at)/float64(s.p.Memory)))
+		us.at = now
+		if n.Tasks > 0 {
+			us.types = n.Types
+			for r := range us.avg {
+				us.avg[r] = float64(n.Total[r]) / float64(n.Tasks)
+			}
+		} else if us.tasks < 0.1 {
+			delete(s.usual, g)
 		}
 	}
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -206,7 +206,7 @@
 		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, ListLag: 3 * second,
 		TxnOps: 8, ValueKB: 8, StateRate: 200, WriteRate: 100, CloudRate: 5,
 		Pack:  pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
-		Scale: scale.Params{Spare: 0.2, Memory: 30 * second, IdleReturn: 10 * second},
+		Scale: scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
 	})
 	n.tick(n.life)
 }
