--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -21,6 +21,7 @@
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/node"
+	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
 )
 
@@ -64,10 +65,20 @@
 	}
 	d := s.Deployment
 	share := float64(d.Size)
+	pl, err := net.Listen("tcp4", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	addrs := map[string]string{}
+	for _, p := range s.Peers {
+		addrs[p.Node] = p.Addr
+	}
+	link := peer.New(s.Node, addrs, log)
 	n := node.New(core.New(coreConfig(s, log)),
 		state.New(s.Services.State, d.State.RPS/share, log),
-		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), log)
+		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), link, log)
 	go n.Run(context.Background())
+	go link.Serve(pl, n.Hear)
 	log.Info("serving", "node", s.Node, "listen", s.Listen, "version", version)
 	// Room is left for connections to the services and to other controllers.
 	return api.Serve(l, n, d.Quota.FDLimit*9/10, 60*unit.Second)
@@ -105,6 +116,9 @@
 		RoundShare: t.RoundShare,
 		Log:        log,
 	}
+	for _, p := range s.Peers {
+		c.Peers = append(c.Peers, p.Node)
+	}
 	for _, tm := range d.Teams {
 		c.Teams = append(c.Teams, core.Team{Name: tm.Name,
 			Guarantee: pack.Vec{unit.MilliDown(tm.CPUs), unit.MilliDown(tm.GPUs)},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,7 @@
 type Config struct {
 	Node        string
 	Size        int
+	Peers       []string
 	Zones       []string
 	Teams       []Team
 	Objectives  []Objective
@@ -152,6 +153,7 @@
 	sync   syncState
 	leader *leader // nil unless this node leads
 	stand  candidacy
+	peers  peersState
 }
 
 type stored struct {
@@ -170,6 +172,7 @@
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
+	c.peers = newPeers(cfg.Peers)
 	share := cfg.WriteRate / float64(2*cfg.Size)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256, Rate: share}
@@ -207,6 +210,7 @@
 	c.at(now)
 	c.wall = wall
 	c.tickSync()
+	c.tickPeers()
 	c.tickStand()
 	if c.leader != nil {
 		c.tickLeader()
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -181,14 +183,7 @@
 // are surely gone.
 func (c *Core) leaseBound() unit.Micros { return unit.Longest(c.cfg.Lease) + unit.Second/5 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (c *Core) newMachine(l *leader, name string, r fleet.Record) *fleet.Machine {
 	m := fleet.New(name, r, c.types[r.Type], c.now)
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// What controllers tell each other. Nothing that passes here gives authority:
+// a status helps to decide whom to send users and workers to, and an ask hands
+// a user's request to a controller that the state service serves.
+type (
+	// PeerStatus is sent a few times a second.
+	PeerStatus struct {
+		Node     string
+		StateAge unit.Micros // since the state service last served the sender
+		Leading  bool
+	}
+	// PeerAsk hands over a user's request.
+	PeerAsk struct {
+		ID   uint64
+		Kind AskKind
+		Job  string
+		Spec *ledger.Spec
+		Bad  string
+	}
+	// PeerAnswer answers an ask.
+	PeerAnswer struct {
+		ID         uint64
+		Code       int
+		Body       *JobAnswer // nil: Text says why not
+		Text       string
+		RetryAfter unit.Micros
+	}
+	// SendPeer is the effect that sends one of these; it may be lost.
+	SendPeer struct {
+		Node    string
+		Message any
+	}
+)
+
+// AskKind is what a user wants.
+type AskKind int
+
+// Kinds of requests that are handed over.
+const (
+	AskSubmit AskKind = iota
+	AskQuery
+	AskAbort
+)
+
+const (
+	statusEvery = 300_000
+	// A peer is taken as alive, and the state service as serving a node, for
+	// a few statuses' time.
+	peerFresh  = 1200 * unit.Second / 1000
+	stateFresh = 1 * unit.Second
+	askWithin  = 1500 * unit.Second / 1000
+	maxAsks    = 256
+)
+
+type peerView struct {
+	status PeerStatus
+	heard  unit.Micros // 0: never
+}
+
+type handedOver struct {
+	req   ReqID
+	until unit.Micros
+}
+
+type peersState struct {
+	views    map[string]*peerView
+	names    []string
+	statusAt unit.Micros
+	asks     map[uint64]handedOver
+	nextAsk  uint64
+	foreign  map[ReqID]askOrigin // requests that came from a peer
+	nextReq  ReqID
+}
+
+type askOrigin struct {
+	node string
+	id   uint64
+}
+
+// foreignBase keeps the numbers of handed-over requests apart from own ones.
+const foreignBase ReqID = 1 << 62
+
+func newPeers(names []string) peersState {
+	p := peersState{views: map[string]*peerView{}, names: names, asks: map[uint64]handedOver{}, foreign: map[ReqID]askOrigin{}, nextReq: foreignBase}
+	for _, n := range names {
+		p.views[n] = &peerView{}
+	}
+	return p
+}
+
+func (c *Core) stateAge() unit.Micros {
+	if !c.sync.everOK {
+		return unit.Never
+	}
+	return c.now - c.sync.lastOK
+}
+
+func (c *Core) tickPeers() {
+	p := &c.peers
+	if c.now >= p.statusAt {
+		p.statusAt = c.now + statusEvery
+		s := PeerStatus{Node: c.cfg.Node, StateAge: c.stateAge(), Leading: c.leader != nil && c.leader.auth.Valid(c.now)}
+		for _, n := range p.names {
+			c.emit(SendPeer{n, s})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.asks)) {
+		if a := p.asks[id]; c.now >= a.until {
+			delete(p.asks, id)
+			c.unavailable(a.req, "no controller is served by the state service")
+		}
+	}
+}
+
+// served returns a peer that is alive and was served lately, or "".
+func (c *Core) served() string {
+	best, age := "", stateFresh
+	for _, n := range c.peers.names {
+		v := c.peers.views[n]
+		if v.heard != 0 && c.now-v.heard < peerFresh && v.status.StateAge < age {
+			best, age = n, v.status.StateAge
+		}
+	}
+	return best
+}
+
+// anyPeer reports whether any peer is alive.
+func (c *Core) anyPeer() bool {
+	for _, v := range c.peers.views {
+		if v.heard != 0 && c.now-v.heard < peerFresh {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver gives a request that the state service does not let this node
+// serve to a controller that it does, or tells the user to come back.
+func (c *Core) handOver(req ReqID, kind AskKind, job string, spec *ledger.Spec, bad string) {
+	to := c.served()
+	if _, foreign := c.peers.foreign[req]; foreign || to == "" || len(c.peers.asks) >= maxAsks {
+		c.unavailable(req, "state service does not answer")
+		return
+	}
+	p := &c.peers
+	p.nextAsk++
+	p.asks[p.nextAsk] = handedOver{req, c.now + askWithin}
+	c.emit(SendPeer{to, PeerAsk{ID: p.nextAsk, Kind: kind, Job: job, Spec: spec, Bad: bad}})
+}
+
+// OnPeer takes a message of another controller.
+func (c *Core) OnPeer(now unit.Micros, from string, m any) {
+	c.at(now)
+	v := c.peers.views[from]
+	if v == nil {
+		return
+	}
+	switch m := m.(type) {
+	case PeerStatus:
+		v.status, v.heard = m, now
+	case PeerAsk:
+		if !ledger.ValidID(m.Job) || len(c.peers.foreign) >= maxAsks {
+			return
+		}
+		c.peers.nextReq++
+		req := c.peers.nextReq
+		c.peers.foreign[req] = askOrigin{from, m.ID}
+		switch m.Kind {
+		case AskSubmit:
+			c.Submit(now, req, m.Job, m.Spec, m.Bad)
+		case AskQuery:
+			c.Query(now, req, m.Job)
+		case AskAbort:
+			c.Abort(now, req, m.Job)
+		default:
+			delete(c.peers.foreign, req)
+		}
+	case PeerAnswer:
+		a, ok := c.peers.asks[m.ID]
+		if !ok {
+			return
+		}
+		delete(c.peers.asks, m.ID)
+		if m.Body != nil {
+			c.emit(Reply{Req: a.req, Code: m.Code, Body: *m.Body})
+		} else {
+			c.emit(Reply{Req: a.req, Code: m.Code, Body: Problem{m.Text}, RetryAfter: m.RetryAfter})
+		}
+	}
+}
+
+// send answers a request, wherever it came from.
+func (c *Core) send(r Reply) {
+	o, ok := c.peers.foreign[r.Req]
+	if !ok {
+		c.emit(r)
+		return
+	}
+	delete(c.peers.foreign, r.Req)
+	a := PeerAnswer{ID: o.id, Code: r.Code, RetryAfter: r.RetryAfter}
+	switch b := r.Body.(type) {
+	case JobAnswer:
+		a.Body = &b
+	case Problem:
+		a.Text = b.Text
+	}
+	c.emit(SendPeer{o.node, a})
+}
+
+// Ready reports whether this node can take requests. Where the state service
+// serves nobody, going unready would help no user and would keep the load
+// balancer away for a while after the outage; a node that alone is refused is
+// still of use while it can hand requests over.
+func (c *Core) Ready(now unit.Micros) bool {
+	c.at(now)
+	if !c.sync.loaded || len(c.types) == 0 {
+		return false
+	}
+	return c.stateAge() < 3*unit.Second || c.anyPeer()
+}
+
+// Answer answers a request that needed no more than a look.
+func (c *Core) Answer(req ReqID, ok bool) {
+	code := http.StatusServiceUnavailable
+	if ok {
+		code = http.StatusOK
+	}
+	c.reply(req, code, nil)
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -20,7 +20,12 @@
 	l := c.leader
 	switch {
 	case l == nil && c.claim.Node != c.cfg.Node:
-		c.reply(req, http.StatusMisdirectedRequest, Redirect{c.claim.Node})
+		// A leader that seems dead is not named: its workers would wait for it.
+		to := c.claim.Node
+		if v := c.peers.views[to]; v == nil || c.now-v.heard > peerFresh || !v.status.Leading {
+			to = ""
+		}
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{to})
 		return
 	case l == nil || !l.ready || !l.auth.Valid(now):
 		c.reply(req, http.StatusServiceUnavailable, Problem{"no authority at present"})
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -13,11 +13,11 @@
 // retryAfter is when a user who could not be served should come back.
 const retryAfter = 1 * unit.Second
 
-func (c *Core) reply(req ReqID, code int, body any) { c.emit(Reply{Req: req, Code: code, Body: body}) }
+func (c *Core) reply(req ReqID, code int, body any) { c.send(Reply{Req: req, Code: code, Body: body}) }
 
 // unavailable tells a user at once that the request could not be taken.
 func (c *Core) unavailable(req ReqID, why string) {
-	c.emit(Reply{Req: req, Code: http.StatusServiceUnavailable, Body: Problem{why}, RetryAfter: retryAfter})
+	c.send(Reply{Req: req, Code: http.StatusServiceUnavailable, Body: Problem{why}, RetryAfter: retryAfter})
 }
 
 // answer tells a job's state; code is 200 except for a job accepted just now.
@@ -50,7 +50,7 @@
 		j := c.jobs[id]
 		switch {
 		case !ok:
-			c.unavailable(req, "state service does not answer")
+			c.handOver(req, AskSubmit, id, spec, bad)
 		case j != nil:
 			c.answer(req, http.StatusOK, j, false)
 		case spec == nil:
@@ -131,7 +131,7 @@
 			case store.Failed: // another node, or an earlier try, was first
 				c.Query(c.now, req, id)
 			default:
-				c.unavailable(req, "state service does not answer")
+				c.handOver(req, AskSubmit, id, spec, "")
 			}
 		},
 	})
@@ -152,7 +152,7 @@
 		j := c.jobs[id]
 		switch {
 		case !ok:
-			c.unavailable(req, "state service does not answer")
+			c.handOver(req, AskQuery, id, nil, "")
 		case j == nil:
 			c.reply(req, http.StatusNotFound, Problem{"no such job"})
 		default:
@@ -169,7 +169,7 @@
 		c.wantSync(func(ok bool) {
 			switch {
 			case !ok:
-				c.unavailable(req, "state service does not answer")
+				c.handOver(req, AskAbort, id, nil, "")
 			case c.jobs[id] == nil:
 				c.reply(req, http.StatusNotFound, Problem{"no such job"})
 			default:
@@ -200,7 +200,7 @@
 					c.answer(req, http.StatusOK, j, false)
 				})
 			default:
-				c.unavailable(req, "state service does not answer")
+				c.handOver(req, AskAbort, id, nil, "")
 			}
 		},
 	})
@@ -208,12 +208,3 @@
 		c.unavailable(req, "too many requests")
 	}
 }
-
-// Ready reports whether this node can take requests.
-func (c *Core) Ready(now unit.Micros) bool {
-	c.at(now)
-	return c.sync.loaded && len(c.types) > 0 && now-c.sync.lastOK < 6*unit.Second
-}
-
-// Answer answers a request that needed no more than a look.
-func (c *Core) Answer(req ReqID, code int) { c.reply(req, code, nil) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
 	"shalestage.example/shalestage/internal/wire"
 )
@@ -33,6 +34,7 @@
 	core   *core.Core
 	state  *state.Client
 	cloud  *cloud.Client
+	peers  *peer.Link
 	log    *slog.Logger
 	began  time.Time
 	urgent chan message // reports and the outside services' answers
@@ -43,8 +45,8 @@
 }
 
 // New returns a node that does nothing until Run.
-func New(c *core.Core, s *state.Client, cl *cloud.Client, log *slog.Logger) *Node {
-	return &Node{core: c, state: s, cloud: cl, log: log, began: time.Now(),
+func New(c *core.Core, s *state.Client, cl *cloud.Client, p *peer.Link, log *slog.Logger) *Node {
+	return &Node{core: c, state: s, cloud: cl, peers: p, log: log, began: time.Now(),
 		urgent: make(chan message, urgentQueue), users: make(chan message, userQueue),
 		waiting: map[core.ReqID]chan core.Reply{}}
 }
@@ -90,6 +92,8 @@
 			delete(n.waiting, e.Req)
 			ch <- e
 		}
+	case core.SendPeer:
+		n.peers.Send(e.Node, e.Message)
 	case core.List:
 		go func() {
 			o, rev, items := n.state.List(core.Root)
@@ -145,6 +149,15 @@
 	}
 }
 
+// Hear takes a message of another controller; it is dropped when there is too
+// much to do.
+func (n *Node) Hear(from string, msg any) {
+	select {
+	case n.users <- func(c *core.Core, now unit.Micros) { c.OnPeer(now, from, msg) }:
+	default:
+	}
+}
+
 // ask sends a request to the core and waits for its answer. A full inbox
 // answers at once.
 func (n *Node) ask(ctx context.Context, box chan message, f func(c *core.Core, now unit.Micros, req core.ReqID)) core.Reply {
@@ -194,11 +207,7 @@
 // Ready answers a health check.
 func (n *Node) Ready(ctx context.Context) bool {
 	r := n.ask(ctx, n.urgent, func(c *core.Core, now unit.Micros, req core.ReqID) {
-		code := http.StatusServiceUnavailable
-		if c.Ready(now) {
-			code = http.StatusOK
-		}
-		c.Answer(req, code)
+		c.Answer(req, c.Ready(now))
 	})
 	return r.Code == http.StatusOK
 }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,185 @@
+// Package peer carries messages between controllers: gob, in frames of bounded
+// length, over TCP. Messages may be lost; nothing here gives authority.
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"shalestage.example/shalestage/internal/core"
+)
+
+const (
+	// format is raised whenever messages change in a way that an older
+	// controller would misread; frames of another format are dropped.
+	format   = 1
+	maxFrame = 64 << 10
+
+	dialTimeout = time.Second
+	sendTimeout = time.Second
+	// readTimeout is several times the interval between statuses.
+	readTimeout = 10 * time.Second
+	queue       = 64
+	maxConns    = 32
+)
+
+// frame is what one frame holds.
+type frame struct {
+	Format int
+	From   string
+	Status *core.PeerStatus
+	Ask    *core.PeerAsk
+	Answer *core.PeerAnswer
+}
+
+// Encode writes a message as one frame, length first.
+func Encode(from string, m any) ([]byte, error) {
+	f := frame{Format: format, From: from}
+	switch m := m.(type) {
+	case core.PeerStatus:
+		f.Status = &m
+	case core.PeerAsk:
+		f.Ask = &m
+	case core.PeerAnswer:
+		f.Answer = &m
+	default:
+		return nil, fmt.Errorf("peer: message %T", m)
+	}
+	var b bytes.Buffer
+	b.Write(make([]byte, 4))
+	if err := gob.NewEncoder(&b).Encode(f); err != nil {
+		return nil, err
+	}
+	if b.Len()-4 > maxFrame {
+		return nil, errors.New("peer: message too long")
+	}
+	binary.BigEndian.PutUint32(b.Bytes(), uint32(b.Len()-4))
+	return b.Bytes(), nil
+}
+
+// Decode reads one frame. An error that is errFrame concerns that frame alone;
+// after any other the connection is of no more use.
+func Decode(r io.Reader) (from string, m any, err error) {
+	var n [4]byte
+	if _, err := io.ReadFull(r, n[:]); err != nil {
+		return "", nil, err
+	}
+	size := binary.BigEndian.Uint32(n[:])
+	if size > maxFrame {
+		return "", nil, fmt.Errorf("peer: frame of %d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return "", nil, err
+	}
+	var f frame
+	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&f); err != nil {
+		return "", nil, fmt.Errorf("%w: %v", errFrame, err)
+	}
+	switch {
+	case f.Format != format:
+		return "", nil, fmt.Errorf("%w: format %d", errFrame, f.Format)
+	case f.Status != nil:
+		return f.From, *f.Status, nil
+	case f.Ask != nil:
+		return f.From, *f.Ask, nil
+	case f.Answer != nil:
+		return f.From, *f.Answer, nil
+	}
+	return "", nil, fmt.Errorf("%w: empty", errFrame)
+}
+
+var errFrame = errors.New("peer: unusable frame")
+
+// Link connects a controller with its peers.
+type Link struct {
+	node    string
+	log     *slog.Logger
+	out     map[string]chan any
+	dropped atomic.Uint64 // frames that could not be used
+}
+
+// New returns a link that keeps a connection to every peer.
+func New(node string, addrs map[string]string, log *slog.Logger) *Link {
+	l := &Link{node: node, log: log, out: map[string]chan any{}}
+	for name, addr := range addrs {
+		ch := make(chan any, queue)
+		l.out[name] = ch
+		go l.feed(addr, ch)
+	}
+	return l
+}
+
+// Send queues a message; it is dropped when the peer does not keep up.
+func (l *Link) Send(to string, m any) {
+	select {
+	case l.out[to] <- m:
+	default:
+	}
+}
+
+// feed sends what is queued for one peer, over one connection after another.
+// What waited while there was no connection is old news and is dropped.
+func (l *Link) feed(addr string, ch chan any) {
+	for {
+		c, err := net.DialTimeout("tcp4", addr, dialTimeout)
+		if err != nil {
+			time.Sleep(dialTimeout / 4)
+			continue
+		}
+		for len(ch) > 0 {
+			<-ch
+		}
+		for m := range ch {
+			b, err := Encode(l.node, m)
+			if err != nil {
+				l.log.Error("peer", "err", err)
+				continue
+			}
+			_ = c.SetWriteDeadline(time.Now().Add(sendTimeout))
+			if _, err := c.Write(b); err != nil {
+				break
+			}
+		}
+		c.Close()
+	}
+}
+
+// Serve hands the messages that arrive on a listener to hear.
+func (l *Link) Serve(ln net.Listener, hear func(from string, m any)) {
+	ln = netutil.LimitListener(ln, maxConns)
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			time.Sleep(dialTimeout / 4)
+			continue
+		}
+		go func() {
+			defer c.Close()
+			for {
+				_ = c.SetReadDeadline(time.Now().Add(readTimeout))
+				from, m, err := Decode(c)
+				switch {
+				case err == nil:
+					hear(from, m)
+				case errors.Is(err, errFrame):
+					if l.dropped.Add(1) == 1 {
+						l.log.Error("peer", "err", err) // the first only: the rest are counted
+					}
+				default:
+					return
+				}
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ask := core.PeerAsk{ID: rapid.Uint64().Draw(t, "id"), Kind: core.AskSubmit, Job: "wk-000001",
+			Spec: &ledger.Spec{Class: rapid.String().Draw(t, "class"), Tasks: rapid.Int().Draw(t, "tasks")}}
+		status := core.PeerStatus{Node: "n", StateAge: unit.Micros(rapid.Int64().Draw(t, "age")), Leading: rapid.Bool().Draw(t, "leading")}
+		var b bytes.Buffer
+		for _, m := range []any{ask, status} {
+			f, err := Encode("me", m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Write(f)
+		}
+		from, m, err := Decode(&b)
+		got, ok := m.(core.PeerAsk)
+		if err != nil || from != "me" || !ok || got.ID != ask.ID || got.Spec.Class != ask.Spec.Class || got.Spec.Tasks != ask.Spec.Tasks {
+			t.Fatalf("%q %+v %v", from, m, err)
+		}
+		if _, m, err = Decode(&b); err != nil || m != any(status) {
+			t.Fatalf("%+v %v", m, err)
+		}
+	})
+}
+
+// Whatever arrives, a frame is read, refused or cut short: nothing panics and
+// nothing larger than a frame is ever held.
+func FuzzDecode(f *testing.F) {
+	good, err := Encode("n", core.PeerStatus{Node: "n"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)-3])
+	f.Add([]byte{255, 255, 255, 255, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, m, err := Decode(bytes.NewReader(b))
+		if (m == nil) == (err == nil) {
+			t.Fatalf("message %v and error %v", m, err)
+		}
+	})
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -128,7 +128,7 @@
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	d := w.span(1, 25)
 	end := w.now + d
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(11) {
 	case 0:
 		n.crash()
 	case 1:
@@ -143,6 +143,10 @@
 		n.refusedUntil = end
 	case 5:
 		n.workerCut = end
+	case 9:
+		n.peerCut = end
+	case 10: // the whole network
+		n.peerCut, n.stateCut, n.workerCut = end, end, end
 	case 6:
 		w.cloud.downUntil = end
 	case 7:
@@ -185,6 +189,7 @@
 	lives        int
 	stateCut     unit.Micros // cut from the state service until then
 	workerCut    unit.Micros
+	peerCut      unit.Micros
 	refusedUntil unit.Micros
 	next         core.ReqID
 	asked        map[core.ReqID]func(core.Reply)
@@ -201,8 +206,14 @@
 	n.life, n.born = n.lives, n.w.now
 	n.rate = 1 + (n.w.rng.Float64()-0.5)*0.001
 	n.asked = map[core.ReqID]func(core.Reply){}
+	var peers []string
+	for i := range n.w.opt.Nodes {
+		if name := fmt.Sprintf("node-%d", i); name != n.name {
+			peers = append(peers, name)
+		}
+	}
 	n.core = core.New(core.Config{
-		Node: n.name, Size: len(n.w.nodes), Zones: []string{"a", "b"}, Teams: teams,
+		Node: n.name, Peers: peers, Size: n.w.opt.Nodes, Zones: []string{"a", "b"}, Teams: teams,
 		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, ListLag: 3 * second,
 		TxnOps: 8, ValueKB: 8, StateRate: 200, WriteRate: 100, CloudRate: 5,
 		Pack:  pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
@@ -263,6 +274,15 @@
 			delete(n.asked, e.Req)
 			n.w.after(millis, func() { f(e) })
 		}
+	case core.SendPeer:
+		n.w.after(n.w.span(0.001, 0.003), func() {
+			for _, o := range n.w.nodes {
+				if o.name == e.Node && o.life != 0 && n.w.now >= n.peerCut && n.w.now >= o.peerCut {
+					o.core.OnPeer(o.local(), n.name, e.Message)
+					o.carryOut()
+				}
+			}
+		})
 	case core.List:
 		var rev uint64
 		var items []store.Event
