--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -125,7 +125,7 @@
 			Limit:     pack.Vec{unit.MilliDown(tm.CPUsMax), unit.MilliDown(tm.GPUsMax)}})
 	}
 	for _, o := range d.Objectives {
-		c.Objectives = append(c.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS)})
+		c.Objectives = append(c.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS), Times: o.Times})
 	}
 	return c
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,6 +28,7 @@
 	Kind   string // "wait", "finished", "deadline" or "guarantee"
 	Class  string
 	Within unit.Micros
+	Times  float64 // of the deadline, for "deadline"
 }
 
 // Config is what the core is told at its start.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -77,6 +77,52 @@
 	return left - (c.wall - j.Record.Submitted)
 }
 
+// Urgency of a job within its tier: work that can still meet its first aim
+// goes before work that can only meet a later one, and work that can meet none
+// any more comes last.
+const (
+	tooLate = iota
+	laterAim
+	firstAim
+	urgencies
+)
+
+// urgency tells which of a job's aims can still be met.
+func (c *Core) urgency(l *leader, j *ledger.Job) int {
+	s := j.Spec()
+	ends := c.wall - j.Record.Submitted + l.runtime(s)
+	aims, missed := 0, 0
+	aim := func(t unit.Micros) {
+		aims++
+		if ends > t {
+			missed++
+		}
+	}
+	for _, o := range c.cfg.Objectives {
+		if o.Class != s.Class {
+			continue
+		}
+		switch o.Kind {
+		case "finished":
+			aim(o.Within)
+		case "deadline":
+			if s.Deadline > 0 {
+				aim(unit.Micros(float64(s.Deadline) * max(o.Times, 1)))
+			}
+		}
+	}
+	if aims == 0 && s.Deadline > 0 {
+		aim(s.Deadline)
+	}
+	switch {
+	case missed == 0:
+		return firstAim
+	case missed < aims:
+		return laterAim
+	}
+	return tooLate
+}
+
 // needs adds up the work at hand, by what pools it may use. A job needs no
 // more room than lets it end in time: where there is time for several tasks
 // one after the other, fewer machines do.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -330,7 +330,7 @@
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
 			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
-			Tier:     tier,
+			Tier:     tier*urgencies + c.urgency(l, j),
 			Cached:   m.HasImage(s.Image),
 			Deferred: !j.Worked && len(j.Errors) > 1,
 		})
