--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -324,13 +324,17 @@
 		if l.within[j.ID] {
 			tier += int(ledger.Production) + 1
 		}
+		constrained := 0
+		if !m.Record.Spot && !s.Spot {
+			constrained = 1 // it can go nowhere else, other work can
+		}
 		held := pack.Dominant(l.total, s.Demand) * float64(j.Placed())
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
 			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
-			Tier:     tier*urgencies + c.urgency(l, j),
+			Tier:     2*(tier*urgencies+c.urgency(l, j)) + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: !j.Worked && len(j.Errors) > 1,
 		})
