--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -106,7 +106,7 @@
 	fresh := l.newWork
 	l.newWork = false
 	if fresh {
-		sort.SliceStable(l.held, func(a, b int) bool { return coreCost(l.held[a].m) < coreCost(l.held[b].m) })
+		sort.SliceStable(l.held, func(a, b int) bool { return preferred(l.held[a].m, l.held[b].m) })
 	}
 	kept := l.held[:0]
 	for _, h := range l.held {
@@ -301,7 +301,7 @@
 		c.sortJobs(l)
 	}
 	free := m.Type.Capacity.Sub(m.Used())
-	cheaper := c.cheaperRoom(l, m)
+	elsewhere := c.preferredRoom(l, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
 	perTeam := map[string]int{}
@@ -316,7 +316,7 @@
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
 			continue
 		}
-		pending := j.Ready() - cheaper.take(j)
+		pending := j.Ready() - elsewhere.take(j)
 		if pending <= 0 {
 			continue
 		}
@@ -388,21 +388,20 @@
 	return 1 / float64(max(len(c.cfg.Teams), 1))
 }
 
-// room is free room on machines that cost less than the one at hand.
+// room is free room on machines that are preferred to the one at hand.
 type room struct {
 	machines []*fleet.Machine
 	free     []pack.Vec
 }
 
-// cheaperRoom finds the free room that cheaper machines are about to report.
-// Work that fits there waits for it, so that the dearer machines run empty and
+// preferredRoom finds the free room that preferred machines are about to
+// report. Work that fits there waits for it, so that the others run empty and
 // can be returned.
-func (c *Core) cheaperRoom(l *leader, m *fleet.Machine) *room {
+func (c *Core) preferredRoom(l *leader, m *fleet.Machine) *room {
 	r := &room{}
-	limit := coreCost(m) * 0.9
 	for _, name := range sortedKeys(l.machines) {
 		x := l.machines[name]
-		if x == m || !x.Settled() || x.Notice != unit.Never || coreCost(x) >= limit || c.now-x.LastSeen > 3*c.cfg.ReportEvery/2 {
+		if x == m || !x.Settled() || x.Notice != unit.Never || !preferred(x, m) || c.now-x.LastSeen > 3*c.cfg.ReportEvery/2 {
 			continue
 		}
 		if f := x.Type.Capacity.Sub(x.Used()); f[pack.CPU] > 0 {
@@ -413,6 +412,20 @@
 	return r
 }
 
+// preferred reports whether work should rather go to x than to m: to the
+// cheaper machine, else to the smaller one, which runs empty sooner, else to
+// the older one, so that room gathers on the youngest.
+func preferred(x, m *fleet.Machine) bool {
+	a, b := coreCost(x), coreCost(m)
+	if a < 0.9*b || b < 0.9*a {
+		return a < b
+	}
+	if a, b := x.Type.Capacity[pack.CPU], m.Type.Capacity[pack.CPU]; a != b {
+		return a < b
+	}
+	return x.Name < m.Name
+}
+
 // take sets room aside for a job's ready tasks, and returns for how many.
 func (r *room) take(j *ledger.Job) int {
 	s := j.Spec()
