--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -163,8 +163,8 @@
 		need := needs[g]
 		need.Tasks += n
 		need.Running += j.Placed()
-		// Of running tasks about half is still to do.
-		need.Work += l.runtime(s) * unit.Micros(2*(j.Record.Tasks-j.Finished())-j.Placed()) / 2
+		need.Waiting += l.runtime(s) * unit.Micros(j.Ready())
+		need.Rest += l.runtime(s) * unit.Micros(j.Placed()) / 2 // about half is still to do
 		need.Total = need.Total.Add(v)
 		need.Types = names
 		needs[g] = need
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -26,13 +26,14 @@
 }
 
 // Need is how much work a group has: tasks that would run at once if there
-// were room, their demands added up, and the time that all of its unfinished
-// tasks will take, one after the other.
+// were room, their demands added up, and the time that its waiting tasks and
+// the rest of its running ones will take, one after the other.
 type Need struct {
 	Tasks   int
 	Running int // tasks placed at present
 	Total   pack.Vec
-	Work    unit.Micros
+	Waiting unit.Micros
+	Rest    unit.Micros
 	Types   []string
 }
 
@@ -171,8 +172,7 @@
 		return x.Name < y.Name
 	})
 	var rents []Rent
-	var work [2]float64 // of all groups so far, by whether they may use spot
-	var had [2]float64
+	var sums [2]backlog // of all groups so far, by whether they may use spot
 	for _, g := range groups {
 		us := s.usual[g]
 		need := math.Max(float64(needs[g].Tasks), us.tasks*(1+s.p.Spare))
@@ -199,12 +199,13 @@
 		if g.Spot {
 			kind = 1
 		}
-		work[kind] += needs[g].Work.Seconds()
-		had[kind] += wants - need
+		sums[kind].waiting += needs[g].Waiting.Seconds()
+		sums[kind].rest += needs[g].Rest.Seconds()
+		sums[kind].slots += wants - need
 		if need < 0.5 {
 			continue
 		}
-		if r, ok := s.offer(now, g, us, need, work[kind], had[kind], wants-need < 0.5, types, price); ok {
+		if r, ok := s.offer(now, g, us, need, sums[kind], wants-need < 0.5, types, price); ok {
 			rents = append(rents, r)
 		}
 	}
@@ -218,12 +219,34 @@
 	return rents, back
 }
 
+// backlog is the work of several groups and the slots that they have, all in
+// seconds and average tasks.
+type backlog struct {
+	waiting, rest, slots float64
+}
+
+// after is the work that will still wait after a time in which the slots first
+// end what they run.
+func (b backlog) after(t float64) float64 {
+	return math.Max(0, b.waiting-math.Max(0, b.slots*t-b.rest))
+}
+
 // offer chooses the cheapest way to fill a shortfall, if any is worth it: by
 // the time a machine is up, the slots there are will have done part of the
 // work, of this group and those that chose before it, and each new slot must
 // find enough of the rest.
-func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short, work, slotsHad float64, stranded bool, types map[string]*fleet.Type, price func(Pool) float64) (Rent, bool) {
+func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, stranded bool, types map[string]*fleet.Type, price func(Pool) float64) (Rent, bool) {
 	best, bestCost := Rent{}, math.Inf(1)
+	cheapest := math.Inf(1) // price of a CPU, over all that the group may use
+	for _, name := range us.types {
+		if t := types[name]; t != nil && t.Capacity[pack.CPU] > 0 {
+			for _, spot := range []bool{true, false} {
+				if p := (Pool{name, g.Zone, spot}); g.Spot || !spot {
+					cheapest = math.Min(cheapest, price(p)/float64(t.Capacity[pack.CPU]))
+				}
+			}
+		}
+	}
 	for _, name := range us.types {
 		t := types[name]
 		if t == nil {
@@ -234,21 +257,23 @@
 			continue
 		}
 		boot := t.Boot.Seconds()
-		rest := work + us.tasks*(boot+s.p.Worth.Seconds()) - slotsHad*boot
-		want := math.Min(short, rest/s.p.Worth.Seconds())
-		if stranded {
-			want = math.Max(want, math.Min(short, 1)) // little work, but nowhere to do it
-		}
-		if want < 0.5 {
-			continue
-		}
-		count := max(int(math.Ceil(want/each-0.05)), 1)
+		ahead := b.after(boot) + us.tasks*s.p.Worth.Seconds()
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
 				if !usable(g, us.types, p) || s.refused[p].until > now {
 					continue
 				}
+				// A dearer slot must find more work.
+				premium := price(p) / float64(t.Capacity[pack.CPU]) / cheapest
+				want := math.Min(short, ahead/(s.p.Worth.Seconds()*premium))
+				if stranded {
+					want = math.Max(want, math.Min(short, 1)) // little work, but nowhere to do it
+				}
+				if want < 0.5 {
+					continue
+				}
+				count := max(int(math.Ceil(want/each-0.05)), 1)
 				if cost := float64(count) * price(p) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
 					best, bestCost = Rent{p, min(count, 50)}, cost
 				}
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -20,7 +20,7 @@
 var knobs = Params{Memory: 30 * second, Worth: 20 * second, IdleReturn: 10 * second}
 
 func need(tasks int, run unit.Micros) Need {
-	return Need{Tasks: tasks, Total: pack.Vec{4_000, 0, 8_000}.Times(int64(tasks)), Work: run * unit.Micros(tasks), Types: []string{"big", "small"}}
+	return Need{Tasks: tasks, Total: pack.Vec{4_000, 0, 8_000}.Times(int64(tasks)), Waiting: run * unit.Micros(tasks), Types: []string{"big", "small"}}
 }
 
 // Work that may not use spot machines never gets one, spot work does as it is
