--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -257,7 +257,8 @@
 			continue
 		}
 		boot := t.Boot.Seconds()
-		ahead := b.after(boot) + us.tasks*s.p.Worth.Seconds()
+		// Room below what is usual will find work; room above it must find it waiting.
+		ahead := b.after(boot) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
