--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -81,7 +81,7 @@
 	go link.Serve(pl, n.Hear)
 	log.Info("serving", "node", s.Node, "listen", s.Listen, "version", version)
 	// Room is left for connections to the services and to other controllers.
-	return api.Serve(l, n, d.Quota.FDLimit*9/10, 60*unit.Second)
+	return api.Serve(l, n, d.Quota.FDLimit*9/10, 60*unit.Second, log)
 }
 
 func logger(level string) (*slog.Logger, error) {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"golang.org/x/net/netutil"
 
 	"shalestage.example/shalestage/internal/core"
@@ -32,8 +34,11 @@
 }
 
 // Handler serves the interface.
-func Handler(n Node) http.Handler {
+func Handler(n Node, log *slog.Logger) http.Handler {
 	r := chi.NewRouter()
+	if log.Enabled(context.Background(), slog.LevelDebug) {
+		r.Use(logRequests(log))
+	}
 	r.Post(wire.JobsPath, func(w http.ResponseWriter, req *http.Request) {
 		body, ok := read(w, req)
 		if !ok {
@@ -78,6 +83,20 @@
 	return r
 }
 
+// logRequests logs every request but workers' reports with its outcome.
+func logRequests(log *slog.Logger) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			began := time.Now()
+			ww := middleware.NewWrapResponseWriter(w, req.ProtoMajor)
+			next.ServeHTTP(ww, req)
+			if req.URL.Path != wire.ReportPath {
+				log.Debug("request", "method", req.Method, "path", req.URL.Path, "code", ww.Status(), "took", time.Since(began))
+			}
+		})
+	}
+}
+
 func byID(w http.ResponseWriter, req *http.Request, f func(context.Context, string) core.Reply) {
 	id := chi.URLParam(req, "id")
 	if !ledger.ValidID(id) {
@@ -140,9 +159,9 @@
 
 // Serve answers requests on a listener. Slow, half-open and idle clients lose
 // their connection, and those beyond maxConns wait to be accepted.
-func Serve(l net.Listener, n Node, maxConns int, idle unit.Micros) error {
+func Serve(l net.Listener, n Node, maxConns int, idle unit.Micros, log *slog.Logger) error {
 	s := &http.Server{
-		Handler:           Handler(n),
+		Handler:           Handler(n, log),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      15 * time.Second,
