Authority by a majority's promises while the state service is away

A leader that cannot renew keeps its authority while peers that make a majority with it promise not to help another, for at most cancel_s less a worker's lease; a successor needs a majority's permits, or has to wait that time out. Argument in docs/design.md; checked by a state machine of its own and by the stand-ins, which now also check that no two controllers lead at once.

--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -108,6 +108,7 @@
 	c := core.Config{
 		Node: s.Node, Size: d.Size, Zones: d.Zones,
 		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
+		CancelIn:  unit.Seconds(d.Workers.CancelS),
 		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
 		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, WriteRate: d.State.WriteRPS,
 		CloudRate:  d.Cloud.RPS,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,7 @@
 	Lease       unit.Micros // a worker's lease
 	ReportEvery unit.Micros
 	LeaderTTL   unit.Micros
+	CancelIn    unit.Micros // cancelled work must be gone after this
 	ListLag     unit.Micros
 	TxnOps      int
 	ValueKB     float64
@@ -154,6 +155,7 @@
 	sync   syncState
 	leader *leader // nil unless this node leads
 	stand  candidacy
+	voter  lead.Voter
 	peers  peersState
 }
 
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -14,9 +14,10 @@
 	Node string `json:"node"`
 }
 
-// Term is the highest term ever taken; it outlives every lease.
+// Term is the highest term ever taken and who took it; it outlives every lease.
 type Term struct {
 	Term uint64 `json:"term"`
+	Node string `json:"node"`
 }
 
 // Block is the stored lease of machine blocks to a controller. All of the
@@ -50,21 +51,81 @@
 	return b
 }
 
-// Authority is the time for which a lease surely lives: counted from when its
-// last renewal was sent, less clock drift and a margin.
+// Authority is the time for which no other controller can surely lead.
+//
+// It rests on the lease in the state service, counted from when its last
+// renewal was sent, less clock drift and a margin. Where the state service does
+// not answer it rests on promises: peers that make up a majority together with
+// this node have promised not to help another to the lead for a while, and
+// without a majority's help nobody may claim it until Extend has passed since
+// the lease was last renewed. See docs/design.md for the argument.
 type Authority struct {
 	TTL    unit.Micros
 	Margin unit.Micros
-	until  unit.Micros
+	Extend unit.Micros // bound on what promises add, from the last renewal
+	Peers  int         // promises that make a majority together with this node
+
+	until    unit.Micros
+	bound    unit.Micros
+	promises map[string]unit.Micros
 }
 
 // Renewed records that a renewal sent at the given time was granted.
 func (a *Authority) Renewed(sent unit.Micros) {
 	a.until = max(a.until, sent+unit.Shortest(a.TTL)-a.Margin)
+	a.bound = max(a.bound, sent+unit.Shortest(a.Extend)-a.Margin)
+}
+
+// Promised records a peer's promise, asked for at the given time.
+func (a *Authority) Promised(peer string, asked unit.Micros) {
+	if a.promises == nil {
+		a.promises = map[string]unit.Micros{}
+	}
+	a.promises[peer] = max(a.promises[peer], asked+unit.Shortest(PromiseTime)-a.Margin)
 }
 
 // Valid reports whether authority is certain now.
-func (a *Authority) Valid(now unit.Micros) bool { return now < a.until }
+func (a *Authority) Valid(now unit.Micros) bool {
+	if now < a.until {
+		return true
+	}
+	n := 0
+	for _, until := range a.promises {
+		if now < until {
+			n++
+		}
+	}
+	return n >= a.Peers && now < a.bound
+}
+
+// PromiseTime is how long a promise binds.
+const PromiseTime = 2 * unit.Second
 
-// Drop gives authority up.
-func (a *Authority) Drop() { a.until = 0 }
+// Voter is what a controller owes the others. It forgets everything when its
+// process ends, so that a new process must let the longest promise run out
+// before it may help anybody.
+type Voter struct {
+	Born unit.Micros
+
+	promisedUntil unit.Micros
+	permitted     uint64 // highest term that this node helped to
+}
+
+// Promise is asked by the leader of a term; seen is the term of the leader's
+// record as this node last saw it, 0 if the record is gone.
+func (v *Voter) Promise(now unit.Micros, term, seen uint64) bool {
+	if term != seen || term < v.permitted {
+		return false
+	}
+	v.promisedUntil = max(v.promisedUntil, now+PromiseTime)
+	return true
+}
+
+// Permit is asked by a controller that wants to lead a term.
+func (v *Voter) Permit(now unit.Micros, term uint64) bool {
+	if now < v.promisedUntil || now < v.Born+unit.Longest(PromiseTime) || term < v.permitted {
+		return false
+	}
+	v.permitted = term
+	return true
+}
--- /dev/null
+++ b/internal/core/lead/lead_test.go
@@ -0,0 +1,119 @@
+package lead
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Tokens and attempts rise with the term, whatever was used before.
+func TestTokensRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		term := rapid.Uint64Range(1, 1<<30).Draw(t, "term")
+		n := rapid.Uint64Range(0, numbersPerTerm-2).Draw(t, "number")
+		if Token(term, n) >= Token(term, n+1) || Token(term, n) >= Token(term+1, 0) {
+			t.Fatal("token does not rise")
+		}
+		if Attempt(term, rapid.Uint64Range(0, attemptsPerTerm-1).Draw(t, "attempt")) >= Attempt(term+1, 0) {
+			t.Fatal("attempt of a later term is not larger")
+		}
+	})
+}
+
+// voterNode is a controller with a clock of its own in TestPromises.
+type voterNode struct {
+	v     Voter
+	born  unit.Micros // on true time
+	rate  float64
+	seen  uint64 // term of the leader's record as it last read it
+	alive bool
+}
+
+func (n *voterNode) local(now unit.Micros) unit.Micros {
+	return unit.Micros(float64(now-n.born) * n.rate)
+}
+
+// One of three controllers leads term 1 by promises alone, its lease in the
+// state service being gone: clocks drift, messages come late or never,
+// processes end and forget. Once a majority has permitted term 2 to another,
+// the first can never be valid again.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		now := 100 * unit.Second
+		var ns [nodes]*voterNode
+		start := func(i int, seen uint64) {
+			ns[i] = &voterNode{born: now, rate: rapid.Float64Range(0.9995, 1.0005).Draw(t, "rate"), seen: seen, alive: true}
+		}
+		for i := range ns {
+			start(i, 1)
+		}
+		auth := Authority{TTL: 3 * unit.Second, Margin: unit.Second / 10, Extend: 20 * unit.Second, Peers: nodes / 2}
+		auth.Renewed(0)
+		type promise struct {
+			from int
+			sent unit.Micros
+		}
+		var asks []unit.Micros
+		var late []promise
+		permits := map[int]bool{}
+		names := []string{"0", "1", "2"}
+		gone := false // the leader's record
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) { now += unit.Seconds(rapid.Float64Range(0, 1.5).Draw(t, "dt")) },
+			"record gone": func(t *rapid.T) {
+				if now < 103*unit.Second {
+					t.Skip() // the service keeps the record for the lease's time, by its own clock
+				}
+				gone = true
+				ns[rapid.IntRange(1, nodes-1).Draw(t, "sees")].seen = 0
+			},
+			"ask": func(t *rapid.T) {
+				if auth.Valid(ns[0].local(now)) {
+					asks = append(asks, ns[0].local(now))
+				}
+			},
+			"promise": func(t *rapid.T) {
+				i := rapid.IntRange(1, nodes-1).Draw(t, "by")
+				if len(asks) == 0 {
+					t.Skip()
+				}
+				sent := asks[rapid.IntRange(0, len(asks)-1).Draw(t, "which")]
+				if ns[i].v.Promise(ns[i].local(now), 1, ns[i].seen) {
+					late = append(late, promise{i, sent})
+				}
+			},
+			"arrive": func(t *rapid.T) {
+				if len(late) == 0 {
+					t.Skip()
+				}
+				p := late[rapid.IntRange(0, len(late)-1).Draw(t, "which")]
+				auth.Promised(names[p.from], p.sent)
+			},
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(1, nodes-1).Draw(t, "node")
+				seen := uint64(1)
+				if gone {
+					seen = 0 // it reads the state anew
+				}
+				start(i, seen)
+			},
+			"permit": func(t *rapid.T) {
+				if !gone {
+					t.Skip() // a candidate has seen that the record is gone
+				}
+				i := rapid.IntRange(1, nodes-1).Draw(t, "by")
+				if ns[i].v.Permit(ns[i].local(now), 2) {
+					permits[i] = true
+				}
+			},
+			"": func(t *rapid.T) {
+				if len(permits) > nodes/2 && auth.Valid(ns[0].local(now)) {
+					t.Fatal("a majority helps another while the first leader's authority is valid")
+				}
+			},
+		})
+	})
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -22,6 +22,56 @@
 	sent    unit.Micros
 	after   unit.Micros // not tried before
 	deafAt  unit.Micros // when this node last resigned because no worker reached it
+	goneAt  unit.Micros // when the leader's record was seen to be gone
+
+	term    uint64 // that permits are sought for
+	askedAt unit.Micros
+	permits map[string]bool
+}
+
+// permit takes a controller's help to lead a term.
+func (s *candidacy) permit(from string, term uint64) {
+	if term == s.term && s.permits != nil {
+		s.permits[from] = true
+	}
+}
+
+// permitFresh is how long a round of asking for permits lasts.
+const permitFresh = unit.Second
+
+// extension is how long promises may carry a leader past its last renewal. A
+// leader that is cut off hears of no cancellation: what it runs must still be
+// gone in time, a worker's lease after its last answer.
+func (c *Core) extension() unit.Micros {
+	return max(c.cfg.LeaderTTL, c.cfg.CancelIn-c.leaseBound()-2*unit.Second)
+}
+
+// permitted reports whether no earlier leader can be leading still, and seeks
+// the help of a majority to make it so.
+func (c *Core) permitted() bool {
+	s := &c.stand
+	if c.term.Term == 0 || c.term.Node == c.cfg.Node {
+		return true // nobody ever led, or it was this node's last process
+	}
+	if c.now-s.goneAt > unit.Longest(c.extension())+c.cfg.LeaderTTL {
+		return true // whatever was promised to it, its time is over
+	}
+	term := c.term.Term + 1
+	if s.term != term || c.now-s.askedAt > permitFresh {
+		s.term, s.permits = term, map[string]bool{}
+		s.askedAt = c.now
+		s.seek(c)
+	}
+	if !s.permits[c.cfg.Node] && c.voter.Permit(c.now, term) {
+		s.permits[c.cfg.Node] = true
+	}
+	return len(s.permits) > c.cfg.Size/2
+}
+
+func (s *candidacy) seek(c *Core) {
+	for _, n := range c.peers.names {
+		c.emit(SendPeer{n, PeerPermitAsk{s.term}})
+	}
 }
 
 // leader is what a controller knows and does while it leads.
@@ -78,10 +128,14 @@
 	}
 	s := &c.stand
 	free := c.leadFree()
-	if !c.sync.loaded || !free || s.opening || c.now < s.after || c.now-c.sync.lastOK > unit.Second {
-		if c.sync.loaded && free && !s.opening && c.now >= s.after {
-			c.wantSync(nil)
-		}
+	if !c.sync.loaded || !free || s.opening || c.now < s.after {
+		return
+	}
+	if c.now-c.sync.lastOK > unit.Second {
+		c.wantSync(nil)
+		return
+	}
+	if !c.permitted() {
 		return
 	}
 	s.opening, s.sent = true, c.now
@@ -101,7 +155,7 @@
 		s.opening, s.after = false, now+unit.Second/2
 		return
 	}
-	if !c.leadFree() {
+	if !c.leadFree() || !c.permitted() {
 		// Another node was first. Its claim may be in the copy already, so that
 		// a guard on the version we know would not keep us from replacing it.
 		s.opening = false
@@ -117,7 +171,7 @@
 		Guards: []store.Guard{{Key: leadKey, Stamp: c.replica.Stamp(leadKey)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)}},
 		Changes: []store.Change{
 			{Key: leadKey, Value: mustJSON(claim), Lease: id},
-			{Key: termKey, Value: mustJSON(lead.Term{Term: term})},
+			{Key: termKey, Value: mustJSON(lead.Term{Term: term, Node: c.cfg.Node})},
 			{Key: blockKey, Value: mustJSON(block)},
 		},
 		Done: func(o store.Outcome, rev uint64) {
@@ -138,7 +192,7 @@
 // claim was stored has shown everything that earlier leaders stored.
 func (c *Core) lead(pass, term, stamp uint64, sent unit.Micros) {
 	l := &leader{pass: pass, term: term, stamp: stamp, began: c.now, lastHeard: c.now,
-		auth: lead.Authority{TTL: c.cfg.LeaderTTL, Margin: authorityMargin}, renewAt: sent + c.cfg.LeaderTTL/5}
+		auth: lead.Authority{TTL: c.cfg.LeaderTTL, Margin: authorityMargin, Extend: c.extension(), Peers: c.cfg.Size / 2}, renewAt: sent + c.cfg.LeaderTTL/5}
 	l.auth.Renewed(sent)
 	c.leader = l
 	c.log.Info("leading", "term", term)
@@ -238,6 +292,11 @@
 	}
 }
 
+// Leading reports whether this node may answer workers at present.
+func (c *Core) Leading(now unit.Micros) bool {
+	return c.leader != nil && c.leader.ready && c.leader.auth.Valid(now)
+}
+
 func (l *leader) addJob(j *ledger.Job) {
 	if l.active == nil || l.active[j.ID] == j {
 		return // not built yet, or known
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -9,16 +9,26 @@
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
-// What controllers tell each other. Nothing that passes here gives authority:
-// a status helps to decide whom to send users and workers to, and an ask hands
-// a user's request to a controller that the state service serves.
+// What controllers tell each other. A status helps to decide whom to send users
+// and workers to, and an ask hands a user's request to a controller that the
+// state service serves. Promises and permits are those of package lead.
 type (
 	// PeerStatus is sent a few times a second.
 	PeerStatus struct {
 		Node     string
 		StateAge unit.Micros // since the state service last served the sender
 		Leading  bool
+		Term     uint64      // of a leader, which asks for a promise with it
+		Sent     unit.Micros // on the sender's clock
 	}
+	// PeerPromise grants what a leader's status asked for.
+	PeerPromise struct {
+		Term uint64
+		Sent unit.Micros
+	}
+	// PeerPermitAsk asks for help to lead a term; PeerPermit grants it.
+	PeerPermitAsk struct{ Term uint64 }
+	PeerPermit    struct{ Term uint64 }
 	// PeerAsk hands over a user's request.
 	PeerAsk struct {
 		ID   uint64
@@ -109,7 +119,10 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{Node: c.cfg.Node, StateAge: c.stateAge(), Leading: c.leader != nil && c.leader.auth.Valid(c.now)}
+		s := PeerStatus{Node: c.cfg.Node, StateAge: c.stateAge()}
+		if l := c.leader; l != nil && l.auth.Valid(c.now) {
+			s.Leading, s.Term, s.Sent = true, l.term, c.now
+		}
 		for _, n := range p.names {
 			c.emit(SendPeer{n, s})
 		}
@@ -168,6 +181,22 @@
 	switch m := m.(type) {
 	case PeerStatus:
 		v.status, v.heard = m, now
+		if m.Leading && c.leader == nil && c.voter.Promise(now, m.Term, c.claim.Term) {
+			c.emit(SendPeer{from, PeerPromise{Term: m.Term, Sent: m.Sent}})
+		}
+	case PeerPromise:
+		if l := c.leader; l != nil && l.term == m.Term && m.Sent <= now {
+			l.auth.Promised(from, m.Sent)
+		}
+	case PeerPermitAsk:
+		if l := c.leader; l != nil && l.term < m.Term && !l.auth.Valid(now) {
+			c.resign("another asks to lead and authority has run out", unit.Second)
+		}
+		if c.leader == nil && c.voter.Permit(now, m.Term) {
+			c.emit(SendPeer{from, PeerPermit{m.Term}})
+		}
+	case PeerPermit:
+		c.stand.permit(from, m.Term)
 	case PeerAsk:
 		if !ledger.ValidID(m.Job) || len(c.peers.foreign) >= maxAsks {
 			return
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -92,6 +92,9 @@
 		return
 	}
 	c.replica.Reload(rev, items)
+	if !s.loaded && c.claim.Node == "" {
+		c.stand.goneAt = now
+	}
 	s.loaded = true
 	c.log.Info("state loaded", "keys", len(items), "revision", rev)
 	c.wantSync(nil)
@@ -133,6 +136,7 @@
 	switch {
 	case e.Key == leadKey:
 		c.claim = lead.Claim{}
+		c.stand.goneAt = c.now
 		if e.Value != nil {
 			err = json.Unmarshal(e.Value, &c.claim)
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,5 @@
 // Package peer carries messages between controllers: gob, in frames of bounded
-// length, over TCP. Messages may be lost; nothing here gives authority.
+// length, over TCP. Messages may be lost.
 package peer
 
 import (
@@ -35,11 +35,14 @@
 
 // frame is what one frame holds.
 type frame struct {
-	Format int
-	From   string
-	Status *core.PeerStatus
-	Ask    *core.PeerAsk
-	Answer *core.PeerAnswer
+	Format    int
+	From      string
+	Status    *core.PeerStatus
+	Promise   *core.PeerPromise
+	PermitAsk *core.PeerPermitAsk
+	Permit    *core.PeerPermit
+	Ask       *core.PeerAsk
+	Answer    *core.PeerAnswer
 }
 
 // Encode writes a message as one frame, length first.
@@ -48,6 +51,12 @@
 	switch m := m.(type) {
 	case core.PeerStatus:
 		f.Status = &m
+	case core.PeerPromise:
+		f.Promise = &m
+	case core.PeerPermitAsk:
+		f.PermitAsk = &m
+	case core.PeerPermit:
+		f.Permit = &m
 	case core.PeerAsk:
 		f.Ask = &m
 	case core.PeerAnswer:
@@ -91,6 +100,12 @@
 		return "", nil, fmt.Errorf("%w: format %d", errFrame, f.Format)
 	case f.Status != nil:
 		return f.From, *f.Status, nil
+	case f.Promise != nil:
+		return f.From, *f.Promise, nil
+	case f.PermitAsk != nil:
+		return f.From, *f.PermitAsk, nil
+	case f.Permit != nil:
+		return f.From, *f.Permit, nil
 	case f.Ask != nil:
 		return f.From, *f.Ask, nil
 	case f.Answer != nil:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -136,7 +136,7 @@
 			n.crash()
 		}
 	case 2:
-		w.state.outageUntil = end
+		w.state.outageUntil = w.now + w.span(1, 45)
 	case 3:
 		n.stateCut = end
 	case 4:
@@ -214,7 +214,7 @@
 	}
 	n.core = core.New(core.Config{
 		Node: n.name, Peers: peers, Size: n.w.opt.Nodes, Zones: []string{"a", "b"}, Teams: teams,
-		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, ListLag: 3 * second,
+		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, CancelIn: cancelIn, ListLag: 3 * second,
 		TxnOps: 8, ValueKB: 8, StateRate: 200, WriteRate: 100, CloudRate: 5,
 		Pack:  pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
 		Scale: scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
@@ -230,9 +230,23 @@
 	}
 	n.core.Tick(n.local(), n.w.now)
 	n.carryOut()
+	n.w.oneLeader()
 	n.w.after(50*millis, func() { n.tick(life) })
 }
 
+// oneLeader checks that no two controllers think that they may answer workers.
+func (w *World) oneLeader() {
+	var who []string
+	for _, n := range w.nodes {
+		if n.life != 0 && n.core != nil && n.core.Leading(n.local()) {
+			who = append(who, n.name)
+		}
+	}
+	if len(who) > 1 {
+		w.violate("two_leaders", "%v", who)
+	}
+}
+
 func (n *node) crash() {
 	if n.life == 0 {
 		return
