--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -157,6 +157,13 @@
 	return false
 }
 
+// unserved reports whether a request should go to a peer right away: the state
+// service has not answered this node for a while, and it has answered another.
+func (c *Core) unserved(req ReqID) bool {
+	_, foreign := c.peers.foreign[req]
+	return !foreign && c.stateAge() > stateFresh && c.served() != ""
+}
+
 // handOver gives a request that the state service does not let this node
 // serve to a controller that it does, or tells the user to come back.
 func (c *Core) handOver(req ReqID, kind AskKind, job string, spec *ledger.Spec, bad string) {
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -48,6 +48,10 @@
 	}
 }
 
+// heartbeat is how often the state service is asked at least, so that every
+// controller knows, and can tell its peers, whether it is served.
+const heartbeat = 400 * unit.Second / 1000
+
 // heard notes whether the state service serves this node.
 func (c *Core) heard(o store.Outcome) {
 	if o == store.OK || o == store.Failed {
@@ -57,6 +61,9 @@
 
 func (c *Core) tickSync() {
 	s := &c.sync
+	if s.loaded && c.now-s.lastOK > heartbeat {
+		s.want = true
+	}
 	if !s.loaded && !s.listing && c.now >= s.retryAt {
 		s.listing = true
 		c.emit(List{})
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -41,6 +41,10 @@
 		c.Query(now, req, id)
 		return
 	}
+	if c.unserved(req) {
+		c.handOver(req, AskSubmit, id, spec, bad)
+		return
+	}
 	if spec != nil && len(c.types) > 0 && c.impossible(spec) == "" {
 		c.accept(req, id, spec)
 		return
@@ -148,6 +152,10 @@
 		c.answer(req, http.StatusOK, j, true)
 		return
 	}
+	if c.unserved(req) {
+		c.handOver(req, AskQuery, id, nil, "")
+		return
+	}
 	c.wantSync(func(ok bool) {
 		j := c.jobs[id]
 		switch {
@@ -165,6 +173,10 @@
 func (c *Core) Abort(now unit.Micros, req ReqID, id string) {
 	c.at(now)
 	j := c.jobs[id]
+	if (j == nil || j.Active()) && c.unserved(req) {
+		c.handOver(req, AskAbort, id, nil, "")
+		return
+	}
 	if j == nil {
 		c.wantSync(func(ok bool) {
 			switch {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -23,7 +23,8 @@
 // deadlines of requests: the service answers within a few hundred
 // milliseconds, so that a lost request is noticed soon.
 const (
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 1000 * time.Millisecond
+	readTimeout = 700 * time.Millisecond
 	listTimeout = 10 * time.Second
 	maxAnswer   = 64 << 20
 )
@@ -155,7 +156,7 @@
 	if wait > 0 {
 		timeout += time.Duration(wait) * time.Microsecond
 	} else {
-		timeout = time.Second
+		timeout = readTimeout
 	}
 	var ch wire.Changes
 	code, o := c.call(http.MethodGet, q, timeout, nil, &ch)
