--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -395,7 +395,7 @@
 // worker has reached it for a while. It must not do so again and again: where
 // the machines are really gone, their leases have to run out under one leader.
 func (c *Core) deaf(l *leader) bool {
-	if c.cfg.Size == 1 || c.now-l.lastHeard <= 4*c.cfg.ReportEvery ||
+	if c.cfg.Size == 1 || c.now-l.lastHeard <= 2*c.cfg.ReportEvery+unit.Second ||
 		c.stand.deafAt != 0 && c.now-c.stand.deafAt < 60*unit.Second+2*c.leaseBound() {
 		return false
 	}
