--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -115,6 +115,7 @@
 
 	Failures int         // blame for failed tasks since one completed here
 	FailedAt unit.Micros // last failure
+	slow     int         // tasks in a row that took much longer than their job's others
 	images   []string    // most recently used last
 }
 
@@ -175,6 +176,28 @@
 	}
 }
 
+// slowAfter is how many tasks in a row must be slow: machines of a type differ
+// by a tenth, and a single task may be long by itself.
+const slowAfter = 3
+
+// Ran takes in how long a task ran here and, unless 0, how long its job's
+// tasks take on average, and reports whether the machine now counts as slow:
+// nothing more starts on it.
+func (m *Machine) Ran(took, usual unit.Micros) bool {
+	switch {
+	case usual == 0:
+	case took > 2*usual && took > usual+2*unit.Second:
+		m.slow++
+	default:
+		m.slow = 0
+	}
+	if m.slow < slowAfter || m.Sick {
+		return false
+	}
+	m.Sick, m.slow = true, 0
+	return true
+}
+
 // Settled reports whether tasks may start here: everything on the machine is
 // known, a new leader would know of the machine, and it is meant to stay.
 func (m *Machine) Settled() bool {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -104,6 +104,7 @@
 	held      []heldReport      // reports of idle machines that wait for work
 	heldAt    unit.Micros       // when held reports are next looked at
 	newWork   bool              // tasks have become ready since held reports were looked at
+	preempted map[string]preemption
 	scaler    *scale.Scaler
 	typesAt   unit.Micros
 	hostsAt   unit.Micros
@@ -215,6 +216,7 @@
 		l.usage = map[string]pack.Vec{}
 		l.scaler = scale.New(c.cfg.Scale)
 		l.runtimes = map[string]*ratio{}
+		l.preempted = map[string]preemption{}
 		for _, name := range sortedKeys(c.records) {
 			r := c.records[name]
 			m := c.newMachine(l, name, r.rec)
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -264,8 +264,11 @@
 	Errors    map[string]int // machines on which tasks failed, while none has worked
 	Worked    bool           // some task completed
 	NotBefore unit.Micros    // failed lately: not started before this
-	Closing   bool           // its end is being stored
-	Held      bool           // may have been started by an earlier leader: wait until all machines are accounted for
+	MeanRun   unit.Micros    // of the tasks that completed; 0: too few yet
+	runs      int
+	runSum    unit.Micros
+	Closing   bool // its end is being stored
+	Held      bool // may have been started by an earlier leader: wait until all machines are accounted for
 }
 
 // Spec returns the job's description; nil once the job is final.
@@ -407,6 +410,15 @@
 	}
 }
 
+// Ran records how long a task ran.
+func (j *Job) Ran(took unit.Micros) {
+	j.runs++
+	j.runSum += took
+	if j.runs >= 3 {
+		j.MeanRun = j.runSum / unit.Micros(j.runs)
+	}
+}
+
 // DirtyChunks returns the chunks with finished tasks not yet handed over for
 // storing, and clears the list.
 func (j *Job) DirtyChunks() []int {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -73,6 +73,7 @@
 			orders.Commands = append(orders.Commands, c.rescue(l, m)...)
 		} else if m.Settled() {
 			orders.Commands = append(orders.Commands, c.fill(l, m)...)
+			orders.Commands = append(orders.Commands, c.preempt(l, m)...)
 			if len(m.Tasks) == 0 && len(r.Tasks) == 0 && len(orders.Commands) == 0 && len(l.held) < maxHeld {
 				l.held = append(l.held, heldReport{req, m, now + holdFor})
 				return
@@ -255,7 +256,12 @@
 			m.Failures, m.Sick = 0, false // what it started since then works
 		}
 		if a, ok := m.Tasks[t.ID]; ok && a.Live > 0 {
-			l.learnRun(j.Spec(), c.now-a.Live)
+			took := c.now - a.Live
+			l.learnRun(j.Spec(), took)
+			if m.Ran(took, j.MeanRun) {
+				c.log.Warn("machine is slow", "machine", m.Name)
+			}
+			j.Ran(took)
 		}
 		m.UseImage(j.Spec().Image)
 		j.Finish(t.ID.Task, c.chunk)
@@ -320,10 +326,6 @@
 		if pending <= 0 {
 			continue
 		}
-		tier := int(s.Priority)
-		if l.within[j.ID] {
-			tier += int(ledger.Production) + 1
-		}
 		constrained := 0
 		if !m.Record.Spot && !s.Spot {
 			constrained = 1 // it can go nowhere else, other work can
@@ -334,7 +336,7 @@
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
 			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
-			Tier:     2*(tier*urgencies+c.urgency(l, j)) + constrained,
+			Tier:     2*(c.tier(l, j)*urgencies+c.urgency(l, j)) + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: !j.Worked && len(j.Errors) > 1,
 		})
