--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -13,7 +13,7 @@
 	// preemptAfter is how long a job's tasks must have waited, and by how much
 	// longer they would have to wait for room to come free by itself, before
 	// other work is stopped for them.
-	preemptAfter = 3 * unit.Second
+	preemptAfter = 15 * unit.Second
 	// preemptMemory is how long a stop is taken to be still under way.
 	preemptMemory = 3 * unit.Second
 )
@@ -28,7 +28,7 @@
 // preempt stops tasks of a machine to make room for a job that has a better
 // right to it: one of higher priority, or one within its team's guarantee
 // where another team runs beyond its own. It stops what loses least, and
-// nothing that would lose more than the job's task gains.
+// nothing that would lose much beside what the job's task gains.
 func (c *Core) preempt(l *leader, m *fleet.Machine) []fleet.Command {
 	if len(m.Tasks) == 0 {
 		return nil
@@ -43,7 +43,7 @@
 	for _, id := range sortedTasks(m.Tasks) {
 		a := m.Tasks[id]
 		if v := c.jobs[id.Job]; v != nil && v.Active() && a.State != fleet.Saving && c.mayStop(l, j, v) {
-			if lost := c.lostWork(v.Spec(), a); lost < l.runtime(s) {
+			if lost := c.lostWork(v.Spec(), a); lost < l.runtime(s)/4 {
 				victims = append(victims, victim{id, a, lost})
 			}
 		}
