--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -84,7 +84,6 @@
 	tooLate = iota
 	laterAim
 	firstAim
-	pressing // it must start about now to meet its first aim
 	urgencies
 )
 
@@ -92,10 +91,9 @@
 func (c *Core) urgency(l *leader, j *ledger.Job) int {
 	s := j.Spec()
 	ends := c.wall - j.Record.Submitted + l.runtime(s)
-	aims, missed, slack := 0, 0, unit.Never
+	aims, missed := 0, 0
 	aim := func(t unit.Micros) {
 		aims++
-		slack = min(slack, t-ends)
 		if ends > t {
 			missed++
 		}
@@ -117,8 +115,6 @@
 		aim(s.Deadline)
 	}
 	switch {
-	case missed == 0 && slack < l.runtime(s):
-		return pressing
 	case missed == 0:
 		return firstAim
 	case missed < aims:
