--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -13,7 +13,7 @@
 	// preemptAfter is how long a job's tasks must have waited, and by how much
 	// longer they would have to wait for room to come free by itself, before
 	// other work is stopped for them.
-	preemptAfter = 15 * unit.Second
+	preemptAfter = 30 * unit.Second
 	// preemptMemory is how long a stop is taken to be still under way.
 	preemptMemory = 3 * unit.Second
 )
