--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -37,7 +37,7 @@
 }
 
 // permitFresh is how long a round of asking for permits lasts.
-const permitFresh = unit.Second
+const permitFresh = unit.Second / 4
 
 // extension is how long promises may carry a leader past its last renewal. A
 // leader that is cut off hears of no cancellation: what it runs must still be
