--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -105,6 +105,7 @@
 	heldAt    unit.Micros       // when held reports are next looked at
 	newWork   bool              // tasks have become ready since held reports were looked at
 	preempted map[string]preemption
+	deafZone  map[string]unit.Micros // when a zone was last silent for the most part
 	scaler    *scale.Scaler
 	typesAt   unit.Micros
 	hostsAt   unit.Micros
@@ -217,6 +218,7 @@
 		l.scaler = scale.New(c.cfg.Scale)
 		l.runtimes = map[string]*ratio{}
 		l.preempted = map[string]preemption{}
+		l.deafZone = map[string]unit.Micros{}
 		for _, name := range sortedKeys(c.records) {
 			r := c.records[name]
 			m := c.newMachine(l, name, r.rec)
@@ -438,8 +440,16 @@
 	for _, m := range silent {
 		count[m.Record.Zone]++
 	}
+	patience := 2*c.cfg.ReportEvery + 2*unit.Second
+	for _, z := range c.cfg.Zones {
+		// After a cut the first machines heard again do not speak against those
+		// that are about to be: the zone must have been heard for a while.
+		if heard[z] <= count[z] {
+			l.deafZone[z] = c.now
+		}
+	}
 	for _, m := range silent {
-		if z := m.Record.Zone; heard[z] > count[z] {
+		if z := m.Record.Zone; heard[z] > count[z] && c.now-l.deafZone[z] > patience {
 			c.log.Warn("machine silent", "machine", m.Name, "tasks", len(m.Tasks))
 			m.Leaving = true
 			l.leaving = append(l.leaving, m.Name)
