--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -158,7 +158,7 @@
 	for i, m := range machines {
 		order[i] = i
 		if t := types[m.Pool.Type]; t != nil {
-			left[i] = t.Capacity.Sub(m.Used)
+			left[i] = t.Capacity
 		}
 	}
 	sort.SliceStable(order, func(a, b int) bool {
@@ -177,7 +177,6 @@
 		us := s.usual[g]
 		need := math.Max(float64(needs[g].Tasks), us.tasks*(1+s.p.Spare))
 		wants := need
-		need -= float64(needs[g].Running) // on the machines where they run
 		for _, i := range order {
 			m := machines[i]
 			if need < 0.5 {
