--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -5,6 +5,7 @@
 
 	"pgregory.net/rapid"
 
+	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -159,6 +160,11 @@
 	if after := w.running(); after != before || len(w.Violations) > 0 {
 		t.Fatalf("%d of %d tasks still run; %v", after, before, w.Violations)
 	}
+	for _, k := range w.workers {
+		if k.session != 1 {
+			t.Fatalf("the lease of %s ran out", k.name)
+		}
+	}
 }
 
 // TestRefusedAlone cuts the leader off from the state service alone: its peers,
@@ -212,3 +218,43 @@
 		t.Fatalf("%d of %d tasks run again; %v", w.running(), total, w.Violations)
 	}
 }
+
+// TestLateReportProvesNothing gives a new leader reports from before the tasks
+// were started, held up in the network. They show empty machines, yet a
+// machine counts only once it has seen the new leader's token.
+func TestLateReportProvesNothing(t *testing.T) {
+	for seed := range uint64(10) {
+		w := busy(seed, 3)
+		if w.running() == 0 {
+			t.Fatal("nothing runs")
+		}
+		for _, n := range w.nodes {
+			if n.core.Leading(n.local()) {
+				n.crash()
+			}
+		}
+		until := w.now + 30*second
+		delivered := false
+		for !delivered && w.now < until {
+			w.Run(w.now + 5*millis)
+			for _, n := range w.nodes {
+				if n.life == 0 || !n.core.Leading(n.local()) {
+					continue
+				}
+				delivered = true
+				for _, name := range w.order {
+					k := w.workers[name]
+					r := &fleet.Report{Machine: name, Type: k.pool.Type, Zone: k.pool.Zone, Spot: k.pool.Spot, Session: 1, Seq: 1, Notice: unit.Never}
+					n.ask(func(req core.ReqID) { n.core.Report(n.local(), req, r) }, func(core.Reply) {})
+				}
+			}
+		}
+		if !delivered {
+			t.Fatal("nobody leads")
+		}
+		w.Run(w.now + 20*second)
+		if len(w.Violations) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Violations)
+		}
+	}
+}
