--- a/internal/core/lead/lead_test.go
+++ b/internal/core/lead/lead_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"shalestage.example/shalestage/internal/core/unit"
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 // Tokens and attempts rise with the term, whatever was used before.
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 // What is stored of finished tasks reads back the same, and stays under the
--- a/internal/core/pack/pack_test.go
+++ b/internal/core/pack/pack_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 var params = Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1}
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -8,6 +8,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/unit"
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 const second = unit.Second
--- a/internal/core/store/store_test.go
+++ b/internal/core/store/store_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"shalestage.example/shalestage/internal/core/unit"
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 // A replica fed by listings and watches that overlap, come late and repeat
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -10,6 +10,7 @@
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/unit"
+	_ "shalestage.example/shalestage/internal/fixedseed"
 )
 
 // drawJob draws a job of any kind that the worlds' machines can run.
