--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,7 +48,6 @@
 	ValueKB     float64
 	StateRate   float64
 	WriteRate   float64
-	CloudRate   float64
 	Pack        pack.Params
 	Scale       scale.Params
 	RoundShare  float64 // share of a job's time that renting counts on for tasks one after the other
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/bits"
 	"regexp"
 	"sort"
 	"strconv"
@@ -209,27 +208,6 @@
 	return nil
 }
 
-// Count returns the number of members within [lo, hi), whole words at a time
-// where it can.
-func (s *Set) Count(lo, hi int) int {
-	n := 0
-	for i := lo; i < hi; {
-		if i%64 == 0 && i+64 <= hi {
-			if i/64 >= len(s.words) {
-				break
-			}
-			n += bits.OnesCount64(s.words[i/64])
-			i += 64
-			continue
-		}
-		if s.Has(i) {
-			n++
-		}
-		i++
-	}
-	return n
-}
-
 // ChunkTasks returns how many tasks one finished-task record covers, so that
 // even the worst pattern of ranges stays under the state service's value limit.
 func ChunkTasks(valueKB float64) int {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,17 +17,16 @@
 
 // Paths of the interfaces.
 const (
-	JobsPath    = "/work"
-	ReadyPath   = "/ready"
-	ReportPath  = "/hello"
-	CommandPath = "/commands"
-	TypesPath   = "/machine_types"
-	HostsPath   = "/hosts"
-	ReturnPath  = "/hosts/return"
-	KeysPath    = "/keys"
-	CommitPath  = "/commit"
-	HoldsPath   = "/holds"
-	WatchPath   = "/watch"
+	JobsPath   = "/work"
+	ReadyPath  = "/ready"
+	ReportPath = "/hello"
+	TypesPath  = "/machine_types"
+	HostsPath  = "/hosts"
+	ReturnPath = "/hosts/return"
+	KeysPath   = "/keys"
+	CommitPath = "/commit"
+	HoldsPath  = "/holds"
+	WatchPath  = "/watch"
 )
 
 // MaxBody bounds a request's body.
