--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -270,7 +270,7 @@
 	}
 	for _, j := range c.jobs {
 		if j.Active() {
-			j.Reset()
+			j.Clear()
 		}
 	}
 	c.wantSync(nil)
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -96,7 +96,7 @@
 		r.Spec = nil
 	case r.Status != Pending:
 		return r, fmt.Errorf("status %q", r.Status)
-	case r.Spec == nil || r.Spec.Tasks < 1 || r.Spec.Tasks > MaxTasks:
+	case r.Spec == nil || !r.Spec.Sane() || r.Tasks != r.Spec.Tasks:
 		return r, errors.New("no usable description")
 	}
 	return r, nil
@@ -316,13 +316,18 @@
 	return j.finished.AddRanges(ranges, lo, hi)
 }
 
-// Reset forgets where tasks are, as a new leader must: every unfinished task is ready.
-func (j *Job) Reset() {
+// Clear forgets where tasks are. Only a leader keeps the list of ready tasks.
+func (j *Job) Clear() {
 	j.places = map[int]Place{}
-	j.ready = j.ready[:0]
+	j.ready = nil
 	j.dirty = map[int]bool{}
 	j.Errors = map[string]int{}
 	j.Closing = false
+}
+
+// Reset prepares the job for a new leader: every unfinished task is ready.
+func (j *Job) Reset() {
+	j.Clear()
 	if j.Active() {
 		for t := j.Record.Tasks - 1; t >= 0; t-- {
 			if !j.finished.Has(t) {
@@ -425,6 +430,18 @@
 	j.finished, j.stored = Set{}, Set{}
 }
 
+// Sane reports whether a description that came from another process can be
+// worked with.
+func (s *Spec) Sane() bool {
+	for _, v := range s.Demand {
+		if v < 0 {
+			return false
+		}
+	}
+	return s.Tasks >= 1 && s.Tasks <= MaxTasks && s.Estimate >= 0 && s.Deadline >= 0 && s.Save >= 0 && s.Checkpoint >= 0 &&
+		s.Priority >= Low && s.Priority <= Production
+}
+
 // AllowsType reports whether a job's tasks may run on a machine type.
 func (s *Spec) AllowsType(name string) bool {
 	if s.AnyType {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -205,7 +205,7 @@
 	case PeerPermit:
 		c.stand.permit(from, m.Term)
 	case PeerAsk:
-		if !ledger.ValidID(m.Job) || len(c.peers.foreign) >= maxAsks {
+		if !ledger.ValidID(m.Job) || m.Spec != nil && !m.Spec.Sane() || len(c.peers.foreign) >= maxAsks {
 			return
 		}
 		c.peers.nextReq++
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -180,7 +180,10 @@
 	if j == nil {
 		j = &ledger.Job{ID: id, Stamp: e.Stamp, Record: r}
 		c.jobs[id] = j
-		j.Reset()
+		j.Clear()
+		if c.leader != nil {
+			j.Reset()
+		}
 	}
 	if r.Status.Final() {
 		if j.Active() && c.leader != nil {
