--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -27,6 +27,7 @@
 	Number     uint64   `json:"number"`
 	Controller string   `json:"controller"`
 	Machines   []string `json:"machines"` // zones; "*" stands for every one
+	Jobs       []string `json:"jobs"`     // "*" stands for every one
 	LimitShare float64  `json:"limit_share"`
 }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -167,7 +167,7 @@
 	term := c.term.Term + 1
 	claim := lead.Claim{Term: term, Node: c.cfg.Node}
 	// One block holds every machine and the whole of every limit: see docs/design.md.
-	block := lead.Block{Term: term, Controller: c.cfg.Node, Machines: []string{"*"}, LimitShare: 1}
+	block := lead.Block{Term: term, Controller: c.cfg.Node, Machines: []string{"*"}, Jobs: []string{"*"}, LimitShare: 1}
 	sent := s.sent
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards: []store.Guard{{Key: leadKey, Stamp: c.replica.Stamp(leadKey)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)}},
