--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -162,8 +162,14 @@
 	if d.Size < 1 || d.Size != len(s.Peers)+1 {
 		return fmt.Errorf("deployment.size: want %d (the peers and this node), got %d", len(s.Peers)+1, d.Size)
 	}
-	if d.State.TxnOps < 2 {
-		return errors.New("deployment.state.txn_ops: want at least 2")
+	if len(d.Zones) == 0 {
+		return errors.New("deployment.zones: missing")
+	}
+	if len(d.Teams) == 0 {
+		return errors.New("deployment.teams: missing")
+	}
+	if d.State.TxnOps < 3 {
+		return errors.New("deployment.state.txn_ops: want at least 3")
 	}
 	if d.Quota.FDLimit < 32 {
 		return errors.New("deployment.quota.fd_limit: want at least 32")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,7 +32,7 @@
 	for field, v := range map[string]any{
 		"node_name": "", "listen": "here", "internal_addr": nil, "services.state": "x:1", "deployment.size": 3,
 		"deployment.state.rps": 0, "deployment.workers.lease_s": -1, "deployment.quota.fd_limit": 1, "deployment.cloud.rps": "many",
-		"deployment.state.txn_ops": 0, "deployment.quota.ram_mb": 1,
+		"deployment.state.txn_ops": 0, "deployment.zones": []string{}, "deployment.teams": nil, "deployment.quota.ram_mb": 1,
 	} {
 		var m map[string]any
 		if err := json.Unmarshal([]byte(good), &m); err != nil {
