--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -259,3 +259,21 @@
 		}
 	}
 }
+
+// TestManyTasks runs a job whose finished tasks take several records, through
+// the end of its leader.
+func TestManyTasks(t *testing.T) {
+	w := New(Options{Seed: 4, Nodes: 2})
+	w.Submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 5000, Demand: pack.Vec{100, 0, 100},
+		AnyType: true, Spot: true, Image: "i", Estimate: second}, second, 0)
+	w.Run(30 * second)
+	for _, n := range w.nodes {
+		if n.core.Leading(n.local()) {
+			n.crash()
+		}
+	}
+	w.Run(300 * second)
+	if u := w.Unfinished(); len(u) > 0 || len(w.Violations) > 0 {
+		t.Fatalf("not over: %v; %v\n%s", u, w.Violations, w.Explain("wk-000000"))
+	}
+}
