--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -255,4 +255,11 @@
 // Root is the prefix of every key that the service uses.
 const Root = root
 
-func mustJSON(v any) json.RawMessage { return lead.Encode(v) }
+// mustJSON returns a record's stored form.
+func mustJSON(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain data: cannot fail
+	}
+	return b
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -24,6 +24,14 @@
 	SpotPrice float64 `json:"spot_price"`
 }
 
+// Rate is the price of a machine of the type.
+func (t *Type) Rate(spot bool) float64 {
+	if spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
 // Record is a machine's value in the state service. A task may start only on
 // a machine whose record is stored with Up, so that a new leader knows every
 // machine that may hold tasks.
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -3,8 +3,6 @@
 package lead
 
 import (
-	"encoding/json"
-
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -43,15 +41,6 @@
 // Attempt returns an attempt number that no other term uses.
 func Attempt(term, n uint64) uint64 { return term*attemptsPerTerm + n%attemptsPerTerm }
 
-// Encode returns a record's stored form.
-func Encode(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // plain data: cannot fail
-	}
-	return b
-}
-
 // Authority is the time for which no other controller can surely lead.
 //
 // It rests on the lease in the state service, counted from when its last
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -91,6 +91,7 @@
 	active      map[string]*ledger.Job
 	order       []*ledger.Job // active jobs by submission
 	within      map[string]bool
+	share       map[string]float64 // fair share of one job, by team
 	orderStale  bool
 	usage       map[string]pack.Vec
 	total       pack.Vec // capacity of all machines
@@ -339,6 +340,13 @@
 		})
 	}
 	l.within = map[string]bool{}
+	l.share = map[string]float64{}
+	jobs := map[string]int{}
+	for _, j := range l.order {
+		team := j.Spec().Team
+		jobs[team]++
+		l.share[team] = c.teamShare(team) / float64(jobs[team])
+	}
 	sum := map[string]pack.Vec{}
 	for _, j := range l.order {
 		s := j.Spec()
@@ -518,8 +526,8 @@
 }
 
 // leaderWrite queues a change that only the leader of this term may make.
-func (c *Core) leaderWrite(l *leader, done func(store.Outcome), guardKey string, changes ...store.Change) bool {
-	return c.lanes[LeaderLane].Add(&store.Write{
+func (c *Core) leaderWrite(l *leader, done func(store.Outcome), guardKey string, changes ...store.Change) {
+	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: leadKey, Stamp: l.stamp}, {Key: guardKey, Stamp: c.replica.Stamp(guardKey)}},
 		Changes: changes,
 		Done:    func(o store.Outcome, _ uint64) { done(o) },
@@ -585,7 +593,7 @@
 func (c *Core) closeJob(l *leader, j *ledger.Job) {
 	key := jobPrefix + j.ID
 	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
-	changes := []store.Change{{Key: key, Value: rec.Encode()}}
+	changes := []store.Change{{Key: key, Value: mustJSON(rec)}}
 	for n := 0; n <= (j.Record.Tasks-1)/c.chunk && len(changes) < c.cfg.TxnOps; n++ {
 		if k := progressKey(j.ID, n); c.replica.Stamp(k) != 0 {
 			changes = append(changes, store.Change{Key: k})
@@ -690,7 +698,7 @@
 		old := c.types[t.Name]
 		c.setType(t)
 		if l != nil && l.ready && (old == nil || c.replica.Stamp(key) == 0) {
-			c.leaderWrite(l, func(o store.Outcome) {}, key, store.Change{Key: key, Value: mustJSON(t)})
+			c.leaderWrite(l, func(store.Outcome) {}, key, store.Change{Key: key, Value: mustJSON(t)})
 		}
 	}
 	if l != nil {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -77,15 +77,6 @@
 	Spec      *Spec       `json:"spec,omitempty"`
 }
 
-// Encode returns the record's stored form.
-func (r Record) Encode() json.RawMessage {
-	b, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // plain data: cannot fail
-	}
-	return b
-}
-
 // DecodeRecord reads a stored record.
 func DecodeRecord(b []byte) (Record, error) {
 	var r Record
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -307,12 +307,6 @@
 	elsewhere := c.preferredRoom(l, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
-	perTeam := map[string]int{}
-	for _, j := range l.order {
-		if j.Active() {
-			perTeam[j.Spec().Team]++
-		}
-	}
 	for _, j := range l.order {
 		s := j.Spec()
 		if s == nil || j.Ready() == 0 || j.Held || c.now < j.NotBefore ||
@@ -332,7 +326,7 @@
 			Demand:   s.Demand,
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
-			Deficit:  c.teamShare(s.Team)/float64(perTeam[s.Team]) - held,
+			Deficit:  l.share[s.Team] - held,
 			Tier:     2*(c.tier(l, j)*urgencies+c.urgency(l, j)) + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: j.FailsEverywhere(),
@@ -446,9 +440,5 @@
 	if m.Type == nil || m.Type.Capacity[pack.CPU] == 0 {
 		return 0
 	}
-	p := m.Type.Price
-	if m.Record.Spot {
-		p = m.Type.SpotPrice
-	}
-	return p / float64(m.Type.Capacity[pack.CPU])
+	return m.Type.Rate(m.Record.Spot) / float64(m.Type.Capacity[pack.CPU])
 }
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -135,22 +135,12 @@
 		}
 		return a.Class+a.Types < b.Class+b.Types
 	})
-	price := func(p Pool) float64 {
-		t := types[p.Type]
-		if t == nil {
-			return math.Inf(1)
-		}
-		if p.Spot {
-			return t.SpotPrice
-		}
-		return t.Price
-	}
 	perCore := func(p Pool) float64 {
 		t := types[p.Type]
 		if t == nil || t.Capacity[pack.CPU] == 0 {
 			return math.Inf(1)
 		}
-		return price(p) / float64(t.Capacity[pack.CPU])
+		return t.Rate(p.Spot) / float64(t.Capacity[pack.CPU])
 	}
 	left := make([]pack.Vec, len(machines))
 	order := make([]int, len(machines))
@@ -205,7 +195,7 @@
 		if need < 0.5 {
 			continue
 		}
-		if r, ok := s.offer(now, g, us, need, sums[kind], wants-need < 0.5, types, price); ok {
+		if r, ok := s.offer(now, g, us, need, sums[kind], wants-need < 0.5, types); ok {
 			rents = append(rents, r)
 		}
 	}
@@ -235,14 +225,14 @@
 // the time a machine is up, the slots there are will have done part of the
 // work, of this group and those that chose before it, and each new slot must
 // find enough of the rest.
-func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, stranded bool, types map[string]*fleet.Type, price func(Pool) float64) (Rent, bool) {
+func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, stranded bool, types map[string]*fleet.Type) (Rent, bool) {
 	best, bestCost := Rent{}, math.Inf(1)
 	cheapest := math.Inf(1) // price of a CPU, over all that the group may use
 	for _, name := range us.types {
 		if t := types[name]; t != nil && t.Capacity[pack.CPU] > 0 {
 			for _, spot := range []bool{true, false} {
-				if p := (Pool{name, g.Zone, spot}); g.Spot || !spot {
-					cheapest = math.Min(cheapest, price(p)/float64(t.Capacity[pack.CPU]))
+				if g.Spot || !spot {
+					cheapest = math.Min(cheapest, t.Rate(spot)/float64(t.Capacity[pack.CPU]))
 				}
 			}
 		}
@@ -266,7 +256,7 @@
 					continue
 				}
 				// A dearer slot must find more work.
-				premium := price(p) / float64(t.Capacity[pack.CPU]) / cheapest
+				premium := t.Rate(spot) / float64(t.Capacity[pack.CPU]) / cheapest
 				want := math.Min(short, ahead/(s.p.Worth.Seconds()*premium))
 				if stranded {
 					want = math.Max(want, math.Min(short, 1)) // little work, but nowhere to do it
@@ -275,7 +265,7 @@
 					continue
 				}
 				count := max(int(math.Ceil(want/each-0.05)), 1)
-				if cost := float64(count) * price(p) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
+				if cost := float64(count) * t.Rate(spot) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
 					best, bestCost = Rent{p, min(count, 50)}, cost
 				}
 			}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -119,7 +119,7 @@
 	rec := ledger.Record{Status: ledger.Pending, Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
 	ok := c.lanes[UserLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key}},
-		Changes: []store.Change{{Key: key, Value: rec.Encode()}},
+		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
 		Done: func(o store.Outcome, _ uint64) {
 			switch o {
 			case store.OK:
@@ -190,7 +190,7 @@
 	rec := ledger.Record{Status: ledger.Cancelled, Tasks: j.Record.Tasks, Team: j.Spec().Team, Demand: j.Spec().Demand}
 	ok := c.lanes[UserLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key, Stamp: j.Stamp}},
-		Changes: []store.Change{{Key: key, Value: rec.Encode()}},
+		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
 		Done: func(o store.Outcome, _ uint64) {
 			switch o {
 			case store.OK:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -112,8 +112,11 @@
 		if !ledger.ValidID(id) || s.Tasks < 1 || s.Demand[0] < 0 || s.Estimate < 0 {
 			t.Fatalf("%q %+v", id, s)
 		}
-		rec := ledger.Record{Status: ledger.Pending, Tasks: s.Tasks, Spec: s}
-		if _, err := ledger.DecodeRecord(rec.Encode()); err != nil {
+		rec, err := json.Marshal(ledger.Record{Status: ledger.Pending, Tasks: s.Tasks, Spec: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ledger.DecodeRecord(rec); err != nil {
 			t.Fatalf("accepted, but its record cannot be read: %v", err)
 		}
 	})
