--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -13,7 +13,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/store"
-	"shalestage.example/shalestage/internal/state"
+	"shalestage.example/shalestage/internal/rest"
 	"shalestage.example/shalestage/internal/wire"
 )
 
@@ -29,7 +29,7 @@
 
 // New returns a client. Only the leader calls, but two may for a moment.
 func New(addr string, rps float64, log *slog.Logger) *Client {
-	return &Client{base: "http://" + addr, http: state.NewHTTPClient(4), limit: rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps))), log: log}
+	return &Client{base: "http://" + addr, http: rest.NewClient(4), limit: rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps))), log: log}
 }
 
 func (c *Client) call(method, path string, body, into any) (int, store.Outcome) {
@@ -38,7 +38,7 @@
 	if err := c.limit.Wait(ctx); err != nil {
 		return 0, store.Refused
 	}
-	code, err := state.Do(ctx, c.http, method, c.base+path, body, into)
+	code, err := rest.Do(ctx, c.http, method, c.base+path, body, into)
 	switch {
 	case err != nil:
 		c.log.Info("cloud", "path", path, "err", err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,7 +22,7 @@
 const (
 	// format is raised whenever messages change in a way that an older
 	// controller would misread; frames of another format are dropped.
-	format   = 1
+	format   = 2
 	maxFrame = 64 << 10
 
 	dialTimeout = time.Second
@@ -33,37 +33,22 @@
 	maxConns    = 32
 )
 
-// frame is what one frame holds.
+// frame is what one frame holds. Message is one of the registered types.
 type frame struct {
-	Format    int
-	From      string
-	Status    *core.PeerStatus
-	Promise   *core.PeerPromise
-	PermitAsk *core.PeerPermitAsk
-	Permit    *core.PeerPermit
-	Ask       *core.PeerAsk
-	Answer    *core.PeerAnswer
+	Format  int
+	From    string
+	Message any
+}
+
+func init() {
+	for _, m := range []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerAsk{}, core.PeerAnswer{}} {
+		gob.Register(m)
+	}
 }
 
 // Encode writes a message as one frame, length first.
 func Encode(from string, m any) ([]byte, error) {
-	f := frame{Format: format, From: from}
-	switch m := m.(type) {
-	case core.PeerStatus:
-		f.Status = &m
-	case core.PeerPromise:
-		f.Promise = &m
-	case core.PeerPermitAsk:
-		f.PermitAsk = &m
-	case core.PeerPermit:
-		f.Permit = &m
-	case core.PeerAsk:
-		f.Ask = &m
-	case core.PeerAnswer:
-		f.Answer = &m
-	default:
-		return nil, fmt.Errorf("peer: message %T", m)
-	}
+	f := frame{Format: format, From: from, Message: m}
 	var b bytes.Buffer
 	b.Write(make([]byte, 4))
 	if err := gob.NewEncoder(&b).Encode(f); err != nil {
@@ -95,23 +80,14 @@
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&f); err != nil {
 		return "", nil, fmt.Errorf("%w: %v", errFrame, err)
 	}
-	switch {
-	case f.Format != format:
+	if f.Format != format {
 		return "", nil, fmt.Errorf("%w: format %d", errFrame, f.Format)
-	case f.Status != nil:
-		return f.From, *f.Status, nil
-	case f.Promise != nil:
-		return f.From, *f.Promise, nil
-	case f.PermitAsk != nil:
-		return f.From, *f.PermitAsk, nil
-	case f.Permit != nil:
-		return f.From, *f.Permit, nil
-	case f.Ask != nil:
-		return f.From, *f.Ask, nil
-	case f.Answer != nil:
-		return f.From, *f.Answer, nil
 	}
-	return "", nil, fmt.Errorf("%w: empty", errFrame)
+	switch f.Message.(type) {
+	case core.PeerStatus, core.PeerPromise, core.PeerPermitAsk, core.PeerPermit, core.PeerAsk, core.PeerAnswer:
+		return f.From, f.Message, nil
+	}
+	return "", nil, fmt.Errorf("%w: message %T", errFrame, f.Message) // gob knows plain types too
 }
 
 var errFrame = errors.New("peer: unusable frame")
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -2,13 +2,9 @@
 package state
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -17,6 +13,7 @@
 
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/rest"
 	"shalestage.example/shalestage/internal/wire"
 )
 
@@ -26,7 +23,6 @@
 	callTimeout = 1000 * time.Millisecond
 	readTimeout = 700 * time.Millisecond
 	listTimeout = 10 * time.Second
-	maxAnswer   = 64 << 20
 )
 
 // Client talks to the state service.
@@ -41,31 +37,18 @@
 func New(addr string, rps float64, log *slog.Logger) *Client {
 	return &Client{
 		base:  "http://" + addr,
-		http:  NewHTTPClient(8),
+		http:  rest.NewClient(8),
 		limit: rate.NewLimiter(rate.Limit(rps), max(4, int(rps))),
 		log:   log,
 	}
 }
 
-// NewHTTPClient returns a client for a service on the same network: few
-// connections, and none waited for long.
-func NewHTTPClient(conns int) *http.Client {
-	d := net.Dialer{Timeout: time.Second, KeepAlive: -1}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: conns,
-		MaxConnsPerHost:     conns,
-		IdleConnTimeout:     90 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
 // call does one request. The outcome is Unknown where the request may have
 // been carried out; a status other than 200 is returned for the caller to judge.
 func (c *Client) call(method, path string, timeout time.Duration, body, into any) (int, store.Outcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	code, err := Do(ctx, c.http, method, c.base+path, body, into)
+	code, err := rest.Do(ctx, c.http, method, c.base+path, body, into)
 	if err != nil {
 		c.log.Debug("state service", "method", method, "path", path, "err", err)
 		return code, store.Unknown
@@ -80,40 +63,6 @@
 	return code, store.Failed
 }
 
-// Do sends a JSON request and reads a JSON answer. Answers that cannot be read are errors.
-func Do(ctx context.Context, hc *http.Client, method, url string, body, into any) (int, error) {
-	var rd io.Reader
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return 0, err
-		}
-		rd = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, rd)
-	if err != nil {
-		return 0, err
-	}
-	if body != nil {
-		req.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := hc.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return resp.StatusCode, err
-	}
-	if into != nil && len(b) > 0 && (resp.StatusCode < 500 || json.Valid(b)) {
-		if err := json.Unmarshal(b, into); err != nil {
-			return resp.StatusCode, fmt.Errorf("unreadable answer: %w", err)
-		}
-	}
-	return resp.StatusCode, nil
-}
-
 // List reads every key with the prefix, and the revision at which it began.
 func (c *Client) List(prefix string) (store.Outcome, uint64, []store.Event) {
 	var rev uint64
