--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,80 @@
+package api
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// fake answers as a controller would, and notes what reached it.
+type fake struct {
+	bad     string
+	reports int
+}
+
+func (f *fake) Submit(_ context.Context, id string, spec *ledger.Spec, bad string) core.Reply {
+	f.bad = bad
+	if spec == nil {
+		return core.Reply{Code: 400, Body: core.Problem{Text: bad}}
+	}
+	return core.Reply{Code: 201, Body: core.JobAnswer{ID: id, Status: ledger.Pending}}
+}
+
+func (f *fake) Query(_ context.Context, id string) core.Reply {
+	return core.Reply{Code: 200, Body: core.JobAnswer{ID: id, Status: ledger.Running, Counts: true, Done: 3, Running: 0}}
+}
+
+func (f *fake) Abort(_ context.Context, id string) core.Reply {
+	return core.Reply{Code: 503, Body: core.Problem{Text: "x"}, RetryAfter: 1500 * unit.Second / 1000}
+}
+
+func (f *fake) Report(context.Context, *fleet.Report) core.Reply {
+	f.reports++
+	return core.Reply{Code: 421, Body: core.Redirect{}}
+}
+
+func (f *fake) Ready(context.Context) bool { return false }
+
+func TestStatuses(t *testing.T) {
+	const job = `{"name_id":"wk-000412","jobline":"a","crew":"b","shape":"sweep","urgency":"prod","cues":1,"cores":1,"cards":0,
+	 "memory_gb":1,"reel":"i","image_gb":1,"same_place":false,"apart":false,"standby":false,"runtime_s":1,"bookmark_s":0,"stow_s":0}`
+	f := &fake{}
+	h := Handler(f, slog.New(slog.DiscardHandler))
+	for _, c := range []struct {
+		method, path, body string
+		code               int
+		want               string
+	}{
+		{"POST", "/work", job, 201, `{"name_id":"wk-000412","status":"pending"}`},
+		{"POST", "/work", "[]", 400, "error"},
+		{"POST", "/work", `{"name_id":"wk-000412"}`, 400, "missing"},
+		{"POST", "/work", job + strings.Repeat(" ", 64<<10), 400, "too long"},
+		{"GET", "/work/wk-000412", "", 200, `{"name_id":"wk-000412","status":"running","done":3,"running":0}`},
+		{"GET", "/work/nonsense", "", 404, "error"},
+		{"POST", "/work/wk-000412/abort", "", 503, "error"},
+		{"POST", "/hello", "{}", 400, "error"},
+		{"GET", "/ready", "", 503, "error"},
+		{"GET", "/nowhere", "", 404, ""},
+		{"DELETE", "/work", "", 405, ""},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if w.Code != c.code || !strings.Contains(w.Body.String(), c.want) {
+			t.Errorf("%s %s: %d %s, want %d %s", c.method, c.path, w.Code, w.Body, c.code, c.want)
+		}
+		if w.Code == http.StatusServiceUnavailable && c.method == "POST" && w.Header().Get("Retry-After") != "2" {
+			t.Errorf("%s %s: Retry-After %q", c.method, c.path, w.Header().Get("Retry-After"))
+		}
+	}
+	if f.reports != 0 {
+		t.Error("a malformed report reached the controller")
+	}
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -100,3 +100,115 @@
 		t.Fatal("a controller blind to running tasks broke no rule")
 	}
 }
+
+// TestStartTogether starts controllers at the same moment, again and again. A
+// claim learnt between asking for a lease and using it once let the second
+// replace the first's claim, and both led.
+func TestStartTogether(t *testing.T) {
+	for seed := range uint64(200) {
+		w := New(Options{Seed: seed, Nodes: 3})
+		w.Run(3 * second)
+		if len(w.Violations) > 0 {
+			t.Fatalf("seed %d: %v", seed, w.Violations)
+		}
+		led := 0
+		for _, n := range w.nodes {
+			if n.core.Leading(n.local()) {
+				led++
+			}
+		}
+		if led != 1 {
+			t.Fatalf("seed %d: %d controllers lead after 3 s", seed, led)
+		}
+	}
+}
+
+// busy returns a world in which long tasks run on many machines.
+func busy(seed uint64, nodes int) *World {
+	w := New(Options{Seed: seed, Nodes: nodes})
+	for range 4 {
+		w.Submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 8, Demand: pack.Vec{1000, 0, 2000},
+			AnyType: true, Spot: true, Image: "i", Estimate: 60 * second}, 100*second, 0)
+	}
+	w.Run(40 * second)
+	return w
+}
+
+func (w *World) running() int {
+	n := 0
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.state == fleet.Running {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestOutageLongerThanLease shows that work outlives an outage of the state
+// service that is longer than a worker's lease and the leader's together.
+func TestOutageLongerThanLease(t *testing.T) {
+	w := busy(1, 3)
+	before := w.running()
+	if before == 0 {
+		t.Fatal("nothing runs")
+	}
+	w.state.outageUntil = w.now + lease + 6*second
+	w.Run(w.state.outageUntil + 2*second)
+	if after := w.running(); after != before || len(w.Violations) > 0 {
+		t.Fatalf("%d of %d tasks still run; %v", after, before, w.Violations)
+	}
+}
+
+// TestRefusedAlone cuts the leader off from the state service alone: its peers,
+// which are served, stop promising, and one of them leads soon.
+func TestRefusedAlone(t *testing.T) {
+	w := busy(2, 3)
+	var old *node
+	for _, n := range w.nodes {
+		if n.core.Leading(n.local()) {
+			old = n
+		}
+	}
+	if old == nil {
+		t.Fatal("nobody leads")
+	}
+	old.refusedUntil = w.now + 60*second
+	w.Run(w.now + 10*second)
+	led := 0
+	for _, n := range w.nodes {
+		if n.core.Leading(n.local()) && n != old {
+			led++
+		}
+	}
+	if led != 1 || len(w.Violations) > 0 {
+		t.Fatalf("%d others lead; %v", led, w.Violations)
+	}
+}
+
+// TestDeadMachineWithLeader ends the leader and a machine together: the next
+// leader must not hold all work for the dead machine's lease.
+func TestDeadMachineWithLeader(t *testing.T) {
+	w := busy(3, 3)
+	total := w.running()
+	for _, n := range w.nodes {
+		if n.core.Leading(n.local()) {
+			n.crash()
+		}
+	}
+	for _, name := range w.order {
+		if k := w.workers[name]; k.up && len(k.tasks) > 0 {
+			k.die()
+			break
+		}
+	}
+	lost := total - w.running()
+	if lost == 0 {
+		t.Fatal("the dead machine ran nothing")
+	}
+	w.Run(w.now + 40*second)
+	if w.running() < total || len(w.Violations) > 0 {
+		t.Fatalf("%d of %d tasks run again; %v", w.running(), total, w.Violations)
+	}
+}
