--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -144,12 +144,12 @@
 	replica *store.Replica
 	lanes   [lanes]*store.Lane
 
-	jobs    map[string]*ledger.Job
-	types   map[string]*fleet.Type
-	claim   lead.Claim // of the present leader; Node "" if none
-	term    lead.Term
-	records map[string]stored // machine records
-	chunk   int               // tasks per finished-task record
+	jobs   map[string]*ledger.Job
+	types  map[string]*fleet.Type
+	claim  lead.Claim // of the present leader; Node "" if none
+	term   lead.Term
+	groups map[string]fleet.Group // stored machines, by key
+	chunk  int                    // tasks per finished-task record
 
 	sync   syncState
 	leader *leader // nil unless this node leads
@@ -158,29 +158,26 @@
 	peers  peersState
 }
 
-type stored struct {
-	rec   fleet.Record
-	stamp uint64
-}
-
 // New returns a controller's core that has seen nothing yet.
 func New(cfg Config) *Core {
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{},
-		types: map[string]*fleet.Type{}, records: map[string]stored{}, chunk: ledger.ChunkTasks(cfg.ValueKB)}
+		types: map[string]*fleet.Type{}, groups: map[string]fleet.Group{}, chunk: ledger.ChunkTasks(cfg.ValueKB)}
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
 	c.peers = newPeers(cfg.Peers)
+	// Submissions come in bursts that seldom meet those of the leader's changes:
+	// together the lanes may ask for more than the budget.
 	share := cfg.WriteRate / float64(2*cfg.Size)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256, Rate: share}
 	}
 	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
-	c.lanes[LeaderLane].Rate = cfg.WriteRate * 0.45
+	c.lanes[LeaderLane].Rate = cfg.WriteRate * 0.8
 	return c
 }
 
@@ -196,10 +193,13 @@
 
 // pump sends what is due: transactions and reads of the state service.
 func (c *Core) pump() {
-	if l := c.leader; l != nil && l.ready && (l.newWork || c.now >= l.heldAt) {
+	if l := c.leader; l != nil && l.ready && (l.newWork && c.now >= l.rankedAt+rankGap || c.now >= l.heldAt) {
 		l.heldAt = c.now + unit.Second/20
 		c.answerHeld(l)
 	}
+	if l := c.leader; l != nil && l.ready {
+		c.lateWrites(l)
+	}
 	for id, l := range c.lanes {
 		if t := l.Next(c.now); t != nil {
 			c.emit(Commit{LaneID(id), t})
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -29,7 +29,7 @@
 	for _, name := range sortedKeys(l.machines) {
 		m := l.machines[name]
 		fmt.Fprintf(&b, "\n  %s %s/%s spot %v: up %v, tasks %d, settled %v (accounted %v stored %v lost %v sick %v leaving %v)",
-			name, m.Record.Type, m.Record.Zone, m.Record.Spot, m.LastSeen != 0, len(m.Tasks), m.Settled(), m.Accounted, m.Stored != 0, m.Lost, m.Sick, m.Leaving)
+			name, m.Record.Type, m.Record.Zone, m.Record.Spot, m.LastSeen != 0, len(m.Tasks), m.Settled(), m.Accounted, m.Record.Up, m.Lost, m.Sick, m.Leaving)
 	}
 	return b.String()
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -32,28 +32,44 @@
 	return t.Price
 }
 
-// Record is a machine's value in the state service. A task may start only on
-// a machine whose record is stored with Up, so that a new leader knows every
-// machine that may hold tasks.
+// Record is what a new leader has to know of a machine. A task may start only
+// on a machine that is stored as up, so that every machine that may hold tasks
+// is known.
 type Record struct {
-	Type string `json:"type"`
-	Zone string `json:"zone"`
-	Spot bool   `json:"spot"`
-	Up   bool   `json:"up"`
+	Type string
+	Zone string
+	Spot bool
+	Up   bool
 }
 
-// DecodeRecord reads a stored machine record.
-func DecodeRecord(b []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(b, &r); err != nil {
-		return r, err
+// Group is the stored value of machines of one kind that were rented together.
+type Group struct {
+	Type    string   `json:"type"`
+	Zone    string   `json:"zone"`
+	Spot    bool     `json:"spot"`
+	Up      []string `json:"up,omitempty"`
+	Booting []string `json:"booting,omitempty"`
+}
+
+// MaxGroup is how many machines one group may have: as many as the cloud rents
+// out at once, so that a group stays far below the state service's value limit.
+const MaxGroup = 50
+
+// DecodeGroup reads stored machines.
+func DecodeGroup(b []byte) (Group, error) {
+	var g Group
+	if err := json.Unmarshal(b, &g); err != nil {
+		return g, err
 	}
-	if r.Type == "" || r.Zone == "" {
-		return r, errors.New("no type or zone")
+	if g.Type == "" || g.Zone == "" {
+		return g, errors.New("no type or zone")
 	}
-	return r, nil
+	return g, nil
 }
 
+// Record returns what is known of each machine of the group.
+func (g Group) Record(up bool) Record { return Record{g.Type, g.Zone, g.Spot, up} }
+
 // State is what a machine reports of an attempt.
 type State int
 
@@ -104,9 +120,8 @@
 // Machine is what the leader knows of one machine.
 type Machine struct {
 	Name   string
-	Record Record
-	Stored uint64 // version of the stored record; 0: none
-	Wanted bool   // a write of the record is under way
+	Record Record // Up once it is stored that the machine is up
+	Group  string // that it is stored with
 
 	Type      *Type
 	Rented    unit.Micros // when it was rented or first heard of
@@ -124,6 +139,7 @@
 
 	Failures int         // blame for failed tasks since one completed here
 	FailedAt unit.Micros // last failure
+	used     pack.Vec    // by Tasks
 	slow     int         // tasks in a row that took much longer than their job's others
 	images   []string    // most recently used last
 }
@@ -158,12 +174,22 @@
 }
 
 // Used returns the room that tasks may take.
-func (m *Machine) Used() pack.Vec {
-	var v pack.Vec
-	for _, t := range m.Tasks {
-		v = v.Add(t.Demand)
-	}
-	return v
+func (m *Machine) Used() pack.Vec { return m.used }
+
+// Free returns the room that is left; the machine's type must be known.
+func (m *Machine) Free() pack.Vec { return m.Type.Capacity.Sub(m.used) }
+
+// Put records an attempt that may be on the machine.
+func (m *Machine) Put(id ledger.TaskID, a Attempt) {
+	m.Drop(id)
+	m.Tasks[id] = a
+	m.used = m.used.Add(a.Demand)
+}
+
+// Drop records that an attempt is on the machine no more.
+func (m *Machine) Drop(id ledger.TaskID) {
+	m.used = m.used.Sub(m.Tasks[id].Demand)
+	delete(m.Tasks, id)
 }
 
 // HasImage reports whether the image was used here lately.
@@ -210,7 +236,7 @@
 // Settled reports whether tasks may start here: everything on the machine is
 // known, a new leader would know of the machine, and it is meant to stay.
 func (m *Machine) Settled() bool {
-	return m.Accounted && m.Stored != 0 && m.Record.Up && m.Type != nil && !m.Lost && !m.Sick && !m.Leaving
+	return m.Accounted && m.Record.Up && m.Type != nil && !m.Lost && !m.Sick && !m.Leaving
 }
 
 // Op is what a command asks of a worker.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sort"
+	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
@@ -85,7 +86,8 @@
 	attempts    uint64
 	requests    uint64
 	machines    map[string]*fleet.Machine
-	writing     map[string]bool        // machine records being stored
+	groups      map[string]*group      // stored machines, by key
+	changed     []*group               // to be stored
 	gone        map[string]unit.Micros // machines returned lately: the list may still show them
 	unaccounted map[string]bool        // machines on which earlier leaders' tasks may run
 	active      map[string]*ledger.Job
@@ -94,20 +96,31 @@
 	share       map[string]float64 // fair share of one job, by team
 	orderStale  bool
 	usage       map[string]pack.Vec
-	total       pack.Vec // capacity of all machines
+	hidden      pack.Vec // capacity of the machines that are unaccounted for
+	untyped     bool     // the capacity of some of them is not known
+	hiddenStale bool
+	total       pack.Vec         // capacity of all machines
+	ranked      []candidate      // jobs with ready tasks, the first to be served first
+	roomy       []*fleet.Machine // machines with free room, preferred ones first
+	rankAt      unit.Micros
+	rankedAt    unit.Micros
+	lateAt      unit.Micros   // when late writes are next made
+	dirty       []*ledger.Job // with finished tasks to be stored, the longest first
 
 	runtimes  map[string]*ratio // by class
 	leaving   []string          // about to be returned
 	held      []heldReport      // reports of idle machines that wait for work
 	heldAt    unit.Micros       // when held reports are next looked at
-	newWork   bool              // tasks have become ready since held reports were looked at
+	newWork   bool              // tasks have become ready since jobs were ranked
+	heldStale bool              // or since held reports were looked at
 	preempted map[string]preemption
 	deafZone  map[string]unit.Micros // when a zone was last silent for the most part
 	scaler    *scale.Scaler
 	typesAt   unit.Micros
 	hostsAt   unit.Micros
 	planAt    unit.Micros
-	flushAt   unit.Micros
+	sortAt    unit.Micros
+	sweepAt   unit.Micros
 	logAt     unit.Micros
 	cloudWait unit.Micros
 	renting   int
@@ -209,22 +222,25 @@
 		}
 		l.machines = map[string]*fleet.Machine{}
 		l.unaccounted = map[string]bool{}
-		l.writing, l.gone = map[string]bool{}, map[string]unit.Micros{}
+		l.groups, l.gone = map[string]*group{}, map[string]unit.Micros{}
 		l.active = map[string]*ledger.Job{}
 		l.usage = map[string]pack.Vec{}
 		l.scaler = scale.New(c.cfg.Scale)
 		l.runtimes = map[string]*ratio{}
 		l.preempted = map[string]preemption{}
 		l.deafZone = map[string]unit.Micros{}
-		for _, name := range sortedKeys(c.records) {
-			r := c.records[name]
-			m := c.newMachine(l, name, r.rec)
-			m.Stored = r.stamp
-			if r.rec.Up {
+		for _, key := range sortedKeys(c.groups) {
+			g := c.groups[key]
+			for _, name := range g.Up {
+				m := c.newMachine(l, name, key, g.Record(true))
 				// An earlier leader may have started tasks there, and its last
 				// answer may have been accepted just before this term began.
 				m.LeaseEnd = c.now + c.leaseBound()
 				l.unaccounted[name] = true
+				l.hiddenStale = true
+			}
+			for _, name := range g.Booting {
+				c.newMachine(l, name, key, g.Record(false))
 			}
 		}
 		for _, id := range sortedKeys(c.jobs) {
@@ -245,12 +261,23 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-func (c *Core) newMachine(l *leader, name string, r fleet.Record) *fleet.Machine {
+// newMachine takes in a machine that is, or is about to be, stored with a group.
+func (c *Core) newMachine(l *leader, name, key string, r fleet.Record) *fleet.Machine {
 	m := fleet.New(name, r, c.types[r.Type], c.now)
+	m.Group = key
 	l.machines[name] = m
+	g := l.groups[key]
+	if g == nil {
+		g = &group{key: key, kind: fleet.Group{Type: r.Type, Zone: r.Zone, Spot: r.Spot}}
+		l.groups[key] = g
+	}
+	g.members = append(g.members, name)
 	return m
 }
 
+// strayKey is where a machine is stored that no request is known to have rented.
+func strayKey(name string) string { return machPrefix + "x-" + name }
+
 // resign gives the lead up, so that another controller can take it at once.
 func (c *Core) resign(why string, pause unit.Micros) {
 	l := c.leader
@@ -314,14 +341,6 @@
 	c.log.Info("job over", "job", j.ID, "status", s)
 }
 
-// machineStored notes that a machine's record is stored.
-func (l *leader) machineStored(c *Core, name string) {
-	if m := l.machines[name]; m != nil {
-		r := c.records[name]
-		m.Stored, m.Record = r.stamp, r.rec
-	}
-}
-
 // sortJobs keeps the active jobs in the order of submission, and notes which
 // fit their team's guarantee together with the team's earlier jobs.
 func (c *Core) sortJobs(l *leader) {
@@ -381,21 +400,21 @@
 		c.resign("no worker can reach this node", 10*unit.Second)
 		return
 	}
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
-		if m.LeaseEnd != 0 && c.now >= m.LeaseEnd {
-			c.lost(l, m)
-		}
-	}
-	if c.now >= l.flushAt {
-		l.flushAt = c.now + unit.Second
+	if c.now >= l.sortAt {
+		l.sortAt = c.now + unit.Second
 		c.sortJobs(l)
 		for _, j := range l.order {
-			c.flush(l, j)
+			if j.AllFinished() {
+				// Not only when its last task ends: an earlier leader may have
+				// stored that and ended before it could store the job's end.
+				c.closeJob(l, j)
+			}
 		}
 	}
-	c.storeMachines(l)
-	c.dropSilent(l)
+	if c.now >= l.sweepAt {
+		l.sweepAt = c.now + unit.Second/4
+		c.sweep(l)
+	}
 	c.tickCloud(l)
 }
 
@@ -415,35 +434,50 @@
 	return false
 }
 
-// dropSilent returns machines that have gone silent: once the cloud has said
-// that they are gone their tasks may start elsewhere, long before their lease
-// would have run out. A machine whose notice has run out is expected to be
-// gone. Any other is given up only while most machines of its zone are heard:
-// otherwise it is more likely this node that cannot be reached.
-func (c *Core) dropSilent(l *leader) {
-	if c.now < l.cloudWait {
-		return
-	}
-	patience := 2*c.cfg.ReportEvery + 2*unit.Second
+// sweep looks at all machines, a few times a second.
+func (c *Core) sweep(l *leader) {
+	var expired, silent []*fleet.Machine
 	heard := map[string]int{}
-	var silent []*fleet.Machine
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	patience := 2*c.cfg.ReportEvery + 2*unit.Second
+	for _, m := range l.machines {
 		switch {
-		case m.Leaving || m.LeaseEnd == 0:
-		case m.Notice != unit.Never && c.now > m.Notice+unit.Second/2:
-			m.Leaving = true
-			l.leaving = append(l.leaving, name)
+		case m.LeaseEnd == 0:
+		case c.now >= m.LeaseEnd:
+			expired = append(expired, m)
+		case m.Leaving:
 		case m.Notice != unit.Never:
+			if c.now > m.Notice+unit.Second/2 {
+				silent = append(silent, m)
+			}
 		case m.LastSeen != 0 && c.now-m.LastSeen < c.nextReport():
 			heard[m.Record.Zone]++
 		case c.now-max(m.LastSeen, l.began) > patience:
 			silent = append(silent, m)
 		}
 	}
+	byName := func(a, b *fleet.Machine) int { return strings.Compare(a.Name, b.Name) }
+	slices.SortFunc(expired, byName)
+	slices.SortFunc(silent, byName)
+	for _, m := range expired {
+		c.lost(l, m)
+	}
+	if c.now >= l.cloudWait {
+		c.dropSilent(l, silent, heard)
+	}
+}
+
+// dropSilent returns machines that have gone silent: once the cloud has said
+// that they are gone their tasks may start elsewhere, long before their lease
+// would have run out. A machine whose notice has run out is expected to be
+// gone. Any other is given up only while most machines of its zone are heard:
+// otherwise it is more likely this node that cannot be reached.
+func (c *Core) dropSilent(l *leader, silent []*fleet.Machine, heard map[string]int) {
+	patience := 2*c.cfg.ReportEvery + 2*unit.Second
 	count := map[string]int{}
 	for _, m := range silent {
-		count[m.Record.Zone]++
+		if m.Notice == unit.Never {
+			count[m.Record.Zone]++
+		}
 	}
 	for _, z := range c.cfg.Zones {
 		// After a cut the first machines heard again do not speak against those
@@ -453,8 +487,9 @@
 		}
 	}
 	for _, m := range silent {
-		if z := m.Record.Zone; heard[z] > count[z] && c.now-l.deafZone[z] > patience {
-			c.log.Warn("machine silent", "machine", m.Name, "tasks", len(m.Tasks))
+		z := m.Record.Zone
+		if m.Notice != unit.Never || heard[z] > count[z] && c.now-l.deafZone[z] > patience {
+			c.log.Warn("machine silent", "machine", m.Name, "tasks", len(m.Tasks), "notice", m.Notice != unit.Never)
 			m.Leaving = true
 			l.leaving = append(l.leaving, m.Name)
 		}
@@ -488,6 +523,7 @@
 		return
 	}
 	delete(l.unaccounted, m.Name)
+	l.hiddenStale = true
 	if len(l.unaccounted) == 0 {
 		c.log.Info("all machines accounted for", "term", l.term, "after_s", (c.now - l.began).Seconds())
 		for _, j := range l.active {
@@ -503,12 +539,13 @@
 	if !ok {
 		return
 	}
-	delete(m.Tasks, id)
+	m.Drop(id)
 	l.usage[a.Team] = l.usage[a.Team].Sub(a.Demand)
 	if j := c.jobs[id.Job]; j != nil {
 		if p, ok := j.Place(id.Task); ok && p.Machine == m.Name && p.Attempt == a.Number {
+			before := j.Ready()
 			j.Release(id.Task)
-			l.newWork = true
+			l.newWork = l.newWork || j.Ready() > before
 		}
 	}
 	if len(m.Tasks) == 0 {
@@ -521,76 +558,173 @@
 	if old, ok := m.Tasks[id]; ok {
 		l.usage[old.Team] = l.usage[old.Team].Sub(old.Demand)
 	}
-	m.Tasks[id] = a
+	m.Put(id, a)
 	l.usage[a.Team] = l.usage[a.Team].Add(a.Demand)
 }
 
 // leaderWrite queues a change that only the leader of this term may make.
-func (c *Core) leaderWrite(l *leader, done func(store.Outcome), guardKey string, changes ...store.Change) {
+func (c *Core) leaderWrite(l *leader, late bool, done func(store.Outcome), guardKey string, changes ...store.Change) {
 	c.lanes[LeaderLane].Add(&store.Write{
+		Late:    late,
 		Guards:  []store.Guard{{Key: leadKey, Stamp: l.stamp}, {Key: guardKey, Stamp: c.replica.Stamp(guardKey)}},
 		Changes: changes,
 		Done:    func(o store.Outcome, _ uint64) { done(o) },
 	})
 }
 
-// storeMachines brings the stored machine records up to date: tasks may start
-// only on machines that a new leader would know of.
-func (c *Core) storeMachines(l *leader) {
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
-		up := m.LastSeen != 0 || m.Record.Up
-		if l.writing[name] || m.Leaving || m.Stored != 0 && m.Record.Up == up {
-			continue
-		}
-		r := m.Record
-		r.Up = up
-		c.writeMachine(l, name, store.Change{Value: mustJSON(r)})
+// group is how machines that were rented together are stored.
+type group struct {
+	key     string
+	kind    fleet.Group
+	members []string // gone ones are left out when the group is next stored
+	queued  bool     // is among those to be stored
+	urgent  bool     // a machine that is up waits for it
+}
+
+// storeGroup has a group stored soon: tasks may start only on machines that a
+// new leader would know of.
+func (c *Core) storeGroup(l *leader, key string, urgent bool) {
+	g := l.groups[key]
+	if g == nil {
+		return
 	}
-	for _, name := range sortedKeys(c.records) {
-		if l.machines[name] == nil && !l.writing[name] {
-			c.writeMachine(l, name, store.Change{})
-		}
+	g.urgent = g.urgent || urgent
+	if !g.queued {
+		g.queued = true
+		l.changed = append(l.changed, g)
 	}
 }
 
-func (c *Core) writeMachine(l *leader, name string, ch store.Change) {
-	l.writing[name] = true
-	ch.Key = machPrefix + name
-	c.leaderWrite(l, func(o store.Outcome) {
-		delete(l.writing, name)
-		if o == store.OK && ch.Value == nil {
-			delete(c.records, name) // the copy follows with the next read
+// writeGroup stores a group as it is now.
+func (c *Core) writeGroup(l *leader, g *group) {
+	g.queued, g.urgent = false, false
+	rec := g.kind
+	g.members = slices.DeleteFunc(g.members, func(name string) bool {
+		m := l.machines[name]
+		return m == nil || m.Group != g.key
+	})
+	for _, name := range g.members {
+		if m := l.machines[name]; m.LastSeen != 0 || m.Record.Up {
+			rec.Up = append(rec.Up, name)
+		} else {
+			rec.Booting = append(rec.Booting, name)
+		}
+	}
+	ch := store.Change{Key: g.key}
+	if len(g.members) > 0 {
+		ch.Value = mustJSON(rec)
+	} else if c.replica.Stamp(g.key) == 0 {
+		delete(l.groups, g.key)
+		return
+	}
+	c.leaderWrite(l, true, func(o store.Outcome) {
+		switch {
+		case o != store.OK:
+			c.storeGroup(l, g.key, len(rec.Up) > 0)
+		case ch.Value == nil:
+			delete(c.groups, g.key) // the copy follows with the next read
+			if len(g.members) == 0 {
+				delete(l.groups, g.key)
+			}
+		default:
+			for _, name := range rec.Up {
+				if m := l.machines[name]; m != nil {
+					m.Record.Up = true
+				}
+			}
 		}
-	}, ch.Key, ch)
+	}, g.key, ch)
 }
 
-// flush stores finished tasks: the job's end, or the chunks that changed.
-func (c *Core) flush(l *leader, j *ledger.Job) {
-	if !j.Active() || j.Closing {
+// progressAge is how long finished tasks wait to be stored: their machines
+// remember them until then, so that nothing is lost if this leader ends.
+const progressAge = 2 * unit.Second
+
+// lateEvery keeps transactions few, so that each carries several changes.
+const lateEvery = unit.Second / 8
+
+// lateWrites hands the lane what else is to be stored, as much as goes with
+// its next transaction: machines that are up, then finished tasks, the longest
+// first, and what is only cleaned up.
+func (c *Core) lateWrites(l *leader) {
+	if c.now < l.lateAt || len(l.changed) == 0 && len(l.dirty) == 0 {
+		return
+	}
+	room := c.lanes[LeaderLane].Room(c.now)
+	if room == 0 {
 		return
 	}
+	l.lateAt = c.now + lateEvery
+	var rest []*group
+	for _, g := range l.changed {
+		if g.urgent && room > 0 {
+			room--
+			c.writeGroup(l, g)
+		} else {
+			rest = append(rest, g)
+		}
+	}
+	l.changed = rest
+	for room > 0 && len(l.dirty) > 0 && c.now-l.dirty[0].DirtySince >= progressAge {
+		j := l.dirty[0]
+		l.dirty = l.dirty[1:]
+		if !j.Active() || j.AllFinished() {
+			continue
+		}
+		for _, n := range j.DirtyChunks() {
+			room--
+			c.writeChunk(l, j, n)
+		}
+	}
+	for room > 0 && len(l.changed) > 0 {
+		room--
+		g := l.changed[0]
+		l.changed = l.changed[1:]
+		c.writeGroup(l, g)
+	}
+}
+
+// finished notes that a task is done.
+func (c *Core) finished(l *leader, j *ledger.Job, task int) {
+	j.Finish(task, c.chunk)
 	if j.AllFinished() {
-		// Not only when there is something new: an earlier leader may have stored
-		// the last task and ended before it could store the job's end.
-		c.closeJob(l, j)
+		c.closeJob(l, j) // users wait for it
 		return
 	}
-	chunks := j.DirtyChunks()
-	for _, n := range chunks {
-		k := progressKey(j.ID, n)
-		// The record covers all that is finished now; what is added before it
-		// is sent goes into the next one.
-		c.leaderWrite(l, func(o store.Outcome) {
+	c.markDirty(l, j)
+}
+
+// markDirty has a job's finished tasks stored, unless that is planned already.
+func (c *Core) markDirty(l *leader, j *ledger.Job) {
+	if j.DirtySince == 0 {
+		j.DirtySince = c.now
+		l.dirty = append(l.dirty, j)
+	}
+}
+
+// writeChunk stores the finished tasks of a chunk. The record covers all that
+// is finished now; what is added before it is sent goes into the next one.
+func (c *Core) writeChunk(l *leader, j *ledger.Job, n int) {
+	k := progressKey(j.ID, n)
+	c.lanes[LeaderLane].Add(&store.Write{
+		Late: true,
+		// The job's record as well: once that is final, its chunks are gone.
+		Guards:  []store.Guard{{Key: leadKey, Stamp: l.stamp}, {Key: k, Stamp: c.replica.Stamp(k)}, {Key: jobPrefix + j.ID, Stamp: j.Stamp}},
+		Changes: []store.Change{{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk)})}},
+		Done: func(o store.Outcome, _ uint64) {
 			if o != store.OK && j.Active() {
 				j.MarkDirty(n)
+				c.markDirty(l, j)
 			}
-		}, k, store.Change{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk)})})
-	}
+		},
+	})
 }
 
 // closeJob stores that a job is done, and drops its records of finished tasks.
 func (c *Core) closeJob(l *leader, j *ledger.Job) {
+	if !j.Active() || j.Closing {
+		return
+	}
 	key := jobPrefix + j.ID
 	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
 	changes := []store.Change{{Key: key, Value: mustJSON(rec)}}
@@ -600,7 +734,7 @@
 		}
 	}
 	j.Closing = true
-	c.leaderWrite(l, func(store.Outcome) { j.Closing = false }, key, changes...)
+	c.leaderWrite(l, false, func(store.Outcome) { j.Closing = false }, key, changes...)
 }
 
 func progressKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", donePrefix, id, chunk) }
@@ -698,13 +832,14 @@
 		old := c.types[t.Name]
 		c.setType(t)
 		if l != nil && l.ready && (old == nil || c.replica.Stamp(key) == 0) {
-			c.leaderWrite(l, func(store.Outcome) {}, key, store.Change{Key: key, Value: mustJSON(t)})
+			c.leaderWrite(l, false, func(store.Outcome) {}, key, store.Change{Key: key, Value: mustJSON(t)})
 		}
 	}
 	if l != nil {
 		for _, m := range l.machines {
 			if m.Type == nil {
 				m.Type = c.types[m.Record.Type]
+				l.hiddenStale = true
 			}
 		}
 	}
@@ -724,11 +859,13 @@
 		if len(names) < r.Rent.Count {
 			l.scaler.Refused(now, r.Rent.Pool)
 		}
+		key := machPrefix + r.Request
 		for _, n := range names {
 			if l.machines[n] == nil {
-				c.newMachine(l, n, fleet.Record{Type: r.Rent.Pool.Type, Zone: r.Rent.Pool.Zone, Spot: r.Rent.Pool.Spot})
+				c.newMachine(l, n, key, fleet.Record{Type: r.Rent.Pool.Type, Zone: r.Rent.Pool.Zone, Spot: r.Rent.Pool.Spot})
 			}
 		}
+		c.storeGroup(l, key, true)
 		c.log.Info("rented", "type", r.Rent.Pool.Type, "zone", r.Rent.Pool.Zone, "spot", r.Rent.Pool.Spot, "asked", r.Rent.Count, "got", len(names))
 	case store.Failed: // no capacity
 		l.scaler.Refused(now, r.Rent.Pool)
@@ -759,6 +896,7 @@
 		}
 		l.accounted(c, m)
 		delete(l.machines, n)
+		c.storeGroup(l, m.Group, false)
 		l.gone[n] = c.now
 		c.log.Info("returned", "machine", n)
 	}
@@ -804,8 +942,9 @@
 		case m == nil && h.Age > 2*c.cfg.ListLag+2*unit.Second && now-l.began > 2*c.cfg.ListLag:
 			// Rented by a request that was carried out late, or whose answer was
 			// lost. Adopted: the next plan uses it or gives it back.
-			m = c.newMachine(l, h.Name, h.Record)
+			m = c.newMachine(l, h.Name, strayKey(h.Name), h.Record)
 			m.Rented = now - h.Age
+			c.storeGroup(l, m.Group, false)
 			c.log.Info("adopted", "machine", h.Name)
 		}
 	}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -230,6 +230,9 @@
 	places   map[int]Place
 	ready    []int // tasks that may start, the next one last
 	dirty    map[int]bool
+	zones    map[string]int // tasks that may be running, by zone
+
+	DirtySince unit.Micros // finished tasks wait to be stored; 0: none do
 
 	Errors    map[string]int // machines on which tasks failed, while none has worked
 	Worked    bool           // some task completed
@@ -293,15 +296,6 @@
 	return p, ok
 }
 
-// ZoneCounts returns how many tasks may be running in each zone.
-func (j *Job) ZoneCounts() map[string]int {
-	m := map[string]int{}
-	for _, p := range j.places {
-		m[p.Zone]++
-	}
-	return m
-}
-
 // LoadFinished reads a stored chunk of finished tasks.
 func (j *Job) LoadFinished(chunk, chunkTasks int, ranges string) error {
 	lo := chunk * chunkTasks
@@ -316,7 +310,8 @@
 func (j *Job) Clear() {
 	j.places = map[int]Place{}
 	j.ready = nil
-	j.dirty = map[int]bool{}
+	j.dirty, j.DirtySince = map[int]bool{}, 0
+	j.zones = map[string]int{}
 	j.Errors = map[string]int{}
 	j.Closing = false
 }
@@ -337,14 +332,22 @@
 func (j *Job) Take(p Place) int {
 	t := j.ready[len(j.ready)-1]
 	j.ready = j.ready[:len(j.ready)-1]
-	j.places[t] = p
+	j.place(t, p)
 	return t
 }
 
 // Adopt records a task that a machine reports although it was not placed there.
 func (j *Job) Adopt(task int, p Place) {
 	j.unready(task)
+	j.place(task, p)
+}
+
+func (j *Job) place(task int, p Place) {
+	if old, ok := j.places[task]; ok {
+		j.zones[old.Zone]--
+	}
 	j.places[task] = p
+	j.zones[p.Zone]++
 }
 
 func (j *Job) unready(task int) {
@@ -362,10 +365,12 @@
 
 // Release records that an attempt is no longer anywhere; unless it is done the task is ready again.
 func (j *Job) Release(task int) {
-	if _, ok := j.places[task]; !ok {
+	p, ok := j.places[task]
+	if !ok {
 		return
 	}
 	delete(j.places, task)
+	j.zones[p.Zone]--
 	if j.Active() && !j.finished.Has(task) {
 		j.ready = append(j.ready, task)
 	}
@@ -399,6 +404,7 @@
 func (j *Job) DirtyChunks() []int {
 	out := slices.Sorted(maps.Keys(j.dirty))
 	clear(j.dirty)
+	j.DirtySince = 0
 	return out
 }
 
@@ -448,13 +454,8 @@
 	if !s.OneZone && !s.Spread {
 		return true
 	}
-	counts := j.ZoneCounts()
-	if s.OneZone {
-		for z := range counts {
-			if z != zone {
-				return false
-			}
-		}
+	if s.OneZone && j.zones[zone] < len(j.places) {
+		return false
 	}
-	return !s.Spread || counts[zone] < (s.Tasks+1)/2
+	return !s.Spread || j.zones[zone] < (s.Tasks+1)/2
 }
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"sort"
@@ -43,7 +44,7 @@
 	l.lastHeard = now
 	m := l.machines[r.Machine]
 	if m == nil {
-		m = c.newMachine(l, r.Machine, fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+		m = c.newMachine(l, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
 		delete(l.gone, r.Machine)
 	}
 	orders := Orders{Token: l.token()}
@@ -53,6 +54,9 @@
 	}
 	if m.LastSeen == 0 {
 		m.IdleSince = now
+		if !m.Record.Up {
+			c.storeGroup(l, m.Group, true)
+		}
 		c.log.Info("machine up", "machine", m.Name, "type", r.Type, "spot", r.Spot, "after_s", (now - m.Rented).Seconds())
 	}
 	m.Session, m.Seq, m.LastSeen, m.Lost = r.Session, r.Seq, now, false
@@ -104,8 +108,11 @@
 	if len(l.held) == 0 || !l.auth.Valid(c.now) {
 		return
 	}
-	fresh := l.newWork
-	l.newWork = false
+	if l.newWork {
+		c.rank(l)
+	}
+	fresh := l.heldStale && len(l.ranked) > 0
+	l.heldStale = false
 	if fresh {
 		sort.SliceStable(l.held, func(a, b int) bool { return preferred(l.held[a].m, l.held[b].m) })
 	}
@@ -261,10 +268,7 @@
 			j.Ran(took)
 		}
 		m.UseImage(j.Spec().Image)
-		j.Finish(t.ID.Task, c.chunk)
-		if j.AllFinished() {
-			c.flush(l, j) // users wait for it
-		}
+		c.finished(l, j, t.ID.Task)
 	}
 	return false
 }
@@ -295,19 +299,81 @@
 	}
 }
 
+// candidate is a job with ready tasks and its place in the order.
+type candidate struct {
+	job     *ledger.Job
+	tier    int
+	deficit float64
+}
+
+// maxViews bounds the jobs that are weighed for one machine. They are those
+// furthest from fair share in the highest tiers, of those that fit.
+const maxViews = 64
+
+// rankEvery is how often the order of jobs and the machines with free room are
+// looked at anew: a report looks only at the first few of each.
+const rankEvery = unit.Second / 4
+
+// rankGap is the least time between, when tasks have become ready.
+const rankGap = unit.Second / 40
+
+// rank orders the jobs that have ready tasks by tier and distance from fair
+// share, and the machines that have free room by preference.
+func (c *Core) rank(l *leader) {
+	l.rankedAt, l.rankAt = c.now, c.now+rankEvery
+	l.heldStale = l.heldStale || l.newWork
+	l.newWork = false
+	if l.orderStale || l.within == nil {
+		c.sortJobs(l)
+	}
+	l.ranked, l.roomy = l.ranked[:0], l.roomy[:0]
+	for _, j := range l.order {
+		if s := j.Spec(); s != nil && j.Ready() > 0 && !j.Held && c.now >= j.NotBefore {
+			tier := c.tier(l, j)*urgencies + c.urgency(l, j)
+			l.ranked = append(l.ranked, candidate{j, tier, c.deficit(l, j)})
+		}
+	}
+	if len(l.ranked) == 0 {
+		return
+	}
+	sort.SliceStable(l.ranked, func(a, b int) bool {
+		x, y := l.ranked[a], l.ranked[b]
+		if x.tier != y.tier {
+			return x.tier > y.tier
+		}
+		if f, g := x.job.FailsEverywhere(), y.job.FailsEverywhere(); f != g {
+			return g
+		}
+		return x.deficit > y.deficit
+	})
+	for _, m := range l.machines {
+		if m.Settled() && m.Notice == unit.Never && c.now-m.LastSeen <= c.nextReport() && m.Free()[pack.CPU] > 0 {
+			l.roomy = append(l.roomy, m)
+		}
+	}
+	sort.Slice(l.roomy, func(a, b int) bool { return preferred(l.roomy[a], l.roomy[b]) })
+}
+
+// deficit is how far a job is from its fair share.
+func (c *Core) deficit(l *leader, j *ledger.Job) float64 {
+	s := j.Spec()
+	return l.share[s.Team] - pack.Dominant(l.total, s.Demand)*float64(j.Placed())
+}
+
 // fill starts tasks on a machine that has reported free room.
 func (c *Core) fill(l *leader, m *fleet.Machine) []fleet.Command {
-	if len(l.active) == 0 {
-		return nil
+	if c.now >= l.rankAt || l.newWork && c.now >= l.rankedAt+rankGap {
+		c.rank(l)
 	}
-	if l.orderStale || l.within == nil {
-		c.sortJobs(l)
+	if len(l.ranked) == 0 {
+		return nil
 	}
-	free := m.Type.Capacity.Sub(m.Used())
-	elsewhere := c.preferredRoom(l, m)
+	free := m.Free()
+	elsewhere := l.preferredRoom(c, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
-	for _, j := range l.order {
+	for _, cand := range l.ranked {
+		j := cand.job
 		s := j.Spec()
 		if s == nil || j.Ready() == 0 || j.Held || c.now < j.NotBefore ||
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
@@ -321,17 +387,19 @@
 		if !m.Record.Spot && !s.Spot {
 			constrained = 1 // it can go nowhere else, other work can
 		}
-		held := pack.Dominant(l.total, s.Demand) * float64(j.Placed())
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
-			Deficit:  l.share[s.Team] - held,
-			Tier:     2*(c.tier(l, j)*urgencies+c.urgency(l, j)) + constrained,
+			Deficit:  c.deficit(l, j),
+			Tier:     2*cand.tier + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: j.FailsEverywhere(),
 		})
 		jobs = append(jobs, j)
+		if len(jobs) == maxViews {
+			break
+		}
 	}
 	var out []fleet.Command
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
@@ -357,14 +425,20 @@
 	if t == nil {
 		return false
 	}
-	use := l.usage[s.Team].Add(s.Demand)
-	for name := range l.unaccounted {
-		if m := l.machines[name]; m != nil && m.Type != nil {
-			use = use.Add(m.Type.Capacity.Sub(m.Used()))
-		} else if t.Limit != (pack.Vec{}) {
-			return false
+	if l.hiddenStale {
+		l.hidden, l.untyped, l.hiddenStale = pack.Vec{}, false, false
+		for name := range l.unaccounted {
+			if m := l.machines[name]; m != nil && m.Type != nil {
+				l.hidden = l.hidden.Add(m.Type.Capacity)
+			} else {
+				l.untyped = true
+			}
 		}
 	}
+	if l.untyped && t.Limit != (pack.Vec{}) {
+		return false
+	}
+	use := l.usage[s.Team].Add(s.Demand).Add(l.hidden)
 	return withinLimit(t.Limit, use)
 }
 
@@ -390,14 +464,16 @@
 // preferredRoom finds the free room that preferred machines are about to
 // report. Work that fits there waits for it, so that the others run empty and
 // can be returned.
-func (c *Core) preferredRoom(l *leader, m *fleet.Machine) *room {
+func (l *leader) preferredRoom(c *Core, m *fleet.Machine) *room {
 	r := &room{}
-	for _, name := range sortedKeys(l.machines) {
-		x := l.machines[name]
-		if x == m || !x.Settled() || x.Notice != unit.Never || !preferred(x, m) || c.now-x.LastSeen > c.nextReport() {
+	for _, x := range l.roomy {
+		if !preferred(x, m) || len(r.machines) == maxPreferred {
+			break
+		}
+		if x == m || !x.Settled() || x.Notice != unit.Never {
 			continue
 		}
-		if f := x.Type.Capacity.Sub(x.Used()); f[pack.CPU] > 0 {
+		if f := x.Free(); f[pack.CPU] > 0 {
 			r.machines = append(r.machines, x)
 			r.free = append(r.free, f)
 		}
@@ -405,12 +481,14 @@
 	return r
 }
 
+// maxPreferred bounds the machines that are looked at for room elsewhere.
+const maxPreferred = 48
+
 // preferred reports whether work should rather go to x than to m: to the
 // cheaper machine, else to the smaller one, which runs empty sooner, else to
 // the older one, so that room gathers on the youngest.
 func preferred(x, m *fleet.Machine) bool {
-	a, b := coreCost(x), coreCost(m)
-	if a < 0.9*b || b < 0.9*a {
+	if a, b := costClass(x), costClass(m); a != b {
 		return a < b
 	}
 	if a, b := x.Type.Capacity[pack.CPU], m.Type.Capacity[pack.CPU]; a != b {
@@ -435,10 +513,10 @@
 	return j.Ready() - left
 }
 
-// coreCost is what a machine costs by CPU.
-func coreCost(m *fleet.Machine) float64 {
+// costClass is what a machine costs by CPU, in steps of about a tenth.
+func costClass(m *fleet.Machine) int {
 	if m.Type == nil || m.Type.Capacity[pack.CPU] == 0 {
 		return 0
 	}
-	return m.Type.Rate(m.Record.Spot) / float64(m.Type.Capacity[pack.CPU])
+	return int(math.Round(10 * math.Log(m.Type.Rate(m.Record.Spot)/float64(m.Type.Capacity[pack.CPU]))))
 }
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -104,6 +104,7 @@
 type Write struct {
 	Guards  []Guard
 	Changes []Change
+	Late    bool // goes only when nothing else waits
 	// Done is told the outcome, and the revision where it is OK.
 	Done func(o Outcome, rev uint64)
 }
@@ -123,6 +124,7 @@
 	Rate     float64 // changes a second
 
 	queue   []*Write
+	late    []*Write
 	current *Txn
 	credit  float64
 	last    unit.Micros
@@ -131,35 +133,57 @@
 
 // Add queues a write; it reports false when the queue is full.
 func (l *Lane) Add(w *Write) bool {
-	if len(l.queue) >= l.MaxQueue {
+	if len(l.queue)+len(l.late) >= l.MaxQueue {
 		return false
 	}
-	l.queue = append(l.queue, w)
+	if w.Late {
+		l.late = append(l.late, w)
+	} else {
+		l.queue = append(l.queue, w)
+	}
 	return true
 }
 
 // Len returns how many writes wait or are under way.
 func (l *Lane) Len() int {
-	n := len(l.queue)
+	n := len(l.queue) + len(l.late)
 	if l.current != nil {
 		n += len(l.current.writes)
 	}
 	return n
 }
 
+// Room returns how many late writes may be added so that they go with the next
+// transaction: whoever has many to make makes them only then, so that what is
+// written is as it is then, and several changes of a key are one.
+func (l *Lane) Room(now unit.Micros) int {
+	if l.current != nil || now < l.holdOff {
+		return 0
+	}
+	return max(0, min(l.MaxOps, int(l.funds(now)))-len(l.queue)-len(l.late))
+}
+
+// funds is how many changes may be sent now.
+func (l *Lane) funds(now unit.Micros) float64 {
+	return min(l.credit+l.Rate*(now-l.last).Seconds(), max(float64(l.MaxOps), l.Rate))
+}
+
 // Next returns the next transaction to send, or nil.
 func (l *Lane) Next(now unit.Micros) *Txn {
-	l.credit = min(l.credit+l.Rate*(now-l.last).Seconds(), max(float64(l.MaxOps), l.Rate))
-	l.last = now
-	if l.current != nil || len(l.queue) == 0 || now < l.holdOff {
+	l.credit, l.last = l.funds(now), now
+	if l.current != nil || now < l.holdOff {
 		return nil
 	}
+	from := &l.queue
+	if len(l.queue) == 0 {
+		from = &l.late
+	}
 	t := &Txn{}
 	guards := map[string]uint64{}
 	touched := map[string]bool{}
 	size := 0
-	for len(l.queue) > 0 {
-		w := l.queue[0]
+	for len(*from) > 0 {
+		w := (*from)[0]
 		n, clash := 0, false
 		for _, c := range w.Changes {
 			n += 2*len(c.Key) + len(c.Value) + 200
@@ -176,7 +200,10 @@
 		if len(t.writes) == 0 && float64(len(w.Changes)) > l.credit {
 			return nil
 		}
-		l.queue = l.queue[1:]
+		*from = (*from)[1:]
+		if len(*from) == 0 {
+			from = &l.late
+		}
 		t.writes = append(t.writes, w)
 		size += n
 		for _, c := range w.Changes {
@@ -190,6 +217,9 @@
 			}
 		}
 	}
+	if len(t.writes) == 0 {
+		return nil
+	}
 	l.credit -= float64(len(t.Changes))
 	l.current = t
 	return t
@@ -211,7 +241,7 @@
 	for _, k := range failed {
 		bad[k] = true
 	}
-	var again []*Write
+	var again, late []*Write
 	var tell []func()
 	for _, w := range t.writes {
 		o := o
@@ -221,13 +251,17 @@
 				hit = hit || bad[g.Key]
 			}
 			if !hit {
-				again = append(again, w)
+				if w.Late {
+					late = append(late, w)
+				} else {
+					again = append(again, w)
+				}
 				continue
 			}
 		}
 		tell = append(tell, func() { w.Done(o, rev) })
 	}
-	l.queue = append(again, l.queue...)
+	l.queue, l.late = append(again, l.queue...), append(late, l.late...)
 	for _, f := range tell {
 		f()
 	}
@@ -236,8 +270,8 @@
 // Clear drops everything that waits, telling each that it was refused. What
 // is under way still gets its outcome.
 func (l *Lane) Clear() {
-	q := l.queue
-	l.queue = nil
+	q := append(l.queue, l.late...)
+	l.queue, l.late = nil, nil
 	for _, w := range q {
 		w.Done(Refused, 0)
 	}
--- a/internal/core/store/store_test.go
+++ b/internal/core/store/store_test.go
@@ -89,7 +89,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(t *rapid.T) {
 				id := added
-				w := &Write{Done: func(Outcome, uint64) { told[id]++ }}
+				w := &Write{Late: rapid.Bool().Draw(t, "late"), Done: func(Outcome, uint64) { told[id]++ }}
 				for range rapid.IntRange(1, 3).Draw(t, "changes") {
 					k := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "key"))
 					w.Changes = append(w.Changes, Change{Key: k, Value: json.RawMessage("1")})
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -159,7 +159,7 @@
 	case strings.HasPrefix(e.Key, donePrefix):
 		err = c.learnFinished(e.Key[len(donePrefix):], e)
 	case strings.HasPrefix(e.Key, machPrefix):
-		err = c.learnMachine(e.Key[len(machPrefix):], e)
+		err = c.learnMachines(e.Key, e)
 	case strings.HasPrefix(e.Key, typePrefix):
 		err = c.learnType(e)
 	}
@@ -221,19 +221,16 @@
 	return j.LoadFinished(n, c.chunk, f.Tasks)
 }
 
-func (c *Core) learnMachine(name string, e store.Event) error {
+func (c *Core) learnMachines(key string, e store.Event) error {
 	if e.Value == nil {
-		delete(c.records, name)
+		delete(c.groups, key)
 		return nil
 	}
-	r, err := fleet.DecodeRecord(e.Value)
+	g, err := fleet.DecodeGroup(e.Value)
 	if err != nil {
 		return err
 	}
-	c.records[name] = stored{r, e.Stamp}
-	if c.leader != nil {
-		c.leader.machineStored(c, name)
-	}
+	c.groups[key] = g
 	return nil
 }
 
