--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -25,7 +25,7 @@
 	"shalestage.example/shalestage/internal/state"
 )
 
-const version = "0.1.0"
+const version = "0.2.0"
 
 type options struct {
 	Config  string           `required:"" placeholder:"FILE" help:"Settings file (JSON)."`
@@ -113,8 +113,8 @@
 		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, WriteRate: d.State.WriteRPS,
 		Pack:       pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
 		Scale:      scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), Worth: unit.Seconds(t.WorthS), IdleReturn: unit.Seconds(t.IdleS)},
-		RoundShare: t.RoundShare,
-		Log:        log,
+		BlockTasks: s.BlockTasks(), RoundShare: t.RoundShare,
+		Log: log,
 	}
 	for _, p := range s.Peers {
 		c.Peers = append(c.Peers, p.Node)
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -23,13 +23,24 @@
 type Client struct {
 	base  string
 	http  *http.Client
+	rps   float64
 	limit *rate.Limiter
 	log   *slog.Logger
 }
 
-// New returns a client. Only the leader calls, but two may for a moment.
+// New returns a client for a budget of requests that all controllers share.
 func New(addr string, rps float64, log *slog.Logger) *Client {
-	return &Client{base: "http://" + addr, http: rest.NewClient(4), limit: rate.NewLimiter(rate.Limit(rps*0.7), max(1, int(rps))), log: log}
+	return &Client{base: "http://" + addr, http: rest.NewClient(4), rps: rps,
+		limit: rate.NewLimiter(rate.Limit(rps*margin), max(1, int(rps))), log: log}
+}
+
+// margin leaves some of the budget for a controller that takes over.
+const margin = 0.7
+
+// SetPart sets this controller's part of the budget.
+func (c *Client) SetPart(part float64) {
+	c.limit.SetLimit(rate.Limit(c.rps * margin * part))
+	c.limit.SetBurst(max(1, int(c.rps*part)))
 }
 
 func (c *Client) call(method, path string, body, into any) (int, store.Outcome) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -106,6 +106,7 @@
 	IdleS        float64 `json:"idle_return_s"`   // idle time after which a machine is returned
 	DemandS      float64 `json:"demand_memory_s"` // time over which demand is averaged
 	WorthS       float64 `json:"worth_s"`         // work that must wait for each slot of a machine to be worth renting
+	BlockTasks   float64 `json:"block_tasks"`     // unfinished tasks that one block carries; 0: by the processor share
 	RoundShare   float64 `json:"round_share"`     // share of a job's time that renting counts on for tasks one after the other
 }
 
@@ -210,6 +211,7 @@
 		{"tuning.idle_return_s", t.IdleS, 1, 3600},
 		{"tuning.demand_memory_s", t.DemandS, 1, 3600},
 		{"tuning.worth_s", t.WorthS, 1, 3600},
+		{"tuning.block_tasks", t.BlockTasks, 0, 1e9},
 		{"tuning.round_share", t.RoundShare, 0, 1},
 	}
 	for _, r := range ranges {
@@ -222,3 +224,15 @@
 
 // LeaseTime is how long a worker keeps its tasks without an answer.
 func (s *Settings) LeaseTime() unit.Micros { return unit.Seconds(s.Deployment.Workers.LeaseS) }
+
+// tasksPerCore is how many unfinished tasks a whole core could look after, see
+// docs/operations.md for what was measured.
+const tasksPerCore = 6000
+
+// BlockTasks is the number of unfinished tasks that one block should carry.
+func (s *Settings) BlockTasks() int {
+	if n := s.Tuning.BlockTasks; n > 0 {
+		return int(n)
+	}
+	return max(1, int(tasksPerCore*s.Deployment.Quota.CPU))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,7 @@
 	WriteRate   float64
 	Pack        pack.Params
 	Scale       scale.Params
+	BlockTasks  int     // unfinished tasks beyond which several blocks share the work
 	RoundShare  float64 // share of a job's time that renting counts on for tasks one after the other
 	Log         *slog.Logger
 }
@@ -94,13 +95,21 @@
 	FetchTypes struct{}
 	// RentHosts asks for machines (OnRent).
 	RentHosts struct {
+		Block   int
+		Grant   uint64
 		Request string
 		Rent    scale.Rent
 	}
 	// ReturnHosts gives machines back (OnReturn).
-	ReturnHosts struct{ Names []string }
+	ReturnHosts struct {
+		Block int
+		Grant uint64
+		Names []string
+	}
 	// ListHosts reads the machine list (OnHosts).
 	ListHosts struct{}
+	// CloudShare sets this node's part of the cloud's request budget; no answer.
+	CloudShare struct{ Part float64 }
 )
 
 // Bodies of replies.
@@ -126,7 +135,8 @@
 // LaneID tells the two transaction lanes apart.
 type LaneID int
 
-// Lanes: users' changes and the leader's do not wait for each other.
+// Lanes: users' changes and those of the leader and holders do not wait for
+// each other.
 const (
 	UserLane LaneID = iota
 	LeaderLane
@@ -145,17 +155,31 @@
 	lanes   [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job
+	active map[string]*ledger.Job // those that are not final
 	types  map[string]*fleet.Type
 	claim  lead.Claim // of the present leader; Node "" if none
 	term   lead.Term
+	seats  map[string]*seatView
+	blocks map[int]granted
+	shares map[int]shared
 	groups map[string]fleet.Group // stored machines, by key
+	where  map[string]int         // block of each stored machine
 	chunk  int                    // tasks per finished-task record
+	load   []load                 // unfinished work of each block
+	loadAt unit.Micros
 
-	sync   syncState
-	leader *leader // nil unless this node leads
-	stand  candidacy
-	voter  lead.Voter
-	peers  peersState
+	sync      syncState
+	seat      seat
+	voters    map[string]*lead.Voter // what is owed with regard to each controller
+	polls     map[string]*poll
+	leader    *leader // nil unless this node leads
+	claiming  bool
+	held      map[int]*block // blocks that this node holds
+	lastHeard unit.Micros    // last report
+	deafAt    unit.Micros    // when this node gave its blocks up as no worker reached it
+	typesAt   unit.Micros
+	cloudPart float64
+	peers     peersState
 }
 
 // New returns a controller's core that has seen nothing yet.
@@ -163,21 +187,21 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{},
-		types: map[string]*fleet.Type{}, groups: map[string]fleet.Group{}, chunk: ledger.ChunkTasks(cfg.ValueKB)}
+	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
+		types: map[string]*fleet.Type{}, seats: map[string]*seatView{}, blocks: map[int]granted{}, shares: map[int]shared{},
+		groups: map[string]fleet.Group{}, where: map[string]int{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{},
+		held: map[int]*block{}, load: make([]load, cfg.Size), chunk: ledger.ChunkTasks(cfg.ValueKB)}
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
 	c.peers = newPeers(cfg.Peers)
-	// Submissions come in bursts that seldom meet those of the leader's changes:
-	// together the lanes may ask for more than the budget.
 	share := cfg.WriteRate / float64(2*cfg.Size)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256, Rate: share}
 	}
 	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
-	c.lanes[LeaderLane].Rate = cfg.WriteRate * 0.8
+	c.setRates()
 	return c
 }
 
@@ -193,12 +217,16 @@
 
 // pump sends what is due: transactions and reads of the state service.
 func (c *Core) pump() {
-	if l := c.leader; l != nil && l.ready && (l.newWork && c.now >= l.rankedAt+rankGap || c.now >= l.heldAt) {
-		l.heldAt = c.now + unit.Second/20
-		c.answerHeld(l)
-	}
-	if l := c.leader; l != nil && l.ready {
-		c.lateWrites(l)
+	for _, k := range sortedBlocks(c.held) {
+		bl := c.held[k]
+		if !c.Holds(c.now, k) {
+			continue
+		}
+		if bl.newWork && c.now >= bl.rankedAt+rankGap || c.now >= bl.heldAt {
+			bl.heldAt = c.now + unit.Second/20
+			c.answerHeld(bl)
+		}
+		c.lateWrites(bl)
 	}
 	for id, l := range c.lanes {
 		if t := l.Next(c.now); t != nil {
@@ -217,9 +245,13 @@
 	c.wall = wall
 	c.tickSync()
 	c.tickPeers()
-	c.tickStand()
-	if c.leader != nil {
-		c.tickLeader()
+	c.tickSeat()
+	c.tickLead()
+	c.tickTypes()
+	for _, k := range sortedBlocks(c.held) {
+		if bl := c.held[k]; bl != nil {
+			c.tickBlock(bl)
+		}
 	}
 }
 
@@ -242,14 +274,16 @@
 
 // Keys of the state service.
 const (
-	root       = "shalestage/"
-	jobPrefix  = root + "job/"
-	donePrefix = root + "progress/" // JOB/CHUNK; listed after the jobs
-	machPrefix = root + "machine/"
-	typePrefix = root + "type/"
-	leadKey    = root + "leader"
-	termKey    = root + "term"
-	blockKey   = root + "block/0"
+	root        = "shalestage/"
+	jobPrefix   = root + "job/"
+	donePrefix  = root + "progress/" // JOB/CHUNK; listed after the jobs
+	machPrefix  = root + "machine/"
+	typePrefix  = root + "type/"
+	seatPrefix  = root + "seat/"
+	blockPrefix = root + "block/"
+	sharePrefix = root + "share/"
+	leadKey     = root + "leader"
+	termKey     = root + "term"
 )
 
 // Root is the prefix of every key that the service uses.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -27,22 +27,22 @@
 }
 
 // learnRun takes in how long a task ran.
-func (l *leader) learnRun(s *ledger.Spec, took unit.Micros) {
+func (bl *block) learnRun(s *ledger.Spec, took unit.Micros) {
 	if s.Service || s.Estimate <= 0 || took <= 0 {
 		return
 	}
-	r := l.runtimes[s.Class]
+	r := bl.runtimes[s.Class]
 	if r == nil {
 		r = &ratio{}
-		l.runtimes[s.Class] = r
+		bl.runtimes[s.Class] = r
 	}
 	r.add(math.Min(float64(took)/float64(s.Estimate), 10))
 }
 
 // runtime is how long a task of the job is expected to run: the owner's
 // estimate, corrected by what the class has shown once a few tasks are through.
-func (l *leader) runtime(s *ledger.Spec) unit.Micros {
-	if r := l.runtimes[s.Class]; r != nil && r.n >= 5 {
+func (bl *block) runtime(s *ledger.Spec) unit.Micros {
+	if r := bl.runtimes[s.Class]; r != nil && r.n >= 5 {
 		return unit.Micros(float64(s.Estimate) * r.mean)
 	}
 	return s.Estimate
@@ -53,9 +53,9 @@
 
 // timeLeft is the time in which a job should be done, by its deadline or by
 // the strictest aim for its class.
-func (c *Core) timeLeft(l *leader, j *ledger.Job) unit.Micros {
+func (c *Core) timeLeft(bl *block, j *ledger.Job) unit.Micros {
 	s := j.Spec()
-	run := l.runtime(s)
+	run := bl.runtime(s)
 	left := unit.Never
 	if s.Deadline > 0 {
 		left = s.Deadline
@@ -88,9 +88,9 @@
 )
 
 // urgency tells which of a job's aims can still be met.
-func (c *Core) urgency(l *leader, j *ledger.Job) int {
+func (c *Core) urgency(bl *block, j *ledger.Job) int {
 	s := j.Spec()
-	ends := c.wall - j.Record.Submitted + l.runtime(s)
+	ends := c.wall - j.Record.Submitted + bl.runtime(s)
 	aims, missed := 0, 0
 	aim := func(t unit.Micros) {
 		aims++
@@ -126,17 +126,17 @@
 // needs adds up the work at hand, by what pools it may use. A job needs no
 // more room than lets it end in time: where there is time for several tasks
 // one after the other, fewer machines do.
-func (c *Core) needs(l *leader) map[scale.Group]scale.Need {
+func (c *Core) needs(bl *block) map[scale.Group]scale.Need {
 	needs := map[scale.Group]scale.Need{}
 	perTeam := map[string]pack.Vec{}
-	for _, j := range l.order {
+	for _, j := range bl.order {
 		s := j.Spec()
 		if s == nil || c.now < j.NotBefore {
 			continue
 		}
 		n := j.Record.Tasks - j.Finished()
-		if run := l.runtime(s); !s.Service && run > 0 {
-			rounds := c.cfg.RoundShare * c.timeLeft(l, j).Seconds() / run.Seconds()
+		if run := bl.runtime(s); !s.Service && run > 0 {
+			rounds := c.cfg.RoundShare * c.timeLeft(bl, j).Seconds() / run.Seconds()
 			if rounds > 1 {
 				n = int(math.Ceil(float64(n) / rounds))
 			}
@@ -163,8 +163,8 @@
 		need := needs[g]
 		need.Tasks += n
 		need.Running += j.Placed()
-		need.Waiting += l.runtime(s) * unit.Micros(j.Ready())
-		need.Rest += l.runtime(s) * unit.Micros(j.Placed()) / 2 // about half is still to do
+		need.Waiting += bl.runtime(s) * unit.Micros(j.Ready())
+		need.Rest += bl.runtime(s) * unit.Micros(j.Placed()) / 2 // about half is still to do
 		need.Total = need.Total.Add(v)
 		need.Types = names
 		needs[g] = need
@@ -173,13 +173,13 @@
 }
 
 // logFleet tells an operator what there is and what it does.
-func (c *Core) logFleet(l *leader) {
+func (c *Core) logFleet(bl *block) {
 	type pool struct {
 		count, booting, idle int
 		used, capacity       int64
 	}
 	var kinds [2]pool // ordinary, spot
-	for _, m := range l.machines {
+	for _, m := range bl.machines {
 		k := &kinds[0]
 		if m.Record.Spot {
 			k = &kinds[1]
@@ -196,7 +196,7 @@
 		}
 	}
 	ready, placed := 0, 0
-	for _, j := range l.order {
+	for _, j := range bl.order {
 		ready += j.Ready()
 		placed += j.Placed()
 	}
@@ -204,5 +204,5 @@
 		k := kinds[i]
 		c.log.Info("fleet", "kind", name, "machines", k.count, "booting", k.booting, "idle", k.idle, "cpus_used", k.used/1000, "cpus", k.capacity/1000)
 	}
-	c.log.Info("work", "jobs", len(l.order), "tasks_waiting", ready, "tasks_placed", placed)
+	c.log.Info("work", "jobs", len(bl.order), "tasks_waiting", ready, "tasks_placed", placed)
 }
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -15,19 +15,21 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: %s, finished %d of %d, ready %d, placed %d, held %v, not before %.1f, now %.1f, failed on %d machines",
 		id, j.Record.Status, j.Finished(), j.Record.Tasks, j.Ready(), j.Placed(), j.Held, j.NotBefore.Seconds(), c.now.Seconds(), len(j.Errors))
-	l := c.leader
-	if l == nil {
+	bl := c.held[j.Record.Block]
+	if bl == nil {
 		s := c.sync
-		fmt.Fprintf(&b, "; led by %q; opening %v after %.1f; loaded %v listing %v reading %v watching %v heard %.1f; lane %d", c.claim.Node,
-			c.stand.opening, c.stand.after.Seconds(), s.loaded, s.listing, s.reading, s.watching, s.lastOK.Seconds(), c.lanes[LeaderLane].Len())
+		fmt.Fprintf(&b, "; block %d held by %+v; led by %q; seat %d opening %v after %.1f; loaded %v listing %v reading %v watching %v heard %.1f; lane %d",
+			j.Record.Block, c.blocks[j.Record.Block], c.claim.Node, c.seat.id, c.seat.opening, c.seat.after.Seconds(),
+			s.loaded, s.listing, s.reading, s.watching, s.lastOK.Seconds(), c.lanes[LeaderLane].Len())
 		return b.String()
 	}
 	if s := j.Spec(); s != nil {
-		fmt.Fprintf(&b, "; team %s uses %v", s.Team, l.usage[s.Team])
+		fmt.Fprintf(&b, "; team %s uses %v", s.Team, bl.usage[s.Team])
 	}
-	fmt.Fprintf(&b, "; term %d, unaccounted %d, renting %d, cloud waits until %.1f", l.term, len(l.unaccounted), l.renting, l.cloudWait.Seconds())
-	for _, name := range sortedKeys(l.machines) {
-		m := l.machines[name]
+	fmt.Fprintf(&b, "; block %d share %.2f token %d free %v moving %v, unaccounted %d, renting %d, cloud waits until %.1f", bl.n, c.shares[bl.n].share,
+		bl.token, bl.free, j.Moving, len(bl.unaccounted), bl.renting, bl.cloudWait.Seconds())
+	for _, name := range sortedKeys(bl.machines) {
+		m := bl.machines[name]
 		fmt.Fprintf(&b, "\n  %s %s/%s spot %v: up %v, tasks %d, settled %v (accounted %v stored %v lost %v sick %v leaving %v)",
 			name, m.Record.Type, m.Record.Zone, m.Record.Spot, m.LastSeen != 0, len(m.Tasks), m.Settled(), m.Accounted, m.Record.Up, m.Lost, m.Sick, m.Leaving)
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -44,6 +44,7 @@
 
 // Group is the stored value of machines of one kind that were rented together.
 type Group struct {
+	Block   int      `json:"block,omitempty"`
 	Type    string   `json:"type"`
 	Zone    string   `json:"zone"`
 	Spot    bool     `json:"spot"`
@@ -55,11 +56,24 @@
 // out at once, so that a group stays far below the state service's value limit.
 const MaxGroup = 50
 
-// DecodeGroup reads stored machines.
-func DecodeGroup(b []byte) (Group, error) {
+// DecodeGroup reads stored machines. Releases before 0.2 stored each machine by
+// itself under its name; tasks may run there all the same.
+func DecodeGroup(name string, b []byte) (Group, error) {
 	var g Group
 	if err := json.Unmarshal(b, &g); err != nil {
-		return g, err
+		var old struct {
+			Group
+			Up bool `json:"up"`
+		}
+		if json.Unmarshal(b, &old) != nil {
+			return g, err
+		}
+		g = old.Group
+		if old.Up {
+			g.Up = []string{name}
+		} else {
+			g.Booting = []string{name}
+		}
 	}
 	if g.Type == "" || g.Zone == "" {
 		return g, errors.New("no type or zone")
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -6,10 +6,18 @@
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
-// Claim is the leader's record; it vanishes with the leader's lease.
+// Seat is a controller's record: it is attached to the controller's lease and
+// vanishes with it. Its version tells one process of a controller from the
+// next, and all that a controller holds is held by its seat.
+type Seat struct {
+	Node string `json:"node"`
+}
+
+// Claim is the leader's record; it is attached to the same lease.
 type Claim struct {
 	Term uint64 `json:"term"`
 	Node string `json:"node"`
+	Seat uint64 `json:"seat"`
 }
 
 // Term is the highest term ever taken and who took it; it outlives every lease.
@@ -18,37 +26,42 @@
 	Node string `json:"node"`
 }
 
-// Block is the stored lease of machine blocks to a controller. All of the
-// machines and the whole of every team's limit are one block today.
+// Block is the stored lease of a block to a controller's seat. Machines and
+// jobs name the block that they belong to; no Node means that it is free.
 type Block struct {
-	Term       uint64   `json:"term"`
-	Number     uint64   `json:"number"`
-	Controller string   `json:"controller"`
-	Machines   []string `json:"machines"` // zones; "*" stands for every one
-	Jobs       []string `json:"jobs"`     // "*" stands for every one
-	LimitShare float64  `json:"limit_share"`
+	Term   uint64 `json:"term"`
+	Number uint64 `json:"number"`
+	Node   string `json:"node,omitempty"`
+	Seat   uint64 `json:"seat,omitempty"`
+}
+
+// Share is the part of every team's limit that a block may use. All shares
+// together are never more than 1, see docs/design.md.
+type Share struct {
+	Share float64 `json:"share"`
 }
 
 // lease numbers that fit into one term's tokens
 const numbersPerTerm = 1 << 16
 
-// attempts that fit into one term
-const attemptsPerTerm = 1 << 24
+// attempts that fit into one grant
+const attemptsPerGrant = 1 << 24
 
 // Token joins the leader's term and a lease number; it only ever rises.
 func Token(term, number uint64) uint64 { return term*numbersPerTerm + number%numbersPerTerm }
 
-// Attempt returns an attempt number that no other term uses.
-func Attempt(term, n uint64) uint64 { return term*attemptsPerTerm + n%attemptsPerTerm }
+// Attempt returns an attempt number that no other grant uses.
+func Attempt(token, n uint64) uint64 { return token*attemptsPerGrant + n%attemptsPerGrant }
 
-// Authority is the time for which no other controller can surely lead.
+// Authority is the time for which a seat surely stands, so that nothing that it
+// holds can have been given to another.
 //
 // It rests on the lease in the state service, counted from when its last
 // renewal was sent, less clock drift and a margin. Where the state service does
 // not answer it rests on promises: peers that make up a majority together with
-// this node have promised not to help another to the lead for a while, and
-// without a majority's help nobody may claim it until Extend has passed since
-// the lease was last renewed. See docs/design.md for the argument.
+// this node have promised not to help to give away what the seat holds for a
+// while, and without a majority's help nobody may do so until Extend has passed
+// since the lease was last renewed. See docs/design.md for the argument.
 type Authority struct {
 	TTL    unit.Micros
 	Margin unit.Micros
@@ -91,29 +104,31 @@
 // PromiseTime is how long a promise binds.
 const PromiseTime = 2 * unit.Second
 
-// Voter is what a controller owes the others. It forgets everything when its
-// process ends, so that a new process must let the longest promise run out
-// before it may help anybody. Its clock starts at 0 with its process.
+// Voter is what a controller owes the others with regard to one of them. It
+// forgets everything when its process ends, so that a new process must let the
+// longest promise run out before it may help anybody. Its clock starts at 0
+// with its process.
 type Voter struct {
 	promisedUntil unit.Micros
-	permitted     uint64 // highest term that this node helped to
+	over          uint64 // highest seat that this node has helped to end
 }
 
-// Promise is asked by the leader of a term; seen is the term of the leader's
-// record as this node last saw it, 0 if the record is gone.
-func (v *Voter) Promise(now unit.Micros, term, seen uint64) bool {
-	if term != seen || term < v.permitted {
+// Promise is asked by the holder of a seat; seen is the seat that the holder
+// has in the state service as this node last saw it, 0 if there is none.
+func (v *Voter) Promise(now unit.Micros, seat, seen uint64) bool {
+	if seat != seen || seat <= v.over {
 		return false
 	}
 	v.promisedUntil = max(v.promisedUntil, now+PromiseTime)
 	return true
 }
 
-// Permit is asked by a controller that wants to lead a term.
-func (v *Voter) Permit(now unit.Micros, term uint64) bool {
-	if now < v.promisedUntil || now < unit.Longest(PromiseTime) || term < v.permitted {
+// Permit is asked by a controller that wants to give away what a seat holds
+// whose record is gone.
+func (v *Voter) Permit(now unit.Micros, seat uint64) bool {
+	if now < v.promisedUntil || now < unit.Longest(PromiseTime) {
 		return false
 	}
-	v.permitted = term
+	v.over = max(v.over, seat)
 	return true
 }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -70,6 +70,7 @@
 // tasks take, as some may still be running when the next leader comes.
 type Record struct {
 	Status    Status      `json:"status"`
+	Block     int         `json:"block,omitempty"` // whose holder owns the job
 	Tasks     int         `json:"tasks"`
 	Team      string      `json:"team,omitempty"`
 	Demand    pack.Vec    `json:"demand,omitzero"`
@@ -88,7 +89,7 @@
 		r.Spec = nil
 	case r.Status != Pending:
 		return r, fmt.Errorf("status %q", r.Status)
-	case r.Spec == nil || !r.Spec.Sane() || r.Tasks != r.Spec.Tasks:
+	case r.Spec == nil || !r.Spec.Sane() || r.Tasks != r.Spec.Tasks || r.Block < 0:
 		return r, errors.New("no usable description")
 	}
 	return r, nil
@@ -241,7 +242,8 @@
 	runs      int
 	runSum    unit.Micros
 	Closing   bool // its end is being stored
-	Held      bool // may have been started by an earlier leader: wait until all machines are accounted for
+	Held      bool // may have been started by an earlier holder: wait until all machines are accounted for
+	Moving    bool // to another block: not started here
 }
 
 // Spec returns the job's description; nil once the job is final.
@@ -276,6 +278,12 @@
 // Ready returns how many tasks may start.
 func (j *Job) Ready() int { return len(j.ready) }
 
+// Movable reports whether nothing of the job runs and all that is done is
+// stored, so that another controller can own it.
+func (j *Job) Movable() bool {
+	return !j.Held && !j.Closing && len(j.places) == 0 && j.finished.Len() == j.stored.Len() && !j.AllFinished()
+}
+
 // Placed returns how many tasks may be running.
 func (j *Job) Placed() int { return len(j.places) }
 
@@ -306,17 +314,17 @@
 	return j.finished.AddRanges(ranges, lo, hi)
 }
 
-// Clear forgets where tasks are. Only a leader keeps the list of ready tasks.
+// Clear forgets where tasks are. Only a holder keeps the list of ready tasks.
 func (j *Job) Clear() {
 	j.places = map[int]Place{}
 	j.ready = nil
 	j.dirty, j.DirtySince = map[int]bool{}, 0
 	j.zones = map[string]int{}
 	j.Errors = map[string]int{}
-	j.Closing = false
+	j.Closing, j.Held, j.Moving = false, false, false
 }
 
-// Reset prepares the job for a new leader: every unfinished task is ready.
+// Reset prepares the job for a new holder: every unfinished task is ready.
 func (j *Job) Reset() {
 	j.Clear()
 	if j.Active() {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -16,18 +16,34 @@
 	// PeerStatus is sent a few times a second.
 	PeerStatus struct {
 		StateAge unit.Micros // since the state service last served the sender
-		Leading  bool
-		Term     uint64      // of a leader, which asks for a promise with it
+		Seat     uint64      // for which it asks for a promise; 0: none
 		Sent     unit.Micros // on the sender's clock
+		Deaf     bool        // no worker has reached the sender for a while
+		Blocks   []BlockStatus
 	}
-	// PeerPromise grants what a leader's status asked for.
+	// BlockStatus tells of a block that the sender holds.
+	BlockStatus struct {
+		Block int
+		Share uint64  // version of the share that the block goes by
+		Use   float64 // largest part of a limit in use; -1: not known yet
+	}
+	// PeerPromise grants what a status asked for.
 	PeerPromise struct {
-		Term uint64
+		Seat uint64
 		Sent unit.Micros
 	}
-	// PeerPermitAsk asks for help to lead a term; PeerPermit grants it.
-	PeerPermitAsk struct{ Term uint64 }
-	PeerPermit    struct{ Term uint64 }
+	// PeerPermitAsk asks for help to give away what a controller's seat held;
+	// PeerPermit grants it.
+	PeerPermitAsk struct {
+		Node string
+		Seat uint64
+	}
+	PeerPermit PeerPermitAsk
+	// PeerRelease is the leader's wish that a block be given up, by its grant.
+	PeerRelease struct {
+		Block int
+		Grant uint64
+	}
 	// PeerAsk hands over a user's request.
 	PeerAsk struct {
 		ID   uint64
@@ -118,9 +134,16 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge()}
-		if l := c.leader; l != nil && l.auth.Valid(c.now) {
-			s.Leading, s.Term, s.Sent = true, l.term, c.now
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow()}
+		if c.valid(c.now) {
+			s.Seat, s.Sent = c.seat.id, c.now
+		}
+		for _, k := range sortedBlocks(c.held) {
+			st := BlockStatus{Block: k, Share: c.shares[k].stamp, Use: -1}
+			if bl := c.held[k]; bl.ready && len(bl.unaccounted) == 0 {
+				st.Use = c.useOf(bl)
+			}
+			s.Blocks = append(s.Blocks, st)
 		}
 		for _, n := range p.names {
 			c.emit(SendPeer{n, s})
@@ -189,22 +212,28 @@
 	switch m := m.(type) {
 	case PeerStatus:
 		v.status, v.heard = m, now
-		if m.Leading && c.leader == nil && c.voter.Promise(now, m.Term, c.claim.Term) {
-			c.emit(SendPeer{from, PeerPromise{Term: m.Term, Sent: m.Sent}})
+		if m.Seat != 0 && c.voter(from).Promise(now, m.Seat, c.seatOf(from)) {
+			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent}})
+		}
+		if l := c.leader; l != nil {
+			for _, b := range m.Blocks {
+				if g, ok := c.blocks[b.Block]; ok && g.Node == from && b.Use >= 0 {
+					l.claim(c, b.Block, b.Share, b.Use)
+				}
+			}
 		}
 	case PeerPromise:
-		if l := c.leader; l != nil && l.term == m.Term && m.Sent <= now {
-			l.auth.Promised(from, m.Sent)
+		if c.seat.id != 0 && c.seat.id == m.Seat && m.Sent <= now {
+			c.seat.auth.Promised(from, m.Sent)
 		}
 	case PeerPermitAsk:
-		if l := c.leader; l != nil && l.term < m.Term && !l.auth.Valid(now) {
-			c.resign("another asks to lead and authority has run out", unit.Second)
-		}
-		if c.leader == nil && c.voter.Permit(now, m.Term) {
-			c.emit(SendPeer{from, PeerPermit{m.Term}})
-		}
+		c.permitAsked(from, m)
 	case PeerPermit:
-		c.stand.permit(from, m.Term)
+		c.permitted(from, m)
+	case PeerRelease:
+		if bl := c.held[m.Block]; bl != nil && bl.grant == m.Grant {
+			c.release(bl, "the leader asks for it")
+		}
 	case PeerAsk:
 		if !ledger.ValidID(m.Job) || m.Spec != nil && !m.Spec.Sane() || len(c.peers.foreign) >= maxAsks {
 			return
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -29,11 +29,11 @@
 // right to it: one of higher priority, or one within its team's guarantee
 // where another team runs beyond its own. It stops what loses least, and
 // nothing that would lose much beside what the job's task gains.
-func (c *Core) preempt(l *leader, m *fleet.Machine) []fleet.Command {
+func (c *Core) preempt(bl *block, m *fleet.Machine) []fleet.Command {
 	if len(m.Tasks) == 0 {
 		return nil
 	}
-	j := c.claimant(l, m)
+	j := c.claimant(bl, m)
 	if j == nil {
 		return nil
 	}
@@ -42,8 +42,8 @@
 	var victims []victim
 	for _, id := range sortedTasks(m.Tasks) {
 		a := m.Tasks[id]
-		if v := c.jobs[id.Job]; v != nil && v.Active() && a.State != fleet.Saving && c.mayStop(l, j, v) {
-			if lost := c.lostWork(v.Spec(), a); lost < l.runtime(s)/4 {
+		if v := c.jobs[id.Job]; v != nil && v.Active() && a.State != fleet.Saving && c.mayStop(bl, j, v) {
+			if lost := c.lostWork(v.Spec(), a); lost < bl.runtime(s)/4 {
 				victims = append(victims, victim{id, a, lost})
 			}
 		}
@@ -60,8 +60,8 @@
 	if len(out) == 0 || !s.Demand.Fits(free) {
 		return nil
 	}
-	p := l.preempted[j.ID]
-	l.preempted[j.ID] = preemption{p.count + 1, c.now}
+	p := bl.preempted[j.ID]
+	bl.preempted[j.ID] = preemption{p.count + 1, c.now}
 	c.log.Info("preempting", "machine", m.Name, "job", j.ID, "stopped", len(out))
 	return out
 }
@@ -74,29 +74,29 @@
 
 // claimant returns the job with the best right to a machine's room among those
 // that have waited long and would still have to.
-func (c *Core) claimant(l *leader, m *fleet.Machine) *ledger.Job {
+func (c *Core) claimant(bl *block, m *fleet.Machine) *ledger.Job {
 	var best *ledger.Job
 	tier, rate, waiting := 0, 0.0, 0
-	for _, j := range l.order {
+	for _, j := range bl.order {
 		s := j.Spec()
 		if s == nil {
 			continue
 		}
-		if run := l.runtime(s).Seconds(); run > 0 {
+		if run := bl.runtime(s).Seconds(); run > 0 {
 			rate += float64(j.Placed()) / run
 		}
-		p := l.preempted[j.ID]
+		p := bl.preempted[j.ID]
 		if c.now-p.at > preemptMemory {
-			delete(l.preempted, j.ID)
+			delete(bl.preempted, j.ID)
 			p.count = 0
 		}
-		if j.Ready() <= p.count || j.Held || c.now < j.NotBefore || c.wall-j.Record.Submitted < preemptAfter ||
+		if j.Ready() <= p.count || j.Held || j.Moving || c.now < j.NotBefore || c.wall-j.Record.Submitted < preemptAfter ||
 			j.FailsEverywhere() || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
-			!s.Demand.Fits(m.Type.Capacity) || !c.permits(l, s) || !j.ZonePermits(m.Record.Zone) {
+			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
 			continue
 		}
 		waiting += j.Ready()
-		if t := c.tier(l, j); best == nil || t > tier {
+		if t := c.tier(bl, j); best == nil || t > tier {
 			best, tier = j, t
 		}
 	}
@@ -107,27 +107,29 @@
 }
 
 // tier orders jobs by right: within their team's guarantee, then by priority.
-func (c *Core) tier(l *leader, j *ledger.Job) int {
+func (c *Core) tier(bl *block, j *ledger.Job) int {
 	t := int(j.Spec().Priority)
-	if l.within[j.ID] {
+	if bl.within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
 	return t
 }
 
 // mayStop reports whether a task of victim may be stopped for a task of j.
-func (c *Core) mayStop(l *leader, j, victim *ledger.Job) bool {
+func (c *Core) mayStop(bl *block, j, victim *ledger.Job) bool {
 	s, v := j.Spec(), victim.Spec()
-	if v.Priority < s.Priority && !(l.within[victim.ID] && !l.within[j.ID]) {
+	if v.Priority < s.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
 		return true
 	}
-	return l.within[j.ID] && s.Team != v.Team && !l.within[victim.ID] && c.beyond(l, v.Team)
+	return bl.within[j.ID] && s.Team != v.Team && !bl.within[victim.ID] && c.beyond(bl, v.Team)
 }
 
 // beyond reports whether a team uses more than its guarantee.
-func (c *Core) beyond(l *leader, team string) bool {
+func (c *Core) beyond(bl *block, team string) bool {
 	t := c.teams[team]
-	return t == nil || l.usage[team][pack.CPU] > t.Guarantee[pack.CPU] || l.usage[team][pack.GPU] > t.Guarantee[pack.GPU]
+	part := c.shares[bl.n].share
+	return t == nil || float64(bl.usage[team][pack.CPU]) > part*float64(t.Guarantee[pack.CPU]) ||
+		float64(bl.usage[team][pack.GPU]) > part*float64(t.Guarantee[pack.GPU])
 }
 
 // lostWork is the run time that is lost when an attempt is stopped now.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -16,38 +16,21 @@
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
-// token is what this leader's commands carry.
-func (l *leader) token() uint64 { return lead.Token(l.term, 0) }
-
 // Report takes a worker's report. Only a node whose authority is certain
 // answers 200; any other answer would hold the worker while its lease runs out.
 func (c *Core) Report(now unit.Micros, req ReqID, r *fleet.Report) {
 	c.at(now)
-	l := c.leader
-	switch {
-	case l == nil && c.claim.Node != c.cfg.Node:
-		// A leader that seems dead is not named: its workers would wait for it.
-		to := c.claim.Node
-		if v := c.peers.views[to]; v == nil || !c.alive(v) || !v.status.Leading {
-			to = ""
-		}
-		c.reply(req, http.StatusMisdirectedRequest, Redirect{to})
-		return
-	case !c.Leading(now):
-		c.reply(req, http.StatusServiceUnavailable, Problem{"no authority at present"})
-		return
-	case r.Token > l.token():
-		c.reply(req, http.StatusMisdirectedRequest, Redirect{})
-		c.resign("a worker has seen a higher token", unit.Second)
+	bl := c.blockOf(req, r)
+	if bl == nil {
 		return
 	}
-	l.lastHeard = now
-	m := l.machines[r.Machine]
+	c.lastHeard = now
+	m := bl.machines[r.Machine]
 	if m == nil {
-		m = c.newMachine(l, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
-		delete(l.gone, r.Machine)
+		m = c.newMachine(bl, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot})
+		delete(bl.gone, r.Machine)
 	}
-	orders := Orders{Token: l.token()}
+	orders := Orders{Token: bl.token}
 	if !m.Newer(r) {
 		c.reply(req, http.StatusOK, orders) // late: nobody waits for this answer
 		return
@@ -55,7 +38,7 @@
 	if m.LastSeen == 0 {
 		m.IdleSince = now
 		if !m.Record.Up {
-			c.storeGroup(l, m.Group, true)
+			c.storeGroup(bl, m.Group, true)
 		}
 		c.log.Info("machine up", "machine", m.Name, "type", r.Type, "spot", r.Spot, "after_s", (now - m.Rented).Seconds())
 	}
@@ -66,27 +49,84 @@
 	} else {
 		m.Notice = unit.Never
 	}
-	if r.Token == l.token() {
+	if r.Token == bl.token {
 		// The worker has taken an answer of this term, so that it drops every
 		// answer of earlier ones: its list shows all that can be there. A report
 		// without our token proves nothing, as it may have been under way while
 		// an earlier leader started tasks.
-		orders.Commands = c.reconcile(l, m, r)
-		l.accounted(c, m)
+		orders.Commands = c.reconcile(bl, m, r)
+		bl.accounted(c, m)
 		if m.Notice != unit.Never {
-			orders.Commands = append(orders.Commands, c.rescue(l, m)...)
+			orders.Commands = append(orders.Commands, c.rescue(bl, m)...)
 		} else if m.Settled() {
-			orders.Commands = append(orders.Commands, c.fill(l, m)...)
-			orders.Commands = append(orders.Commands, c.preempt(l, m)...)
-			if len(m.Tasks) == 0 && len(r.Tasks) == 0 && len(orders.Commands) == 0 && len(l.held) < maxHeld {
-				l.held = append(l.held, heldReport{req, m, now + holdFor})
+			orders.Commands = append(orders.Commands, c.fill(bl, m)...)
+			orders.Commands = append(orders.Commands, c.preempt(bl, m)...)
+			if len(m.Tasks) == 0 && len(r.Tasks) == 0 && len(orders.Commands) == 0 && len(bl.held) < maxHeld {
+				bl.held = append(bl.held, heldReport{req, m, now + holdFor})
 				return
 			}
 		}
+	} else {
+		orders.Commands = c.stopForeign(bl, r)
 	}
 	c.reply(req, http.StatusOK, orders)
 }
 
+// blockOf finds the block that a machine belongs to. Where this node does not
+// hold it, or its authority is not certain, it answers and returns nil.
+func (c *Core) blockOf(req ReqID, r *fleet.Report) *block {
+	k, known := c.where[r.Machine]
+	if !known {
+		for _, n := range sortedBlocks(c.held) {
+			if c.held[n].machines[r.Machine] != nil {
+				k, known = n, true // rented, and about to be stored
+			}
+		}
+	}
+	bl := c.held[k] // what nobody knows belongs to the first block
+	if bl == nil {
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{c.holderOf(k)})
+		return nil
+	}
+	if !c.Holds(c.now, k) {
+		c.reply(req, http.StatusServiceUnavailable, Problem{"no authority at present"})
+		return nil
+	}
+	if r.Token > bl.token {
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{})
+		c.wantSync(nil)
+		return nil
+	}
+	if !known && bl.gone[r.Machine] == 0 {
+		// Whoever has rented it may not have stored that yet: it is adopted only
+		// when nobody has for a while.
+		since, seen := bl.strays[r.Machine]
+		if !seen && len(bl.strays) < maxStrays {
+			bl.strays[r.Machine], since = c.now, c.now
+		}
+		if !seen || c.now-since < strayAfter {
+			c.reply(req, http.StatusMisdirectedRequest, Redirect{})
+			return nil
+		}
+	}
+	delete(bl.strays, r.Machine)
+	return bl
+}
+
+// maxStrays bounds the unknown machines that are remembered.
+const maxStrays = 5000
+
+// holderOf returns the controller that workers of a block should report to. One
+// that seems dead is not named: the workers would wait for it.
+func (c *Core) holderOf(k int) string {
+	g := c.blocks[k]
+	v := c.peers.views[g.Node]
+	if g.Node == "" || v == nil || c.seatOf(g.Node) != g.Seat || !c.alive(v) && c.anyPeer() {
+		return ""
+	}
+	return g.Node
+}
+
 // heldReport is a report of an idle machine, kept unanswered for a moment so
 // that work which comes meanwhile starts at once. Nothing can change on such a
 // machine, and its lease counts from when the report was sent. The worker
@@ -102,39 +142,53 @@
 	maxHeld = 500
 )
 
+// stopForeign stops the tasks of other blocks' jobs that a machine reports. No
+// machine should have any; but should two holders ever take a machine for their
+// own, the one that it turns away from counts its tasks as gone when the lease
+// must have run out. So an answer that renews the lease must stop them.
+func (c *Core) stopForeign(bl *block, r *fleet.Report) []fleet.Command {
+	var out []fleet.Command
+	for _, t := range r.Tasks {
+		if j := c.jobs[t.ID.Job]; t.State != fleet.Exited && (j == nil || j.Record.Block != bl.n) {
+			out = append(out, fleet.Command{Op: fleet.Stop, ID: t.ID, Attempt: t.Attempt})
+		}
+	}
+	return out
+}
+
 // answerHeld gives new work to machines whose reports are held, the cheapest
 // first, and answers those that were held long enough.
-func (c *Core) answerHeld(l *leader) {
-	if len(l.held) == 0 || !l.auth.Valid(c.now) {
+func (c *Core) answerHeld(bl *block) {
+	if len(bl.held) == 0 {
 		return
 	}
-	if l.newWork {
-		c.rank(l)
+	if bl.newWork {
+		c.rank(bl)
 	}
-	fresh := l.heldStale && len(l.ranked) > 0
-	l.heldStale = false
+	fresh := bl.heldStale && len(bl.ranked) > 0
+	bl.heldStale = false
 	if fresh {
-		sort.SliceStable(l.held, func(a, b int) bool { return preferred(l.held[a].m, l.held[b].m) })
+		sort.SliceStable(bl.held, func(a, b int) bool { return preferred(bl.held[a].m, bl.held[b].m) })
 	}
-	kept := l.held[:0]
-	for _, h := range l.held {
+	kept := bl.held[:0]
+	for _, h := range bl.held {
 		var cmds []fleet.Command
 		if fresh && h.m.Settled() {
-			cmds = c.fill(l, h.m)
+			cmds = c.fill(bl, h.m)
 		}
 		if len(cmds) == 0 && c.now < h.until {
 			kept = append(kept, h)
 			continue
 		}
 		h.m.LeaseEnd = c.now + c.leaseBound()
-		c.reply(h.req, http.StatusOK, Orders{Token: l.token(), Commands: cmds})
+		c.reply(h.req, http.StatusOK, Orders{Token: bl.token, Commands: cmds})
 	}
-	l.held = kept
+	bl.held = kept
 }
 
 // rescue stops the tasks of a machine that the cloud is about to take, where
 // they cannot end before: they start elsewhere now, not when the loss is sure.
-func (c *Core) rescue(l *leader, m *fleet.Machine) []fleet.Command {
+func (c *Core) rescue(bl *block, m *fleet.Machine) []fleet.Command {
 	left := m.Notice - c.now
 	var out []fleet.Command
 	for _, id := range sortedTasks(m.Tasks) {
@@ -144,7 +198,7 @@
 			continue
 		}
 		s := j.Spec()
-		if !s.Service && l.runtime(s)-a.Ran(c.now) <= left {
+		if !s.Service && bl.runtime(s)-a.Ran(c.now) <= left {
 			continue
 		}
 		grace := unit.Micros(0)
@@ -167,7 +221,7 @@
 // A worker has one report in flight, and drops answers to reports it has given
 // up. So a start that was sent in an earlier answer and does not show in a
 // newer report was never carried out and never will be.
-func (c *Core) reconcile(l *leader, m *fleet.Machine, r *fleet.Report) []fleet.Command {
+func (c *Core) reconcile(bl *block, m *fleet.Machine, r *fleet.Report) []fleet.Command {
 	var forget, stop []fleet.Command
 	seen := make(map[ledger.TaskID]bool, len(r.Tasks))
 	var exited []fleet.Task
@@ -177,25 +231,25 @@
 			continue
 		}
 		seen[t.ID] = true
-		if c.onBoard(l, m, t) {
+		if c.onBoard(bl, m, t) {
 			stop = append(stop, fleet.Command{Op: fleet.Stop, ID: t.ID, Attempt: t.Attempt})
 		}
 	}
 	for _, t := range exited {
-		if c.exited(l, m, t) {
+		if c.exited(bl, m, t) {
 			forget = append(forget, fleet.Command{Op: fleet.Forget, ID: t.ID, Attempt: t.Attempt})
 		}
 	}
 	for _, id := range sortedTasks(m.Tasks) {
 		if !seen[id] {
-			c.taskGone(l, m, id)
+			c.taskGone(bl, m, id)
 		}
 	}
 	return append(forget, stop...)
 }
 
 // onBoard takes in a task that is on a machine, and reports whether it must stop.
-func (c *Core) onBoard(l *leader, m *fleet.Machine, t fleet.Task) bool {
+func (c *Core) onBoard(bl *block, m *fleet.Machine, t fleet.Task) bool {
 	j := c.jobs[t.ID.Job]
 	a, known := m.Tasks[t.ID]
 	if !known || a.Number != t.Attempt {
@@ -211,8 +265,8 @@
 	if t.State != fleet.Fetching && a.Live == 0 {
 		a.Live = c.now
 	}
-	c.taskOn(l, m, t.ID, a)
-	if j == nil || !j.Active() || t.ID.Task >= j.Record.Tasks {
+	c.taskOn(bl, m, t.ID, a)
+	if j == nil || !j.Active() || j.Record.Block != bl.n || t.ID.Task >= j.Record.Tasks {
 		return true
 	}
 	p, placed := j.Place(t.ID.Task)
@@ -238,18 +292,18 @@
 
 // exited takes in a task that has exited, and reports whether its machine may
 // forget it. A finished task is kept there until it is stored that it is done.
-func (c *Core) exited(l *leader, m *fleet.Machine, t fleet.Task) bool {
+func (c *Core) exited(bl *block, m *fleet.Machine, t fleet.Task) bool {
 	j := c.jobs[t.ID.Job]
 	if a, ok := m.Tasks[t.ID]; ok && a.Number == t.Attempt && j != nil && j.Active() && !j.IsFinished(t.ID.Task) {
 		switch t.Cause {
 		case fleet.Failed:
-			c.failed(l, m, j)
+			c.failed(bl, m, j)
 		case fleet.Unknown, fleet.NoRoom, fleet.Busy:
 			c.log.Warn("start refused", "task", t.ID.String(), "machine", m.Name, "cause", int(t.Cause))
 			j.NotBefore = max(j.NotBefore, c.now+unit.Second)
 		}
 	}
-	if t.Cause != fleet.Completed || j == nil || !j.Active() || t.ID.Task >= j.Record.Tasks {
+	if t.Cause != fleet.Completed || j == nil || !j.Active() || j.Record.Block != bl.n || t.ID.Task >= j.Record.Tasks {
 		return true
 	}
 	if j.IsStored(t.ID.Task) {
@@ -261,14 +315,14 @@
 		}
 		if a, ok := m.Tasks[t.ID]; ok && a.Live > 0 {
 			took := c.now - a.Live
-			l.learnRun(j.Spec(), took)
+			bl.learnRun(j.Spec(), took)
 			if m.Ran(took, j.MeanRun) {
 				c.log.Warn("machine is slow", "machine", m.Name)
 			}
 			j.Ran(took)
 		}
 		m.UseImage(j.Spec().Image)
-		c.finished(l, j, t.ID.Task)
+		c.finished(bl, j, t.ID.Task)
 	}
 	return false
 }
@@ -276,7 +330,7 @@
 // failed weighs who is to blame for a failed task: a job that has worked
 // elsewhere, or a second job failing here, speaks against the machine; a job
 // that has only ever failed, on several machines, speaks against itself.
-func (c *Core) failed(l *leader, m *fleet.Machine, j *ledger.Job) {
+func (c *Core) failed(bl *block, m *fleet.Machine, j *ledger.Job) {
 	j.Errors[m.Name]++
 	m.FailedAt = c.now
 	switch {
@@ -319,25 +373,25 @@
 
 // rank orders the jobs that have ready tasks by tier and distance from fair
 // share, and the machines that have free room by preference.
-func (c *Core) rank(l *leader) {
-	l.rankedAt, l.rankAt = c.now, c.now+rankEvery
-	l.heldStale = l.heldStale || l.newWork
-	l.newWork = false
-	if l.orderStale || l.within == nil {
-		c.sortJobs(l)
+func (c *Core) rank(bl *block) {
+	bl.rankedAt, bl.rankAt = c.now, c.now+rankEvery
+	bl.heldStale = bl.heldStale || bl.newWork
+	bl.newWork = false
+	if bl.orderStale || bl.within == nil {
+		c.sortJobs(bl)
 	}
-	l.ranked, l.roomy = l.ranked[:0], l.roomy[:0]
-	for _, j := range l.order {
-		if s := j.Spec(); s != nil && j.Ready() > 0 && !j.Held && c.now >= j.NotBefore {
-			tier := c.tier(l, j)*urgencies + c.urgency(l, j)
-			l.ranked = append(l.ranked, candidate{j, tier, c.deficit(l, j)})
+	bl.ranked, bl.roomy = bl.ranked[:0], bl.roomy[:0]
+	for _, j := range bl.order {
+		if s := j.Spec(); s != nil && j.Ready() > 0 && !j.Held && !j.Moving && c.now >= j.NotBefore {
+			tier := c.tier(bl, j)*urgencies + c.urgency(bl, j)
+			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
 		}
 	}
-	if len(l.ranked) == 0 {
+	if len(bl.ranked) == 0 {
 		return
 	}
-	sort.SliceStable(l.ranked, func(a, b int) bool {
-		x, y := l.ranked[a], l.ranked[b]
+	sort.SliceStable(bl.ranked, func(a, b int) bool {
+		x, y := bl.ranked[a], bl.ranked[b]
 		if x.tier != y.tier {
 			return x.tier > y.tier
 		}
@@ -346,36 +400,36 @@
 		}
 		return x.deficit > y.deficit
 	})
-	for _, m := range l.machines {
+	for _, m := range bl.machines {
 		if m.Settled() && m.Notice == unit.Never && c.now-m.LastSeen <= c.nextReport() && m.Free()[pack.CPU] > 0 {
-			l.roomy = append(l.roomy, m)
+			bl.roomy = append(bl.roomy, m)
 		}
 	}
-	sort.Slice(l.roomy, func(a, b int) bool { return preferred(l.roomy[a], l.roomy[b]) })
+	sort.Slice(bl.roomy, func(a, b int) bool { return preferred(bl.roomy[a], bl.roomy[b]) })
 }
 
 // deficit is how far a job is from its fair share.
-func (c *Core) deficit(l *leader, j *ledger.Job) float64 {
+func (c *Core) deficit(bl *block, j *ledger.Job) float64 {
 	s := j.Spec()
-	return l.share[s.Team] - pack.Dominant(l.total, s.Demand)*float64(j.Placed())
+	return bl.share[s.Team] - pack.Dominant(bl.total, s.Demand)*float64(j.Placed())
 }
 
 // fill starts tasks on a machine that has reported free room.
-func (c *Core) fill(l *leader, m *fleet.Machine) []fleet.Command {
-	if c.now >= l.rankAt || l.newWork && c.now >= l.rankedAt+rankGap {
-		c.rank(l)
+func (c *Core) fill(bl *block, m *fleet.Machine) []fleet.Command {
+	if c.now >= bl.rankAt || bl.newWork && c.now >= bl.rankedAt+rankGap {
+		c.rank(bl)
 	}
-	if len(l.ranked) == 0 {
+	if len(bl.ranked) == 0 {
 		return nil
 	}
 	free := m.Free()
-	elsewhere := l.preferredRoom(c, m)
+	elsewhere := bl.preferredRoom(c, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
-	for _, cand := range l.ranked {
+	for _, cand := range bl.ranked {
 		j := cand.job
 		s := j.Spec()
-		if s == nil || j.Ready() == 0 || j.Held || c.now < j.NotBefore ||
+		if s == nil || j.Ready() == 0 || j.Held || j.Moving || c.now < j.NotBefore ||
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
 			continue
 		}
@@ -390,8 +444,8 @@
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
 			Pending:  pending,
-			Work:     float64(j.Record.Tasks-j.Finished()) * l.runtime(s).Seconds(),
-			Deficit:  c.deficit(l, j),
+			Work:     float64(j.Record.Tasks-j.Finished()) * bl.runtime(s).Seconds(),
+			Deficit:  c.deficit(bl, j),
 			Tier:     2*cand.tier + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: j.FailsEverywhere(),
@@ -405,13 +459,13 @@
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if !c.permits(l, s) || !j.ZonePermits(m.Record.Zone) {
+		if !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
 			return false
 		}
-		l.attempts++
-		n := lead.Attempt(l.term, l.attempts)
+		bl.attempts++
+		n := lead.Attempt(bl.token, bl.attempts)
 		id := ledger.TaskID{Job: j.ID, Task: j.Take(ledger.Place{Machine: m.Name, Attempt: n, Zone: m.Record.Zone})}
-		c.taskOn(l, m, id, fleet.Attempt{Number: n, Team: s.Team, Demand: s.Demand, Started: c.now})
+		c.taskOn(bl, m, id, fleet.Attempt{Number: n, Team: s.Team, Demand: s.Demand, Started: c.now})
 		out = append(out, fleet.Command{Op: fleet.Start, ID: id, Attempt: n})
 		return true
 	})
@@ -420,26 +474,32 @@
 
 // permits reports whether a team's limit leaves room for one more task. Until
 // all machines are accounted for, those that are not may be full of its tasks.
-func (c *Core) permits(l *leader, s *ledger.Spec) bool {
+func (c *Core) permits(bl *block, s *ledger.Spec) bool {
 	t := c.teams[s.Team]
 	if t == nil {
 		return false
 	}
-	if l.hiddenStale {
-		l.hidden, l.untyped, l.hiddenStale = pack.Vec{}, false, false
-		for name := range l.unaccounted {
-			if m := l.machines[name]; m != nil && m.Type != nil {
-				l.hidden = l.hidden.Add(m.Type.Capacity)
+	if bl.hiddenStale {
+		bl.hidden, bl.untyped, bl.hiddenStale = pack.Vec{}, false, false
+		for name := range bl.unaccounted {
+			if m := bl.machines[name]; m != nil && m.Type != nil {
+				bl.hidden = bl.hidden.Add(m.Type.Capacity)
 			} else {
-				l.untyped = true
+				bl.untyped = true
 			}
 		}
 	}
-	if l.untyped && t.Limit != (pack.Vec{}) {
+	if bl.untyped && t.Limit != (pack.Vec{}) {
 		return false
 	}
-	use := l.usage[s.Team].Add(s.Demand).Add(l.hidden)
-	return withinLimit(t.Limit, use)
+	use := bl.usage[s.Team].Add(s.Demand).Add(bl.hidden)
+	limit := t.Limit
+	for i := range limit {
+		if part := int64(float64(limit[i]) * c.shares[bl.n].share); limit[i] > 0 {
+			limit[i] = max(part, 1) // 0 would mean no limit
+		}
+	}
+	return withinLimit(limit, use)
 }
 
 // teamShare is a team's fair share of the whole: by guarantee where there are
@@ -464,9 +524,9 @@
 // preferredRoom finds the free room that preferred machines are about to
 // report. Work that fits there waits for it, so that the others run empty and
 // can be returned.
-func (l *leader) preferredRoom(c *Core, m *fleet.Machine) *room {
+func (bl *block) preferredRoom(c *Core, m *fleet.Machine) *room {
 	r := &room{}
-	for _, x := range l.roomy {
+	for _, x := range bl.roomy {
 		if !preferred(x, m) || len(r.machines) == maxPreferred {
 			break
 		}
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
-	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -18,6 +18,7 @@
 // the request arrived. Requests that arrive together share one read.
 type syncState struct {
 	loaded    bool
+	loadedAt  unit.Micros
 	listing   bool
 	watching  bool
 	reading   bool
@@ -99,10 +100,7 @@
 		return
 	}
 	c.replica.Reload(rev, items)
-	if !s.loaded && c.claim.Node == "" {
-		c.stand.goneAt = now
-	}
-	s.loaded = true
+	s.loaded, s.loadedAt = true, now
 	c.log.Info("state loaded", "keys", len(items), "revision", rev)
 	c.wantSync(nil)
 	c.tickSync()
@@ -142,14 +140,13 @@
 	var err error
 	switch {
 	case e.Key == leadKey:
-		c.claim = lead.Claim{}
-		c.stand.goneAt = c.now
-		if e.Value != nil {
-			err = json.Unmarshal(e.Value, &c.claim)
-		}
-		if l := c.leader; l != nil && c.claim.Term != l.term {
-			c.resign("the claim is another's or gone", unit.Second/5)
-		}
+		err = c.learnClaim(e)
+	case strings.HasPrefix(e.Key, seatPrefix):
+		err = c.learnSeat(e.Key[len(seatPrefix):], e)
+	case strings.HasPrefix(e.Key, blockPrefix):
+		err = c.learnBlock(e)
+	case strings.HasPrefix(e.Key, sharePrefix):
+		err = c.learnShare(e)
 	case e.Key == termKey:
 		if e.Value != nil {
 			err = json.Unmarshal(e.Value, &c.term)
@@ -181,24 +178,40 @@
 		j = &ledger.Job{ID: id, Stamp: e.Stamp, Record: r}
 		c.jobs[id] = j
 		j.Clear()
-		if c.leader != nil {
-			j.Reset()
+		if !r.Status.Final() {
+			c.active[id] = j
+			c.joinBlock(j)
 		}
 	}
 	if r.Status.Final() {
-		if j.Active() && c.leader != nil {
-			c.leader.jobOver(c, j, r.Status)
+		if bl := c.held[j.Record.Block]; bl != nil && j.Active() {
+			bl.jobOver(c, j, r.Status)
 		}
+		delete(c.active, id)
 		j.Settle(r, e.Stamp)
-	} else {
-		j.Stamp = e.Stamp
-		if c.leader != nil {
-			c.leader.addJob(j)
+		return nil
+	}
+	j.Stamp = e.Stamp
+	if r.Block != j.Record.Block {
+		if bl := c.held[j.Record.Block]; bl != nil {
+			delete(bl.active, id)
+			bl.orderStale = true
 		}
+		j.Record.Block = r.Block
+		j.Clear()
+		c.joinBlock(j)
 	}
 	return nil
 }
 
+// joinBlock gives a job to its block, if this node holds that.
+func (c *Core) joinBlock(j *ledger.Job) {
+	if bl := c.held[j.Record.Block]; bl != nil && bl.ready {
+		j.Reset()
+		bl.addJob(j)
+	}
+}
+
 // finishedRecord is the stored form of one chunk of finished tasks.
 type finishedRecord struct {
 	Tasks string `json:"tasks"`
@@ -222,15 +235,27 @@
 }
 
 func (c *Core) learnMachines(key string, e store.Event) error {
-	if e.Value == nil {
+	if old, ok := c.groups[key]; ok {
 		delete(c.groups, key)
+		for _, n := range slices.Concat(old.Up, old.Booting) {
+			if c.where[n] == old.Block {
+				delete(c.where, n)
+			}
+		}
+	}
+	if e.Value == nil {
 		return nil
 	}
-	g, err := fleet.DecodeGroup(e.Value)
+	g, err := fleet.DecodeGroup(key[len(machPrefix):], e.Value)
 	if err != nil {
 		return err
 	}
 	c.groups[key] = g
+	for _, n := range slices.Concat(g.Up, g.Booting) {
+		if _, known := c.where[n]; !known || !isStray(key) {
+			c.where[n] = g.Block
+		}
+	}
 	return nil
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -26,7 +26,7 @@
 	a := JobAnswer{ID: j.ID, Status: j.Record.Status, Counts: counts, Done: j.Finished()}
 	if j.Active() {
 		a.Running = j.Live()
-		if a.Running > 0 || c.leader == nil && a.Done > 0 {
+		if a.Running > 0 || c.held[j.Record.Block] == nil && a.Done > 0 {
 			a.Status = ledger.Running
 		}
 	}
@@ -116,7 +116,8 @@
 // job is stored the user is told to ask again; asking again does no harm.
 func (c *Core) accept(req ReqID, id string, spec *ledger.Spec) {
 	key := jobPrefix + id
-	rec := ledger.Record{Status: ledger.Pending, Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
+	c.loads()
+	rec := ledger.Record{Status: ledger.Pending, Block: c.lightest(), Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
 	ok := c.lanes[UserLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key}},
 		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,8 +134,10 @@
 	case core.ReturnHosts:
 		go func() {
 			o := n.cloud.Return(e.Names)
-			n.tell(func(c *core.Core, now unit.Micros) { c.OnReturn(now, e.Names, o) })
+			n.tell(func(c *core.Core, now unit.Micros) { c.OnReturn(now, e, o) })
 		}()
+	case core.CloudShare:
+		n.cloud.SetPart(e.Part)
 	case core.ListHosts:
 		go func() {
 			o, hosts := n.cloud.List()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,7 +22,7 @@
 const (
 	// format is raised whenever messages change in a way that an older
 	// controller would misread; frames of another format are dropped.
-	format   = 2
+	format   = 3
 	maxFrame = 64 << 10
 
 	dialTimeout = time.Second
@@ -41,7 +41,7 @@
 }
 
 func init() {
-	for _, m := range []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerAsk{}, core.PeerAnswer{}} {
+	for _, m := range []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerRelease{}, core.PeerAsk{}, core.PeerAnswer{}} {
 		gob.Register(m)
 	}
 }
@@ -84,7 +84,7 @@
 		return "", nil, fmt.Errorf("%w: format %d", errFrame, f.Format)
 	}
 	switch f.Message.(type) {
-	case core.PeerStatus, core.PeerPromise, core.PeerPermitAsk, core.PeerPermit, core.PeerAsk, core.PeerAnswer:
+	case core.PeerStatus, core.PeerPromise, core.PeerPermitAsk, core.PeerPermit, core.PeerRelease, core.PeerAsk, core.PeerAnswer:
 		return f.From, f.Message, nil
 	}
 	return "", nil, fmt.Errorf("%w: message %T", errFrame, f.Message) // gob knows plain types too
