--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -106,7 +106,7 @@
 	IdleS        float64 `json:"idle_return_s"`   // idle time after which a machine is returned
 	DemandS      float64 `json:"demand_memory_s"` // time over which demand is averaged
 	WorthS       float64 `json:"worth_s"`         // work that must wait for each slot of a machine to be worth renting
-	BlockTasks   float64 `json:"block_tasks"`     // unfinished tasks that one block carries; 0: by the processor share
+	BlockSize    float64 `json:"block_machines"`  // machines that one block carries; 0: by the processor share and the sockets
 	RoundShare   float64 `json:"round_share"`     // share of a job's time that renting counts on for tasks one after the other
 }
 
@@ -211,7 +211,7 @@
 		{"tuning.idle_return_s", t.IdleS, 1, 3600},
 		{"tuning.demand_memory_s", t.DemandS, 1, 3600},
 		{"tuning.worth_s", t.WorthS, 1, 3600},
-		{"tuning.block_tasks", t.BlockTasks, 0, 1e9},
+		{"tuning.block_machines", t.BlockSize, 0, 1e9},
 		{"tuning.round_share", t.RoundShare, 0, 1},
 	}
 	for _, r := range ranges {
@@ -225,14 +225,17 @@
 // LeaseTime is how long a worker keeps its tasks without an answer.
 func (s *Settings) LeaseTime() unit.Micros { return unit.Seconds(s.Deployment.Workers.LeaseS) }
 
-// tasksPerCore is how many unfinished tasks a whole core could look after, see
-// docs/operations.md for what was measured.
-const tasksPerCore = 6000
+// reportsPerCore is how many reports a second a whole core could answer, with all
+// that goes with them; docs/operations.md has what was measured.
+const reportsPerCore = 3500
 
-// BlockTasks is the number of unfinished tasks that one block should carry.
-func (s *Settings) BlockTasks() int {
-	if n := s.Tuning.BlockTasks; n > 0 {
+// BlockMachines is the number of machines that one block should carry. A busy
+// machine reports about twice in a report's time: when that is over, and when a
+// task has ended or begun. Each keeps a connection, and users need some.
+func (s *Settings) BlockMachines() int {
+	if n := s.Tuning.BlockSize; n > 0 {
 		return int(n)
 	}
-	return max(1, int(tasksPerCore*s.Deployment.Quota.CPU))
+	d := s.Deployment
+	return int(min(reportsPerCore/2*d.Quota.CPU*d.Workers.ReportS, 0.85*float64(d.Quota.FDLimit)))
 }
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -351,7 +351,7 @@
 		if !j.Active() || j.Moving || !j.Movable() {
 			continue
 		}
-		w := workOf(j.Spec(), j.Record.Tasks-j.Finished())
+		w := workOf(j)
 		from, into := c.load[bl.n], c.load[to]
 		into.work += w
 		if !closed && c.weight(from) < unevenBy*c.weight(into) {
@@ -396,11 +396,7 @@
 // least work for its room among those that may use a part of the limits. Where
 // one block can carry all, that is the first.
 func (c *Core) lightest() int {
-	tasks := 0
-	for _, ld := range c.load {
-		tasks += ld.tasks
-	}
-	if tasks <= c.cfg.BlockTasks/2 {
+	if c.machines() <= c.cfg.BlockMachines/2 {
 		return 0
 	}
 	best := 0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,9 +50,10 @@
 	WriteRate   float64
 	Pack        pack.Params
 	Scale       scale.Params
-	BlockTasks  int     // unfinished tasks beyond which several blocks share the work
-	RoundShare  float64 // share of a job's time that renting counts on for tasks one after the other
-	Log         *slog.Logger
+	// BlockMachines is the number of machines beyond which several blocks share the work.
+	BlockMachines int
+	RoundShare    float64 // share of a job's time that renting counts on for tasks one after the other
+	Log           *slog.Logger
 }
 
 // ReqID names a request that waits for an answer.
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -35,3 +35,17 @@
 	}
 	return b.String()
 }
+
+// Leads reports whether this node leases blocks to the controllers.
+func (c *Core) Leads() bool { return c.leader != nil }
+
+// Placed counts the tasks that may be running on a held block's machines.
+func (c *Core) Placed(k int) int {
+	n := 0
+	if bl := c.held[k]; bl != nil {
+		for _, m := range bl.machines {
+			n += len(m.Tasks)
+		}
+	}
+	return n
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -8,6 +8,7 @@
 
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -203,17 +204,14 @@
 	}
 }
 
-// wantSpread reports whether there is more work than one block should carry.
-// It counts tasks, as what a controller has to do goes by them. Where a task
-// needs more of a limit than a part of it, the limit stays whole.
+// wantSpread reports whether there are more machines than one controller can
+// answer; they are rented as work asks for them. Where a task needs more of a
+// limit than a part of it, the limit stays whole.
 func (c *Core) wantSpread(l *leader) bool {
 	if c.cfg.Size == 1 {
 		return false
 	}
-	tasks, elsewhere := 0, false
-	for _, ld := range c.load {
-		tasks += ld.tasks
-	}
+	machines, elsewhere := c.machines(), false
 	for _, j := range c.active {
 		s := j.Spec()
 		if t := c.teams[s.Team]; t != nil {
@@ -227,12 +225,12 @@
 		}
 		elsewhere = elsewhere || j.Record.Block != 0
 	}
-	if tasks > c.cfg.BlockTasks {
+	if machines > c.cfg.BlockMachines {
 		l.calmAt = c.now
 		return true
 	}
 	open := l.spread || c.shares[1].share > 0 // an earlier leader's choice stands
-	if tasks > c.cfg.BlockTasks/2 || elsewhere {
+	if machines > c.cfg.BlockMachines/2 || elsewhere {
 		l.calmAt = c.now
 	}
 	return open && c.now-l.calmAt < spreadFor
@@ -382,29 +380,36 @@
 	c.load = make([]load, c.cfg.Size)
 	for _, j := range c.active {
 		if k := j.Record.Block; k < len(c.load) {
-			c.load[k].add(j)
+			c.load[k].work += workOf(j)
 		}
 	}
 	for _, g := range c.groups {
 		if t := c.types[g.Type]; t != nil && g.Block < len(c.load) {
-			c.load[g.Block].room += float64(t.Capacity[0]) * float64(len(g.Up)+len(g.Booting))
+			n := len(g.Up) + len(g.Booting)
+			c.load[g.Block].machines += n
+			c.load[g.Block].room += float64(t.Capacity[pack.CPU]) * float64(n)
 		}
 	}
 }
 
 // load is a block's unfinished work.
 type load struct {
-	tasks int
-	work  float64 // thousandths of a CPU times seconds
-	room  float64 // thousandths of a CPU of its machines
+	work     float64 // thousandths of a CPU times seconds
+	room     float64 // thousandths of a CPU of its machines
+	machines int
 }
 
-func (ld *load) add(j *ledger.Job) {
-	n := j.Record.Tasks - j.Finished()
-	ld.tasks += n
-	ld.work += workOf(j.Spec(), n)
+// machines counts the stored machines of all blocks.
+func (c *Core) machines() int {
+	n := 0
+	for _, ld := range c.load {
+		n += ld.machines
+	}
+	return n
 }
 
-func workOf(s *ledger.Spec, tasks int) float64 {
-	return float64(tasks) * float64(s.Demand[0]) * max(s.Estimate.Seconds(), 1)
+// workOf is the work that a job has left.
+func workOf(j *ledger.Job) float64 {
+	s := j.Spec()
+	return float64(j.Record.Tasks-j.Finished()) * float64(s.Demand[pack.CPU]) * max(s.Estimate.Seconds(), 1)
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -43,7 +43,7 @@
 func play(t *rapid.T, opt Options) *World {
 	opt.Seed = rapid.Uint64().Draw(t, "seed")
 	opt.Nodes = rapid.SampledFrom([]int{1, 2, 3, 3, 5}).Draw(t, "nodes")
-	opt.BlockTasks = rapid.SampledFrom([]int{1, 20, 1000}).Draw(t, "block_tasks")
+	opt.BlockMachines = rapid.SampledFrom([]int{0, 1, 4}).Draw(t, "block_machines")
 	w := New(opt)
 	for range rapid.IntRange(3, 14).Draw(t, "jobs") {
 		at := unit.Seconds(float64(rapid.IntRange(0, 60).Draw(t, "at")))
@@ -128,7 +128,7 @@
 
 // busy returns a world in which long tasks run on many machines.
 func busy(seed uint64, nodes int) *World {
-	w := New(Options{Seed: seed, Nodes: nodes, BlockTasks: 1000})
+	w := New(Options{Seed: seed, Nodes: nodes})
 	for range 4 {
 		w.Submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 8, Demand: pack.Vec{1000, 0, 2000},
 			AnyType: true, Spot: true, Image: "i", Estimate: 60 * second}, 100*second, 0)
@@ -278,3 +278,66 @@
 		t.Fatalf("not over: %v; %v\n%s", u, w.Violations, w.Explain("wk-000000"))
 	}
 }
+
+// spread returns a world with more machines than one block carries, in which
+// short tasks come and go in several blocks.
+func spread(seed uint64) *World {
+	w := New(Options{Seed: seed, Nodes: 3, BlockMachines: 2})
+	for i := range 40 {
+		w.Submit(unit.Micros(i)*2*second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 12, Demand: pack.Vec{2000, 0, 2000},
+			AnyType: true, Spot: true, Image: "i", Estimate: 5 * second}, 5*second, 0)
+	}
+	w.Run(40 * second)
+	return w
+}
+
+// TestBlocksShareWork shows that several controllers place tasks where there is
+// more than one block carries, within the limits (checked at every start).
+func TestBlocksShareWork(t *testing.T) {
+	w := spread(5)
+	who := map[string]bool{}
+	for k := range w.nodes {
+		if n := w.holder(k); n != nil && n.core.Placed(k) > 0 {
+			who[n.name] = true
+		}
+	}
+	if len(who) < 2 || len(w.Violations) > 0 {
+		t.Fatalf("%d controllers place tasks; %v", len(who), w.Violations)
+	}
+	w.Run(300 * second)
+	if u := w.Unfinished(); len(u) > 0 || len(w.Violations) > 0 {
+		t.Fatalf("not over: %v; %v", u, w.Violations)
+	}
+}
+
+// TestHoldersOutliveLeader ends the leader and keeps another controller from
+// following: the holders of other blocks go on starting tasks.
+func TestHoldersOutliveLeader(t *testing.T) {
+	w := spread(6)
+	var other *node
+	k := -1
+	for _, n := range w.nodes {
+		if n.core.Leads() {
+			n.crash()
+			continue
+		}
+		for b := range w.nodes {
+			if w.holder(b) == n && n.core.Placed(b) > 0 {
+				other, k = n, b
+			}
+		}
+	}
+	if other == nil {
+		t.Fatal("only the leader holds a block")
+	}
+	starts := w.Starts
+	w.Run(w.now + 1500*millis) // the leader's record still stands
+	for _, n := range w.nodes {
+		if n.life != 0 && n.core.Leads() {
+			t.Fatal("another leads before the lease has ended")
+		}
+	}
+	if w.holder(k) != other || w.Starts == starts || len(w.Violations) > 0 {
+		t.Fatalf("held by %v, %d starts; %v", w.holder(k), w.Starts-starts, w.Violations)
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -34,8 +35,8 @@
 	Nodes     int
 	Trouble   bool
 	TroubleTo unit.Micros // no new trouble after that
-	// BlockTasks is the number of unfinished tasks that one block carries.
-	BlockTasks int
+	// BlockMachines is the number of machines that one block carries; 0: any.
+	BlockMachines int
 	// Tamper, if set, changes reports on their way to a controller: it stands
 	// for a controller that does not see what it should.
 	Tamper func(*fleet.Report)
@@ -218,9 +219,9 @@
 		Node: n.name, Peers: peers, Size: n.w.opt.Nodes, Zones: []string{"a", "b"}, Teams: teams,
 		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, CancelIn: cancelIn, ListLag: 3 * second,
 		TxnOps: 8, ValueKB: 8, StateRate: 200, WriteRate: 100,
-		BlockTasks: max(n.w.opt.BlockTasks, 1),
-		Pack:       pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
-		Scale:      scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
+		BlockMachines: cmp.Or(n.w.opt.BlockMachines, 1000),
+		Pack:          pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
+		Scale:         scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
 	})
 	n.tick(n.life)
 }
