--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -163,8 +163,12 @@
 		need := needs[g]
 		need.Tasks += n
 		need.Running += j.Placed()
-		need.Waiting += bl.runtime(s) * unit.Micros(j.Ready())
-		need.Rest += bl.runtime(s) * unit.Micros(j.Placed()) / 2 // about half is still to do
+		need.Ready += j.Ready()
+		run := bl.runtime(s)
+		need.Waiting += run * unit.Micros(j.Ready())
+		if !s.Service {
+			need.Rate += float64(j.Placed()) / max(run.Seconds(), 1)
+		}
 		need.Total = need.Total.Add(v)
 		need.Types = names
 		needs[g] = need
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -27,14 +27,15 @@
 }
 
 // Need is how much work a group has: tasks that would run at once if there
-// were room, their demands added up, and the time that its waiting tasks and
-// the rest of its running ones will take, one after the other.
+// were room and their demands added up; those that wait and the time that they
+// will take, one after the other; and how many of those that run end in a second.
 type Need struct {
 	Tasks   int
 	Running int // tasks placed at present
+	Ready   int // tasks that wait
 	Total   pack.Vec
 	Waiting unit.Micros
-	Rest    unit.Micros
+	Rate    float64
 	Types   []string
 }
 
@@ -189,9 +190,7 @@
 		if g.Spot {
 			kind = 1
 		}
-		sums[kind].waiting += needs[g].Waiting.Seconds()
-		sums[kind].rest += needs[g].Rest.Seconds()
-		sums[kind].slots += wants - need
+		sums[kind].add(needs[g], wants-need)
 		if need < 0.5 {
 			continue
 		}
@@ -209,16 +208,28 @@
 	return rents, back
 }
 
-// backlog is the work of several groups and the slots that they have, all in
-// seconds and average tasks.
+// backlog is the waiting work of several groups and the slots that they have,
+// in average tasks.
 type backlog struct {
-	waiting, rest, slots float64
+	ready, work, running, rate, slots float64
 }
 
-// after is the work that will still wait after a time in which the slots first
-// end what they run.
+func (b *backlog) add(n Need, slots float64) {
+	b.ready += float64(n.Ready)
+	b.work += n.Waiting.Seconds()
+	b.running += float64(n.Running)
+	b.rate += n.Rate
+	b.slots += slots
+}
+
+// after is the work that will still wait after a time in which tasks that run
+// now end and make room, and slots that are empty or boot take what they can.
 func (b backlog) after(t float64) float64 {
-	return math.Max(0, b.waiting-math.Max(0, b.slots*t-b.rest))
+	n := b.ready - b.rate*t - math.Max(0, b.slots-b.running)
+	if n <= 0 {
+		return 0
+	}
+	return n * b.work / b.ready
 }
 
 // offer chooses the cheapest way to fill a shortfall, if any is worth it: by
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -21,7 +21,7 @@
 var knobs = Params{Memory: 30 * second, Worth: 20 * second, IdleReturn: 10 * second}
 
 func need(tasks int, run unit.Micros) Need {
-	return Need{Tasks: tasks, Total: pack.Vec{4_000, 0, 8_000}.Times(int64(tasks)), Waiting: run * unit.Micros(tasks), Types: []string{"big", "small"}}
+	return Need{Tasks: tasks, Ready: tasks, Total: pack.Vec{4_000, 0, 8_000}.Times(int64(tasks)), Waiting: run * unit.Micros(tasks), Types: []string{"big", "small"}}
 }
 
 // Work that may not use spot machines never gets one, spot work does as it is
@@ -56,13 +56,20 @@
 	}
 }
 
-// No machine is rented for work that will be done before it is up.
-func TestWorkSoonDone(t *testing.T) {
-	s := New(knobs)
+// No machine is rented for work that will have begun before it is up: what runs
+// ends all the while and makes room.
+func TestWorkSoonBegun(t *testing.T) {
 	have := []Machine{{Name: "m", Pool: Pool{"big", "a", false}, Booted: true, Age: 100 * second}}
-	rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: need(8, 2*second)}, have, types)
-	if len(rents) != 0 {
-		t.Fatalf("%+v", rents)
+	for _, c := range []struct {
+		run  unit.Micros
+		rent bool
+	}{{5 * second, false}, {200 * second, true}} {
+		n := need(12, c.run)
+		n.Running, n.Ready, n.Rate = 4, 8, 4/c.run.Seconds()
+		s := New(knobs)
+		if rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: n}, have, types); (len(rents) > 0) != c.rent {
+			t.Fatalf("run time %v: %+v", c.run.Seconds(), rents)
+		}
 	}
 }
 
