--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -110,7 +110,7 @@
 		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
 		CancelIn:  unit.Seconds(d.Workers.CancelS),
 		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
-		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, WriteRate: d.State.WriteRPS,
+		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, CloudRate: d.Cloud.RPS, WriteRate: d.State.WriteRPS,
 		Pack:          pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
 		Scale:         scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), Worth: unit.Seconds(t.WorthS), IdleReturn: unit.Seconds(t.IdleS)},
 		BlockMachines: s.BlockMachines(), RoundShare: t.RoundShare,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -112,7 +112,7 @@
 
 // DefaultTuning returns the knobs' defaults.
 func DefaultTuning() Tuning {
-	return Tuning{Fairness: 0.25, EpsilonScale: 3, ImagePenalty: 0.1, LeaseS: 2, SpareShare: 0, IdleS: 5, DemandS: 15, WorthS: 20, RoundShare: 0.5}
+	return Tuning{Fairness: 0.25, EpsilonScale: 3, ImagePenalty: 0.5, LeaseS: 2, SpareShare: 0, IdleS: 5, DemandS: 15, WorthS: 20, RoundShare: 0.5}
 }
 
 // Load reads and checks a settings file.
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -812,12 +812,7 @@
 	}
 	rents, back := bl.scaler.Plan(c.now, needs, ms, c.types)
 	if bl.renting == 0 {
-		for _, r := range rents {
-			bl.requests++
-			bl.renting++
-			// A name that no other grant uses: names must never come again.
-			c.emit(RentHosts{Block: bl.n, Grant: bl.grant, Request: fmt.Sprintf("r-%d-%d", bl.token, bl.requests), Rent: r})
-		}
+		c.rent(bl, rents)
 	}
 	for _, name := range sortedKeys(bl.machines) {
 		m := bl.machines[name]
@@ -839,6 +834,29 @@
 	bl.leaving = append(bl.leaving, back...)
 }
 
+// rent asks for machines in as many requests as the cloud takes in a second, a
+// part of them for each of the offers.
+func (c *Core) rent(bl *block, rents []scale.Rent) {
+	if len(rents) == 0 {
+		return
+	}
+	each := max(1, int(c.cfg.CloudRate*c.cloudPart/2)/len(rents))
+	for _, r := range rents {
+		left := r.Count
+		for range each {
+			if left <= 0 {
+				break
+			}
+			r.Count = min(left, fleet.MaxGroup)
+			left -= r.Count
+			bl.requests++
+			bl.renting++
+			// A name that no other grant uses: names must never come again.
+			c.emit(RentHosts{Block: bl.n, Grant: bl.grant, Request: fmt.Sprintf("r-%d-%d", bl.token, bl.requests), Rent: r})
+		}
+	}
+}
+
 func poolOf(m *fleet.Machine) scale.Pool {
 	return scale.Pool{Type: m.Record.Type, Zone: m.Record.Zone, Spot: m.Record.Spot}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,6 +47,7 @@
 	TxnOps      int
 	ValueKB     float64
 	StateRate   float64
+	CloudRate   float64
 	WriteRate   float64
 	Pack        pack.Params
 	Scale       scale.Params
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -59,7 +59,7 @@
 	IdleReturn unit.Micros
 }
 
-// Rent asks for machines of one pool.
+// Rent asks for machines of one pool, however many that takes.
 type Rent struct {
 	Pool  Pool
 	Count int
@@ -277,7 +277,7 @@
 				}
 				count := max(int(math.Ceil(want/each-0.05)), 1)
 				if cost := float64(count) * t.Rate(spot) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
-					best, bestCost = Rent{p, min(count, 50)}, cost
+					best, bestCost = Rent{p, count}, cost
 				}
 			}
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -218,7 +218,7 @@
 	n.core = core.New(core.Config{
 		Node: n.name, Peers: peers, Size: n.w.opt.Nodes, Zones: []string{"a", "b"}, Teams: teams,
 		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, CancelIn: cancelIn, ListLag: 3 * second,
-		TxnOps: 8, ValueKB: 8, StateRate: 200, WriteRate: 100,
+		TxnOps: 8, ValueKB: 8, StateRate: 200, CloudRate: 5, WriteRate: 100,
 		BlockMachines: cmp.Or(n.w.opt.BlockMachines, 1000),
 		Pack:          pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
 		Scale:         scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
