--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -208,7 +208,9 @@
 func (bl *block) jobOver(c *Core, j *ledger.Job, s ledger.Status) {
 	delete(bl.active, j.ID)
 	bl.orderStale = true
-	c.log.Info("job over", "job", j.ID, "status", s)
+	spec := j.Spec()
+	c.log.Info("job over", "job", j.ID, "status", s, "class", spec.Class, "tasks", spec.Tasks,
+		"took_s", (c.wall - j.Record.Submitted).Seconds(), "deadline_s", spec.Deadline.Seconds())
 }
 
 func sortBySubmission(js []*ledger.Job) {
