--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -118,7 +118,7 @@
 		for _, id := range sortedKeys(c.active) {
 			if j := c.active[id]; j.Record.Block == bl.n {
 				j.Reset()
-				bl.addJob(c, j)
+				bl.addJob(j)
 				// One that was never in progress has nothing running anywhere, but
 				// only its holder knew: see docs/design.md.
 				j.Held = len(bl.unaccounted) > 0
@@ -195,12 +195,11 @@
 	return bl != nil && bl.ready && !bl.free && c.valid(now)
 }
 
-func (bl *block) addJob(c *Core, j *ledger.Job) {
+func (bl *block) addJob(j *ledger.Job) {
 	if bl.active == nil || bl.active[j.ID] == j {
 		return // not built yet, or known
 	}
 	bl.active[j.ID] = j
-	bl.scaler.Arrived(c.now, j.Spec().Class, j.Record.Tasks-j.Finished(), c.wall-j.Record.Submitted)
 	bl.orderStale, bl.newWork = true, true
 }
 
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -70,34 +70,6 @@
 	p       Params
 	usual   map[Group]*usual
 	refused map[Pool]refusal
-	flows   map[string]*flow // by class
-}
-
-// flow is how many tasks of a class arrive in a second, on average.
-type flow struct {
-	rate float64
-	at   unit.Micros
-}
-
-// flowMemory is the time over which arrivals are averaged: several times as
-// long as machines boot, so that one large job is not taken for a rise.
-const flowMemory = 60 * unit.Second
-
-// now brings the average up to date.
-func (f *flow) now(now unit.Micros) float64 {
-	f.rate *= math.Exp(-float64(now-f.at) / float64(flowMemory))
-	f.at = now
-	return f.rate
-}
-
-// Arrived records a job's tasks; age is the time since they arrived.
-func (s *Scaler) Arrived(now unit.Micros, class string, tasks int, age unit.Micros) {
-	f := s.flows[class]
-	if f == nil {
-		f = &flow{at: now}
-		s.flows[class] = f
-	}
-	f.rate = f.now(now) + float64(tasks)/flowMemory.Seconds()*math.Exp(-float64(max(age, 0))/float64(flowMemory))
 }
 
 // usual is what a group has needed lately.
@@ -115,7 +87,7 @@
 
 // New returns a scaler without memory.
 func New(p Params) *Scaler {
-	return &Scaler{p: p, usual: map[Group]*usual{}, refused: map[Pool]refusal{}, flows: map[string]*flow{}}
+	return &Scaler{p: p, usual: map[Group]*usual{}, refused: map[Pool]refusal{}}
 }
 
 // Refused records that the cloud has no more of a pool; granted clears it.
@@ -191,7 +163,6 @@
 		return x.Name < y.Name
 	})
 	var rents []Rent
-	counted := map[string]bool{}
 	var sums [2]backlog // of all groups so far, by whether they may use spot
 	for _, g := range groups {
 		us := s.usual[g]
@@ -220,10 +191,6 @@
 			kind = 1
 		}
 		sums[kind].add(needs[g], wants-need)
-		if f := s.flows[g.Class]; f != nil && needs[g].Tasks > 0 && !counted[g.Class] {
-			counted[g.Class] = true
-			sums[kind].rate -= f.now(now)
-		}
 		if need < 0.5 {
 			continue
 		}
@@ -242,7 +209,7 @@
 }
 
 // backlog is the waiting work of several groups and the slots that they have,
-// in average tasks. rate is how many more end than arrive in a second.
+// in average tasks.
 type backlog struct {
 	ready, work, running, rate, slots float64
 }
@@ -255,13 +222,9 @@
 	b.slots += slots
 }
 
-// after is the work that will wait after a time in which tasks that run now end
-// and make room, others arrive, and slots that are empty or boot take what they
-// can.
+// after is the work that will still wait after a time in which tasks that run
+// now end and make room, and slots that are empty or boot take what they can.
 func (b backlog) after(t float64) float64 {
-	if b.ready == 0 {
-		return 0
-	}
 	n := b.ready - b.rate*t - math.Max(0, b.slots-b.running)
 	if n <= 0 {
 		return 0
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -208,7 +208,7 @@
 func (c *Core) joinBlock(j *ledger.Job) {
 	if bl := c.held[j.Record.Block]; bl != nil && bl.ready {
 		j.Reset()
-		bl.addJob(c, j)
+		bl.addJob(j)
 	}
 }
 
