A new holder gives up the last few silent machines early, and rents before all are heard

Cause of this one: after each takeover all work accepted earlier waited 8 s (quito) and 14.5 s (regina) for a handful of dead machines among hundreds, and nothing was rented meanwhile. Now at most one in fifty is given up once every living machine must have reported.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -485,11 +485,25 @@
 	for _, m := range expired {
 		c.lost(bl, m)
 	}
+	if n := len(bl.unaccounted); n > 0 && n <= fewOf(len(bl.machines)) && c.now-bl.began > c.nextReport()+unit.Second {
+		// All work accepted earlier waits for these few. Most likely they are
+		// gone: what they may hold is worth less than what waits.
+		for _, name := range sortedKeys(bl.unaccounted) {
+			if m := bl.machines[name]; m != nil && !m.Leaving && m.LastSeen == 0 {
+				c.log.Warn("machine silent since the block was taken over", "machine", name)
+				m.Leaving = true
+				bl.leaving = append(bl.leaving, name)
+			}
+		}
+	}
 	if c.now >= bl.cloudWait {
 		c.dropSilent(bl, silent, heard)
 	}
 }
 
+// fewOf is how many machines may be given up early, as a part of all.
+func fewOf(n int) int { return max(1, n/50) }
+
 // dropSilent returns machines that have gone silent: once the cloud has said
 // that they are gone their tasks may start elsewhere, long before their lease
 // would have run out. A machine whose notice has run out is expected to be
@@ -796,7 +810,7 @@
 
 // plan rents and returns machines.
 func (c *Core) plan(bl *block) {
-	if len(bl.unaccounted) > 0 && c.now < bl.began+c.leaseBound() {
+	if len(bl.unaccounted) > fewOf(len(bl.machines)) && c.now < bl.began+c.leaseBound() {
 		return // what runs, and so what is needed, is not known yet
 	}
 	needs := c.needs(bl)
