--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -3,6 +3,8 @@
 package lead
 
 import (
+	"encoding/json"
+
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -35,6 +37,20 @@
 	Seat   uint64 `json:"seat,omitempty"`
 }
 
+// DecodeBlock reads a stored block. Releases before 0.2 named its controller
+// otherwise and knew no seats: it is taken as held by a seat that nobody has.
+func DecodeBlock(b []byte) (Block, error) {
+	var v struct {
+		Block
+		Controller string `json:"controller"`
+	}
+	err := json.Unmarshal(b, &v)
+	if v.Node == "" {
+		v.Node = v.Controller
+	}
+	return v.Block, err
+}
+
 // Share is the part of every team's limit that a block may use. All shares
 // together are never more than 1, see docs/design.md.
 type Share struct {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -114,10 +114,9 @@
 
 func (c *Core) learnBlock(e store.Event) error {
 	k := blockNumber(e.Key, blockPrefix)
-	var b lead.Block
 	if e.Value == nil || k < 0 {
 		delete(c.blocks, k)
-	} else if err := json.Unmarshal(e.Value, &b); err != nil {
+	} else if b, err := lead.DecodeBlock(e.Value); err != nil {
 		return err
 	} else {
 		c.blocks[k] = granted{b, e.Stamp}
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -205,7 +205,7 @@
 		c.seats[node] = v
 	}
 	switch {
-	case v.id == id:
+	case v.id != 0 && v.id == id:
 		return false
 	case v.id != 0:
 		return true // the controller has given it up, or its process has ended
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -341,3 +342,36 @@
 		t.Fatalf("held by %v, %d starts; %v", w.holder(k), w.Starts-starts, w.Violations)
 	}
 }
+
+// TestOlderReleaseBlock finds the block of a controller of release 0.1, which
+// took no seat and may go on by promises that this release cannot ask about. It
+// is granted only when those must have run out, and machines stored one by one
+// are accounted for first.
+func TestOlderReleaseBlock(t *testing.T) {
+	w := New(Options{Seed: 7, Nodes: 3})
+	for k, v := range map[string]string{
+		"shalestage/block/0":        `{"term":3,"number":0,"controller":"node-9","machines":["*"],"jobs":["*"],"limit_share":1}`,
+		"shalestage/term":           `{"term":3,"node":"node-9"}`,
+		"shalestage/machine/n-9000": `{"type":"big","zone":"a","spot":false,"up":true}`,
+	} {
+		w.state.rev++
+		w.state.keys[k] = item{value: json.RawMessage(v), stamp: w.state.rev}
+	}
+	w.Submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 4, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Spot: true, Image: "i",
+		Estimate: second}, second, 0)
+	w.Run(cancelIn - lease - 3*second)
+	if n := w.holder(0); n != nil {
+		t.Fatalf("%s holds the block while its holder may still place", n.name)
+	}
+	w.Run(cancelIn - 2*second)
+	if w.holder(0) == nil {
+		t.Fatal("nobody holds the block")
+	}
+	if w.Starts > 0 {
+		t.Fatal("work started before the stored machine was accounted for")
+	}
+	w.Run(120 * second)
+	if u := w.Unfinished(); len(u) > 0 || len(w.Violations) > 0 {
+		t.Fatalf("not over: %v; %v", u, w.Violations)
+	}
+}
