--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -83,6 +83,7 @@
 const (
 	tooLate = iota
 	laterAim
+	easyAim
 	firstAim
 	urgencies
 )
@@ -92,8 +93,10 @@
 	s := j.Spec()
 	ends := c.wall - j.Record.Submitted + bl.runtime(s)
 	aims, missed := 0, 0
+	first := unit.Never
 	aim := func(t unit.Micros) {
 		aims++
+		first = min(first, t)
 		if ends > t {
 			missed++
 		}
@@ -115,6 +118,8 @@
 		aim(s.Deadline)
 	}
 	switch {
+	case missed == 0 && aims > 0 && first-ends > first/2:
+		return easyAim
 	case missed == 0:
 		return firstAim
 	case missed < aims:
