--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -502,7 +502,7 @@
 }
 
 // fewOf is how many machines may be given up early, as a part of all.
-func fewOf(n int) int { return max(1, n/50) }
+func fewOf(n int) int { return max(1, n/20) }
 
 // dropSilent returns machines that have gone silent: once the cloud has said
 // that they are gone their tasks may start elsewhere, long before their lease
