--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"math"
 	"slices"
 	"strconv"
 
@@ -26,6 +27,8 @@
 	calmAt  unit.Micros // since when one block would do
 	claims  map[int]claimed
 	moveAt  unit.Micros // blocks are not moved between living controllers before
+	targets []float64   // shares that the blocks should have
+	aimAt   unit.Micros // targets do not change before
 }
 
 // claimed is the largest part of a limit that a block may be using, as its
@@ -286,6 +289,7 @@
 			l.claim(c, k, c.shares[k].stamp, c.useOf(bl))
 		}
 	}
+	targets := l.aim(c, open)
 	var lower, raise []store.Change
 	var guards []store.Guard
 	sum, certain := 0.0, true
@@ -298,10 +302,7 @@
 			continue
 		}
 		guards = append(guards, store.Guard{Key: shareKey(k), Stamp: s.stamp})
-		target := 0.0
-		if k < open {
-			target = 1 / float64(open)
-		}
+		target := targets[k]
 		use, known := l.claims[k]
 		certain = certain && known && use.share == s.stamp
 		sum += max(target, use.use)
@@ -323,6 +324,46 @@
 	return len(raise) > 0
 }
 
+const (
+	// aimEvery is the least time between two divisions of the limits, and
+	// aimMoves the part of a limit that must be at stake.
+	aimEvery = 10 * unit.Second
+	aimMoves = 0.04
+)
+
+// aim returns the shares that the blocks should have: by the room of their
+// machines, as that is what they can use of the limits, but never next to
+// nothing, so that a small block can grow.
+func (l *leader) aim(c *Core, open int) []float64 {
+	targets := make([]float64, c.cfg.Size)
+	if open == 1 {
+		targets[0] = 1
+	} else {
+		room := 1.0
+		for k := range open {
+			room += c.load[k].room
+		}
+		least := room / float64(4*open)
+		sum := 0.0
+		for k := range open {
+			targets[k] = max(c.load[k].room, least)
+			sum += targets[k]
+		}
+		for k := range open {
+			targets[k] /= sum
+		}
+	}
+	moved, closed := 0.0, len(l.targets) == 0
+	for k := range l.targets {
+		moved = max(moved, math.Abs(targets[k]-l.targets[k]))
+		closed = closed || (targets[k] == 0) != (l.targets[k] == 0)
+	}
+	if closed || moved > aimMoves && c.now >= l.aimAt {
+		l.targets, l.aimAt = targets, c.now+aimEvery
+	}
+	return l.targets
+}
+
 // claim takes a holder's report of what its block uses.
 func (l *leader) claim(c *Core, k int, share uint64, use float64) {
 	old, ok := l.claims[k]
