--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -80,7 +80,7 @@
 }
 
 // queueMemory is how far back waiting tasks are remembered.
-const queueMemory = 5 * 60 * unit.Second
+const queueMemory = 2 * 60 * unit.Second
 
 // watch remembers how many tasks wait.
 func (s *Scaler) watch(now unit.Micros, needs map[Group]Need) {
@@ -268,8 +268,7 @@
 
 // after is the work that will still wait after a time in which tasks that run
 // now end and make room, and slots that are empty or boot take what they can.
-// standing is a queue that has not drained for so long that a machine would have
-// been up and have worked off its least charge: that is taken to go on.
+// standing is a queue that has not drained for as long: that will go on.
 func (b backlog) after(t, standing float64) float64 {
 	if b.ready == 0 {
 		return 0
@@ -305,7 +304,7 @@
 		}
 		boot := t.Boot.Seconds()
 		// Room below what is usual will find work; room above it must find it waiting.
-		ahead := b.after(boot, s.standing(kindOf(g), now, t.Boot+leastCharge)) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
+		ahead := b.after(boot, s.standing(kindOf(g), now, t.Boot)) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
