--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -70,52 +70,6 @@
 	p       Params
 	usual   map[Group]*usual
 	refused map[Pool]refusal
-	queues  [2][]sample // tasks that waited lately, by whether they may use spot
-}
-
-// sample is how many tasks waited at a time.
-type sample struct {
-	at    unit.Micros
-	ready float64
-}
-
-// queueMemory is how far back waiting tasks are remembered.
-const queueMemory = 2 * 60 * unit.Second
-
-// watch remembers how many tasks wait.
-func (s *Scaler) watch(now unit.Micros, needs map[Group]Need) {
-	var ready [2]float64
-	for g, n := range needs {
-		ready[kindOf(g)] += float64(n.Ready)
-	}
-	for k := range s.queues {
-		q := append(s.queues[k], sample{now, ready[k]})
-		for now-q[0].at > queueMemory {
-			q = q[1:]
-		}
-		s.queues[k] = q
-	}
-}
-
-// standing is the least number of tasks that waited at any time of the last
-// while: a queue that does not drain, whatever ends and arrives.
-func (s *Scaler) standing(kind int, now, last unit.Micros) float64 {
-	q := s.queues[kind]
-	if len(q) == 0 || now-q[0].at < last {
-		return 0
-	}
-	least := q[len(q)-1].ready
-	for i := len(q) - 1; i >= 0 && now-q[i].at <= last; i-- {
-		least = math.Min(least, q[i].ready)
-	}
-	return least
-}
-
-func kindOf(g Group) int {
-	if g.Spot {
-		return 1
-	}
-	return 0
 }
 
 // usual is what a group has needed lately.
@@ -165,7 +119,6 @@
 // Plan returns what to rent and what to return, given all work at hand.
 func (s *Scaler) Plan(now unit.Micros, needs map[Group]Need, machines []Machine, types map[string]*fleet.Type) ([]Rent, []string) {
 	s.remember(now, needs)
-	s.watch(now, needs)
 	groups := make([]Group, 0, len(s.usual))
 	for g := range s.usual {
 		groups = append(groups, g)
@@ -233,7 +186,10 @@
 				left[i][r] -= int64(n * us.avg[r])
 			}
 		}
-		kind := kindOf(g)
+		kind := 0
+		if g.Spot {
+			kind = 1
+		}
 		sums[kind].add(needs[g], wants-need)
 		if need < 0.5 {
 			continue
@@ -268,13 +224,12 @@
 
 // after is the work that will still wait after a time in which tasks that run
 // now end and make room, and slots that are empty or boot take what they can.
-// standing is a queue that has not drained for as long: that will go on.
-func (b backlog) after(t, standing float64) float64 {
-	if b.ready == 0 {
+func (b backlog) after(t float64) float64 {
+	n := b.ready - b.rate*t - math.Max(0, b.slots-b.running)
+	if n <= 0 {
 		return 0
 	}
-	n := math.Max(b.ready-b.rate*t, math.Min(standing, b.ready)) - math.Max(0, b.slots-b.running)
-	return math.Max(0, n) * b.work / b.ready
+	return n * b.work / b.ready
 }
 
 // offer chooses the cheapest way to fill a shortfall, if any is worth it: by
@@ -304,7 +259,7 @@
 		}
 		boot := t.Boot.Seconds()
 		// Room below what is usual will find work; room above it must find it waiting.
-		ahead := b.after(boot, s.standing(kindOf(g), now, t.Boot)) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
+		ahead := b.after(boot) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -73,31 +73,6 @@
 	}
 }
 
-// Work that comes as fast as it ends waits for ever. The first moment does not
-// tell that from work that will soon have begun; a queue that stands for as long
-// as a machine boots does.
-func TestStandingQueue(t *testing.T) {
-	have := []Machine{{Name: "m", Pool: Pool{"big", "a", false}, Booted: true, Age: 100 * second}}
-	busy, calm := need(44, 5*second), need(4, 5*second)
-	busy.Running, busy.Ready, busy.Rate = 4, 40, 8
-	calm.Running, calm.Ready, calm.Rate = 4, 0, 8
-	for _, drains := range []bool{true, false} {
-		s := New(knobs)
-		rented := 0
-		for i := range unit.Micros(60) {
-			n := busy
-			if drains && i%8 == 7 {
-				n = calm
-			}
-			rents, _ := s.Plan(i*second, map[Group]Need{{Class: "x"}: n}, have, types)
-			rented += len(rents)
-		}
-		if (rented == 0) != drains {
-			t.Fatalf("queue drains now and then: %v; rented %d times", drains, rented)
-		}
-	}
-}
-
 // A machine that has not been paid for in full, that is booting, busy or
 // needed is never returned; nor is any rented of a pool that cannot serve.
 func TestPlanInvariants(t *testing.T) {
