--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -106,6 +106,8 @@
 			continue
 		}
 		switch o.Kind {
+		case "wait":
+			first = 0 // its tasks should start soon: no time to spare
 		case "finished":
 			aim(o.Within)
 		case "deadline":
