--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"math"
 	"slices"
 	"strconv"
@@ -107,17 +108,33 @@
 	return err
 }
 
-func blockNumber(key, prefix string) int {
+// maxBlocks bounds the numbers of blocks, far above any number of controllers.
+const maxBlocks = 1024
+
+func blockNumber(key, prefix string) (int, error) {
 	n, err := strconv.Atoi(key[len(prefix):])
-	if err != nil || n < 0 {
-		return -1
+	if err == nil && (n < 0 || n >= maxBlocks) {
+		err = errors.New("no such block")
+	}
+	return n, err
+}
+
+// blockCount is the number of blocks there may be: one for each controller, and
+// those of a time when there were more controllers.
+func (c *Core) blockCount() int {
+	n := c.cfg.Size
+	for k := range c.blocks {
+		n = max(n, k+1)
 	}
 	return n
 }
 
 func (c *Core) learnBlock(e store.Event) error {
-	k := blockNumber(e.Key, blockPrefix)
-	if e.Value == nil || k < 0 {
+	k, err := blockNumber(e.Key, blockPrefix)
+	if err != nil {
+		return err
+	}
+	if e.Value == nil {
 		delete(c.blocks, k)
 	} else if b, err := lead.DecodeBlock(e.Value); err != nil {
 		return err
@@ -134,9 +151,12 @@
 }
 
 func (c *Core) learnShare(e store.Event) error {
-	k := blockNumber(e.Key, sharePrefix)
+	k, err := blockNumber(e.Key, sharePrefix)
+	if err != nil {
+		return err
+	}
 	var s lead.Share
-	if e.Value == nil || k < 0 {
+	if e.Value == nil {
 		delete(c.shares, k)
 		return nil
 	}
@@ -173,7 +193,7 @@
 	var guards []store.Guard
 	var changes []store.Change
 	extra := map[string]int{}
-	for k := range c.cfg.Size {
+	for k := range c.blockCount() {
 		g, known := c.blocks[k]
 		if !known && k >= open || known && g.Node != "" && !c.ended(g.Node, g.Seat) {
 			continue
@@ -293,7 +313,7 @@
 	var lower, raise []store.Change
 	var guards []store.Guard
 	sum, certain := 0.0, true
-	for k := range c.cfg.Size {
+	for k := range c.blockCount() {
 		s, ok := c.shares[k]
 		if !ok {
 			if k < open {
@@ -335,7 +355,7 @@
 // machines, as that is what they can use of the limits, but never next to
 // nothing, so that a small block can grow.
 func (l *leader) aim(c *Core, open int) []float64 {
-	targets := make([]float64, c.cfg.Size)
+	targets := make([]float64, c.blockCount())
 	if open == 1 {
 		targets[0] = 1
 	} else {
@@ -353,10 +373,10 @@
 			targets[k] /= sum
 		}
 	}
-	moved, closed := 0.0, len(l.targets) == 0
-	for k := range l.targets {
+	moved, closed := 0.0, len(l.targets) != len(targets)
+	for k := 0; k < len(l.targets) && !closed; k++ {
 		moved = max(moved, math.Abs(targets[k]-l.targets[k]))
-		closed = closed || (targets[k] == 0) != (l.targets[k] == 0)
+		closed = (targets[k] == 0) != (l.targets[k] == 0)
 	}
 	if closed || moved > aimMoves && c.now >= l.aimAt {
 		l.targets, l.aimAt = targets, c.now+aimEvery
@@ -382,7 +402,7 @@
 		return
 	}
 	held := map[string][]int{}
-	for k := range c.cfg.Size {
+	for k := range c.blockCount() {
 		if g, ok := c.blocks[k]; ok && g.Node != "" {
 			held[g.Node] = append(held[g.Node], k)
 		}
@@ -413,11 +433,11 @@
 
 // loads adds up the unfinished work of each block.
 func (c *Core) loads() {
-	if c.now < c.loadAt {
+	if c.now < c.loadAt && len(c.load) == c.blockCount() {
 		return
 	}
 	c.loadAt = c.now + unit.Second/4
-	c.load = make([]load, c.cfg.Size)
+	c.load = make([]load, c.blockCount())
 	for _, j := range c.active {
 		if k := j.Record.Block; k < len(c.load) {
 			c.load[k].work += workOf(j)
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -230,6 +230,9 @@
 
 // permitAsked answers a controller that wants to give away what a seat holds.
 func (c *Core) permitAsked(from string, m PeerPermitAsk) {
+	if m.Node != c.cfg.Node && c.peers.views[m.Node] == nil {
+		return // no controller: whoever asks waits until its time is over
+	}
 	if m.Node == c.cfg.Node && m.Seat == c.seat.id {
 		if c.seat.id == 0 || c.valid(c.now) {
 			return
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -375,3 +376,43 @@
 		t.Fatalf("not over: %v; %v", u, w.Violations)
 	}
 }
+
+// TestBadPeerMessages gives controllers messages about leases that are malformed,
+// old, repeated or about nothing that there is: they change nothing.
+func TestBadPeerMessages(t *testing.T) {
+	w := spread(8)
+	var before []*node
+	for k := range w.nodes {
+		before = append(before, w.holder(k))
+	}
+	if before[0] == nil || before[1] == nil {
+		t.Fatal("blocks without a holder")
+	}
+	for _, n := range w.nodes {
+		for _, from := range []string{"node-0", "node-1", "node-2", "node-9", ""} {
+			for _, m := range []any{
+				core.PeerStatus{Seat: 1 << 60, Blocks: []core.BlockStatus{{Block: -1}, {Block: 1 << 40, Use: math.NaN()}, {Block: 0, Share: 1, Use: math.Inf(1)}, {Block: 1, Share: 1 << 60}}},
+				core.PeerPromise{Seat: 1, Sent: 1 << 60},
+				core.PeerPermitAsk{Node: "node-9", Seat: 1 << 60},
+				core.PeerPermit{Node: "node-0", Seat: 1},
+				core.PeerPermit{Node: "node-9", Seat: 1 << 60},
+				core.PeerRelease{Block: 0, Grant: 1},
+				core.PeerRelease{Block: -5, Grant: 0},
+				core.PeerAsk{Kind: 99, Job: "wk-000001"},
+			} {
+				n.core.OnPeer(n.local(), from, m)
+				n.core.OnPeer(n.local(), from, m)
+				n.carryOut()
+			}
+		}
+	}
+	w.Run(w.now + 20*second)
+	for k, n := range before {
+		if w.holder(k) != n {
+			t.Errorf("block %d has changed hands", k)
+		}
+	}
+	if len(w.Violations) > 0 {
+		t.Fatal(w.Violations)
+	}
+}
