--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -119,8 +119,7 @@
 			if j := c.active[id]; j.Record.Block == bl.n {
 				j.Reset()
 				bl.addJob(j)
-				// One that was never in progress has nothing running anywhere, but
-				// only its holder knew: see docs/design.md.
+				// Whether any of its tasks were ever started only the last holder knew.
 				j.Held = len(bl.unaccounted) > 0
 			}
 		}
@@ -624,7 +623,7 @@
 }
 
 // storeGroup has a group stored soon: tasks may start only on machines that a
-// new leader would know of.
+// new holder would know of.
 func (c *Core) storeGroup(bl *block, key string, urgent bool) {
 	g := bl.groups[key]
 	if g == nil {
@@ -679,7 +678,7 @@
 }
 
 // progressAge is how long finished tasks wait to be stored: their machines
-// remember them until then, so that nothing is lost if this leader ends.
+// remember them until then, so that nothing is lost if this holder ends.
 const progressAge = 2 * unit.Second
 
 // lateEvery keeps transactions few, so that each carries several changes.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -32,7 +32,7 @@
 	return t.Price
 }
 
-// Record is what a new leader has to know of a machine. A task may start only
+// Record is what a new holder has to know of a machine. A task may start only
 // on a machine that is stored as up, so that every machine that may hold tasks
 // is known.
 type Record struct {
@@ -131,7 +131,7 @@
 	Tasks   []Task
 }
 
-// Machine is what the leader knows of one machine.
+// Machine is what a holder knows of one machine.
 type Machine struct {
 	Name   string
 	Record Record // Up once it is stored that the machine is up
@@ -143,7 +143,7 @@
 	Seq       uint64
 	LastSeen  unit.Micros // last report; 0: none yet
 	LeaseEnd  unit.Micros // its tasks are surely gone from then on
-	Accounted bool        // it reported under this leader's token
+	Accounted bool        // it reported under its holder's token
 	Notice    unit.Micros // when the cloud takes it; Never: no notice
 	Tasks     map[ledger.TaskID]Attempt
 	IdleSince unit.Micros
@@ -248,7 +248,7 @@
 }
 
 // Settled reports whether tasks may start here: everything on the machine is
-// known, a new leader would know of the machine, and it is meant to stay.
+// known, a new holder would know of the machine, and it is meant to stay.
 func (m *Machine) Settled() bool {
 	return m.Accounted && m.Record.Up && m.Type != nil && !m.Lost && !m.Sick && !m.Leaving
 }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -67,7 +67,7 @@
 
 // Record is a job's value in the state service. Once a job is final only the
 // status and the number of tasks are kept, and of a cancelled job what its
-// tasks take, as some may still be running when the next leader comes.
+// tasks take, as some may still be running when the next holder comes.
 type Record struct {
 	Status    Status      `json:"status"`
 	Block     int         `json:"block,omitempty"` // whose holder owns the job
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -53,7 +53,7 @@
 		// The worker has taken an answer of this term, so that it drops every
 		// answer of earlier ones: its list shows all that can be there. A report
 		// without our token proves nothing, as it may have been under way while
-		// an earlier leader started tasks.
+		// an earlier holder started tasks.
 		orders.Commands = c.reconcile(bl, m, r)
 		bl.accounted(c, m)
 		if m.Notice != unit.Never {
