Read again: one way to refuse held reports, give machines back, guard a holder's writes

Also one check of whether a job may start, one patience with silent machines; a check that could no longer fail and a comment that claimed one never made are gone. No decision changes.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
 	"strings"
 
@@ -137,10 +136,7 @@
 	}
 	c.log.Warn("releasing a block", "block", bl.n, "why", why)
 	bl.free = true
-	for _, h := range bl.held {
-		c.reply(h.req, http.StatusServiceUnavailable, Problem{"no authority at present"})
-	}
-	bl.held = nil
+	c.refuseHeld(bl)
 	c.storeRelease(bl)
 }
 
@@ -195,8 +191,8 @@
 }
 
 func (bl *block) addJob(j *ledger.Job) {
-	if bl.active == nil || bl.active[j.ID] == j {
-		return // not built yet, or known
+	if bl.active[j.ID] == j {
+		return
 	}
 	bl.active[j.ID] = j
 	bl.orderStale, bl.newWork = true, true
@@ -461,7 +457,7 @@
 func (c *Core) sweep(bl *block) {
 	var expired, silent []*fleet.Machine
 	heard := map[string]int{}
-	patience := 2*c.cfg.ReportEvery + 2*unit.Second
+	patience := c.patience()
 	for _, m := range bl.machines {
 		switch {
 		case m.LeaseEnd == 0:
@@ -490,8 +486,7 @@
 		for _, name := range sortedKeys(bl.unaccounted) {
 			if m := bl.machines[name]; m != nil && !m.Leaving && m.LastSeen == 0 {
 				c.log.Warn("machine silent since the block was taken over", "machine", name)
-				m.Leaving = true
-				bl.leaving = append(bl.leaving, name)
+				bl.giveBack(m)
 			}
 		}
 	}
@@ -500,6 +495,15 @@
 	}
 }
 
+// patience is how long a machine may be silent.
+func (c *Core) patience() unit.Micros { return 2*c.cfg.ReportEvery + 2*unit.Second }
+
+// giveBack has a machine returned with the next request.
+func (bl *block) giveBack(m *fleet.Machine) {
+	m.Leaving = true
+	bl.leaving = append(bl.leaving, m.Name)
+}
+
 // fewOf is how many machines may be given up early, as a part of all.
 func fewOf(n int) int { return max(1, n/20) }
 
@@ -509,7 +513,7 @@
 // gone. Any other is given up only while most machines of its zone are heard:
 // otherwise it is more likely this node that cannot be reached.
 func (c *Core) dropSilent(bl *block, silent []*fleet.Machine, heard map[string]int) {
-	patience := 2*c.cfg.ReportEvery + 2*unit.Second
+	patience := c.patience()
 	count := map[string]int{}
 	for _, m := range silent {
 		if m.Notice == unit.Never {
@@ -527,8 +531,7 @@
 		z := m.Record.Zone
 		if m.Notice != unit.Never || heard[z] > count[z] && c.now-bl.deafZone[z] > patience {
 			c.log.Warn("machine silent", "machine", m.Name, "tasks", len(m.Tasks), "notice", m.Notice != unit.Never)
-			m.Leaving = true
-			bl.leaving = append(bl.leaving, m.Name)
+			bl.giveBack(m)
 		}
 	}
 	if n := min(len(bl.leaving), 100); n > 0 {
@@ -604,10 +607,14 @@
 }
 
 // blockWrite queues a change that only the holder under this grant may make.
-func (c *Core) blockWrite(bl *block, late bool, done func(store.Outcome), guardKey string, changes ...store.Change) {
+func (c *Core) blockWrite(bl *block, late bool, done func(store.Outcome), guarded []string, changes ...store.Change) {
+	guards := []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}}
+	for _, k := range guarded {
+		guards = append(guards, store.Guard{Key: k, Stamp: c.replica.Stamp(k)})
+	}
 	c.lanes[LeaderLane].Add(&store.Write{
 		Late:    late,
-		Guards:  []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}, {Key: guardKey, Stamp: c.replica.Stamp(guardKey)}},
+		Guards:  guards,
 		Changes: changes,
 		Done:    func(o store.Outcome, _ uint64) { done(o) },
 	})
@@ -674,7 +681,7 @@
 				}
 			}
 		}
-	}, g.key, ch)
+	}, []string{g.key}, ch)
 }
 
 // progressAge is how long finished tasks wait to be stored: their machines
@@ -747,18 +754,14 @@
 // is finished now; what is added before it is sent goes into the next one.
 func (c *Core) writeChunk(bl *block, j *ledger.Job, n int) {
 	k := progressKey(j.ID, n)
-	c.lanes[LeaderLane].Add(&store.Write{
-		Late: true,
-		// The job's record as well: once that is final, its chunks are gone.
-		Guards:  []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}, {Key: k, Stamp: c.replica.Stamp(k)}, {Key: jobPrefix + j.ID, Stamp: j.Stamp}},
-		Changes: []store.Change{{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk)})}},
-		Done: func(o store.Outcome, _ uint64) {
-			if o != store.OK && j.Active() {
-				j.MarkDirty(n)
-				c.markDirty(bl, j)
-			}
-		},
-	})
+	// The job's record is guarded as well: once that is final, its chunks are gone.
+	guarded := []string{k, jobPrefix + j.ID}
+	c.blockWrite(bl, true, func(o store.Outcome) {
+		if o != store.OK && j.Active() {
+			j.MarkDirty(n)
+			c.markDirty(bl, j)
+		}
+	}, guarded, store.Change{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk)})})
 }
 
 // closeJob stores that a job is done, and drops its records of finished tasks.
@@ -775,7 +778,7 @@
 		}
 	}
 	j.Closing = true
-	c.blockWrite(bl, false, func(store.Outcome) { j.Closing = false }, key, changes...)
+	c.blockWrite(bl, false, func(store.Outcome) { j.Closing = false }, []string{key}, changes...)
 }
 
 func progressKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", donePrefix, id, chunk) }
@@ -844,9 +847,8 @@
 		}
 	}
 	for _, name := range back {
-		bl.machines[name].Leaving = true
+		bl.giveBack(bl.machines[name])
 	}
-	bl.leaving = append(bl.leaving, back...)
 }
 
 // rent asks for machines in as many requests as the cloud takes in a second, a
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -156,6 +156,14 @@
 	return out
 }
 
+// refuseHeld answers the reports that are held when a block is given up.
+func (c *Core) refuseHeld(bl *block) {
+	for _, h := range bl.held {
+		c.reply(h.req, http.StatusServiceUnavailable, Problem{"no authority at present"})
+	}
+	bl.held = nil
+}
+
 // answerHeld gives new work to machines whose reports are held, the cheapest
 // first, and answers those that were held long enough.
 func (c *Core) answerHeld(bl *block) {
@@ -382,7 +390,7 @@
 	}
 	bl.ranked, bl.roomy = bl.ranked[:0], bl.roomy[:0]
 	for _, j := range bl.order {
-		if s := j.Spec(); s != nil && j.Ready() > 0 && !j.Held && !j.Moving && c.now >= j.NotBefore {
+		if s := j.Spec(); s != nil && j.Ready() > 0 && c.startable(j) {
 			tier := c.tier(bl, j)*urgencies + c.urgency(bl, j)
 			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
 		}
@@ -408,6 +416,9 @@
 	sort.Slice(bl.roomy, func(a, b int) bool { return preferred(bl.roomy[a], bl.roomy[b]) })
 }
 
+// startable reports whether a job's ready tasks may start at present.
+func (c *Core) startable(j *ledger.Job) bool { return !j.Held && !j.Moving && c.now >= j.NotBefore }
+
 // deficit is how far a job is from its fair share.
 func (c *Core) deficit(bl *block, j *ledger.Job) float64 {
 	s := j.Spec()
@@ -429,7 +440,7 @@
 	for _, cand := range bl.ranked {
 		j := cand.job
 		s := j.Spec()
-		if s == nil || j.Ready() == 0 || j.Held || j.Moving || c.now < j.NotBefore ||
+		if s == nil || j.Ready() == 0 || !c.startable(j) ||
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
 			continue
 		}
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/store"
@@ -147,9 +146,7 @@
 func (c *Core) drop(bl *block) {
 	delete(c.held, bl.n)
 	c.log.Info("block given up", "block", bl.n)
-	for _, h := range bl.held {
-		c.reply(h.req, http.StatusServiceUnavailable, Problem{"no authority at present"})
-	}
+	c.refuseHeld(bl)
 	for _, j := range c.active {
 		if j.Record.Block == bl.n {
 			j.Clear()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -239,8 +239,7 @@
 }
 
 // oneHolder checks that no two controllers think that they may answer the
-// workers of the same block, and that blocks together use no more of the limits
-// than there is.
+// workers of the same block.
 func (w *World) oneHolder() {
 	for k := range w.nodes {
 		var who []string
