--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -31,6 +31,7 @@
 	Abort(ctx context.Context, id string) core.Reply
 	Report(ctx context.Context, r *fleet.Report) core.Reply
 	Ready(ctx context.Context) bool
+	Stats(ctx context.Context) (core.Stats, bool)
 }
 
 // Handler serves the interface.
@@ -80,6 +81,7 @@
 		}
 		write(w, core.Reply{Code: http.StatusOK})
 	})
+	r.Method(http.MethodGet, "/metrics", metrics(n))
 	return r
 }
 
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -43,6 +43,10 @@
 
 func (f *fake) Ready(context.Context) bool { return false }
 
+func (f *fake) Stats(context.Context) (core.Stats, bool) {
+	return core.Stats{Seated: true, Blocks: []core.BlockStats{{Block: 2, Waiting: 7, Spot: core.PoolStats{Machines: 5, Booting: 1, Idle: 1}}}}, true
+}
+
 func TestStatuses(t *testing.T) {
 	const job = `{"name_id":"wk-000412","jobline":"a","crew":"b","shape":"sweep","urgency":"prod","cues":1,"cores":1,"cards":0,
 	 "memory_gb":1,"reel":"i","image_gb":1,"same_place":false,"apart":false,"standby":false,"runtime_s":1,"bookmark_s":0,"stow_s":0}`
@@ -62,6 +66,9 @@
 		{"POST", "/work/wk-000412/abort", "", 503, "error"},
 		{"POST", "/hello", "{}", 400, "error"},
 		{"GET", "/ready", "", 503, "error"},
+		{"GET", "/metrics", "", 200, "shalestage_seated 1"},
+		{"GET", "/metrics", "", 200, `shalestage_block_tasks{block="2",state="waiting"} 7`},
+		{"GET", "/metrics", "", 200, `shalestage_block_machines{block="2",kind="spot",state="busy"} 3`},
 		{"GET", "/nowhere", "", 404, ""},
 		{"DELETE", "/work", "", 405, ""},
 	} {
--- /dev/null
+++ b/internal/api/metrics.go
@@ -0,0 +1,80 @@
+package api
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"shalestage.example/shalestage/internal/core"
+)
+
+// collector asks the controller for its figures whenever they are read.
+type collector struct{ node Node }
+
+const namespace = "shalestage"
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+var (
+	descSeated      = desc("seated", "1 while the controller has a seat in the state service.")
+	descLeading     = desc("leading", "1 while the controller leases blocks to the others.")
+	descKnownJobs   = desc("jobs_known", "Jobs in the controller's copy, final ones included.")
+	descActiveJobs  = desc("jobs_active", "Jobs that are not over, of all blocks.")
+	descWrites      = desc("writes_waiting", "Changes that wait for the state service.")
+	descTasks       = desc("block_tasks", "Tasks of a held block.", "block", "state")
+	descUnaccounted = desc("block_machines_unaccounted", "Machines of a held block on which earlier holders' tasks may run.", "block")
+	descMachines    = desc("block_machines", "Machines of a held block.", "block", "kind", "state")
+	descCPUs        = desc("block_cpus", "CPUs of a held block's machines.", "block", "kind", "state")
+)
+
+// Describe implements prometheus.Collector.
+func (c collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descActiveJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(ch chan<- prometheus.Metric) {
+	s, ok := c.node.Stats(context.Background())
+	if !ok {
+		return // too much to do: the figures are missing for once
+	}
+	put := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	flag := map[bool]float64{true: 1}
+	put(descSeated, flag[s.Seated])
+	put(descLeading, flag[s.Leading])
+	put(descKnownJobs, float64(s.KnownJobs))
+	put(descActiveJobs, float64(s.ActiveJobs))
+	put(descWrites, float64(s.Writes))
+	for _, b := range s.Blocks {
+		n := strconv.Itoa(b.Block)
+		put(descTasks, float64(b.Waiting), n, "waiting")
+		put(descTasks, float64(b.Placed), n, "placed")
+		put(descUnaccounted, float64(b.Unaccounted), n)
+		for _, p := range []struct {
+			kind string
+			core.PoolStats
+		}{{"ordinary", b.Ordinary}, {"spot", b.Spot}} {
+			put(descMachines, float64(p.Booting), n, p.kind, "booting")
+			put(descMachines, float64(p.Idle), n, p.kind, "idle")
+			put(descMachines, float64(p.Machines-p.Booting-p.Idle), n, p.kind, "busy")
+			put(descCPUs, float64(p.UsedCPUs), n, p.kind, "used")
+			put(descCPUs, float64(p.CPUs-p.UsedCPUs), n, p.kind, "free")
+		}
+	}
+}
+
+// metrics serves the figures in the text form that Prometheus reads.
+func metrics(n Node) http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collector{n})
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 1})
+}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -182,38 +182,3 @@
 	}
 	return needs
 }
-
-// logFleet tells an operator what there is and what it does.
-func (c *Core) logFleet(bl *block) {
-	type pool struct {
-		count, booting, idle int
-		used, capacity       int64
-	}
-	var kinds [2]pool // ordinary, spot
-	for _, m := range bl.machines {
-		k := &kinds[0]
-		if m.Record.Spot {
-			k = &kinds[1]
-		}
-		k.count++
-		if m.LastSeen == 0 {
-			k.booting++
-		} else if len(m.Tasks) == 0 {
-			k.idle++
-		}
-		if m.Type != nil {
-			k.capacity += m.Type.Capacity[pack.CPU]
-			k.used += m.Used()[pack.CPU]
-		}
-	}
-	ready, placed := 0, 0
-	for _, j := range bl.order {
-		ready += j.Ready()
-		placed += j.Placed()
-	}
-	for i, name := range []string{"ordinary", "spot"} {
-		k := kinds[i]
-		c.log.Info("fleet", "kind", name, "machines", k.count, "booting", k.booting, "idle", k.idle, "cpus_used", k.used/1000, "cpus", k.capacity/1000)
-	}
-	c.log.Info("work", "jobs", len(bl.order), "tasks_waiting", ready, "tasks_placed", placed)
-}
--- /dev/null
+++ b/internal/core/stats.go
@@ -0,0 +1,82 @@
+package core
+
+import (
+	"net/http"
+
+	"shalestage.example/shalestage/internal/core/pack"
+)
+
+// Stats is what an operator may want to watch of a controller.
+type Stats struct {
+	Seated     bool
+	Leading    bool
+	KnownJobs  int // final ones included
+	ActiveJobs int // of all blocks
+	Writes     int // that wait for the state service
+	Blocks     []BlockStats
+}
+
+// BlockStats tells of a block that the controller holds.
+type BlockStats struct {
+	Block          int
+	Jobs           int
+	Waiting        int // tasks
+	Placed         int // tasks
+	Unaccounted    int // machines
+	Ordinary, Spot PoolStats
+}
+
+// PoolStats tells of the machines of one kind.
+type PoolStats struct {
+	Machines, Booting, Idle int
+	UsedCPUs, CPUs          int64
+}
+
+// Stats answers a request for the present figures.
+func (c *Core) Stats(req ReqID) {
+	s := Stats{Seated: c.seat.id != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active)}
+	for _, l := range c.lanes {
+		s.Writes += l.Len()
+	}
+	for _, k := range sortedBlocks(c.held) {
+		s.Blocks = append(s.Blocks, c.held[k].stats())
+	}
+	c.reply(req, http.StatusOK, s)
+}
+
+func (bl *block) stats() BlockStats {
+	s := BlockStats{Block: bl.n, Jobs: len(bl.order), Unaccounted: len(bl.unaccounted)}
+	for _, m := range bl.machines {
+		p := &s.Ordinary
+		if m.Record.Spot {
+			p = &s.Spot
+		}
+		p.Machines++
+		if m.LastSeen == 0 {
+			p.Booting++
+		} else if len(m.Tasks) == 0 {
+			p.Idle++
+		}
+		if m.Type != nil {
+			p.CPUs += m.Type.Capacity[pack.CPU] / 1000
+			p.UsedCPUs += m.Used()[pack.CPU] / 1000
+		}
+	}
+	for _, j := range bl.order {
+		s.Waiting += j.Ready()
+		s.Placed += j.Placed()
+	}
+	return s
+}
+
+// logFleet tells an operator what there is and what it does.
+func (c *Core) logFleet(bl *block) {
+	s := bl.stats()
+	for _, p := range []struct {
+		kind string
+		PoolStats
+	}{{"ordinary", s.Ordinary}, {"spot", s.Spot}} {
+		c.log.Info("fleet", "kind", p.kind, "machines", p.Machines, "booting", p.Booting, "idle", p.Idle, "cpus_used", p.UsedCPUs, "cpus", p.CPUs)
+	}
+	c.log.Info("work", "jobs", s.Jobs, "tasks_waiting", s.Waiting, "tasks_placed", s.Placed)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,3 +213,10 @@
 	})
 	return r.Code == http.StatusOK
 }
+
+// Stats returns the present figures; ok is false where there is too much to do.
+func (n *Node) Stats(ctx context.Context) (core.Stats, bool) {
+	r := n.ask(ctx, n.users, func(c *core.Core, _ unit.Micros, req core.ReqID) { c.Stats(req) })
+	s, ok := r.Body.(core.Stats)
+	return s, ok
+}
