--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -26,7 +26,7 @@
 	"shalestage.example/shalestage/internal/worker"
 )
 
-const version = "0.2.0"
+const version = "0.3.0"
 
 type options struct {
 	Config  string           `required:"" placeholder:"FILE" help:"Settings file (JSON)."`
@@ -76,7 +76,7 @@
 	}
 	link := peer.New(s.Node, addrs, log)
 	n := node.New(core.New(coreConfig(s, log)),
-		state.New(s.Services.State, d.State.RPS/share, log),
+		state.New(s.Services.State, d.State.RPS/share, d.State.Later().RPS/share, log),
 		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), worker.New(log), link, log)
 	go n.Run(context.Background())
 	go link.Serve(pl, n.Hear)
@@ -106,12 +106,14 @@
 
 func coreConfig(s *config.Settings, log *slog.Logger) core.Config {
 	d, t := s.Deployment, s.Tuning
+	now, later := d.State.Limits, d.State.Later()
 	c := core.Config{
 		Node: s.Node, Size: d.Size, Zones: d.Zones,
 		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
 		CancelIn:  unit.Seconds(d.Workers.CancelS),
 		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
-		TxnOps: d.State.TxnOps, ValueKB: d.State.ValueKB, StateRate: d.State.RPS, CloudRate: d.Cloud.RPS, WriteRate: d.State.WriteRPS,
+		TxnOps: min(now.TxnOps, later.TxnOps), ValueKB: now.ValueKB, ValueMax: int(min(now.ValueKB, later.ValueKB) * 1024),
+		StateRate: now.RPS, WriteRate: now.WriteRPS, NextStateRate: later.RPS, NextWriteRate: later.WriteRPS, CloudRate: d.Cloud.RPS,
 		Pack:          pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
 		Scale:         scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), Worth: unit.Seconds(t.WorthS), IdleReturn: unit.Seconds(t.IdleS)},
 		BlockMachines: s.BlockMachines(), RoundShare: t.RoundShare,
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -25,6 +25,7 @@
 	descLeading     = desc("leading", "1 while the controller leases blocks to the others.")
 	descKnownJobs   = desc("jobs_known", "Jobs in the controller's copy, final ones included.")
 	descActiveJobs  = desc("jobs_active", "Jobs that are not over, of all blocks.")
+	descAwaitJobs   = desc("jobs_awaiting", "Jobs that wait for other jobs to be done, of all blocks.")
 	descWrites      = desc("writes_waiting", "Changes that wait for the state service.")
 	descTasks       = desc("block_tasks", "Tasks of a held block.", "block", "state")
 	descUnaccounted = desc("block_machines_unaccounted", "Machines of a held block on which earlier holders' tasks may run.", "block")
@@ -34,7 +35,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descActiveJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
+	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descActiveJobs, descAwaitJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
 		ch <- d
 	}
 }
@@ -53,6 +54,7 @@
 	put(descLeading, flag[s.Leading])
 	put(descKnownJobs, float64(s.KnownJobs))
 	put(descActiveJobs, float64(s.ActiveJobs))
+	put(descAwaitJobs, float64(s.AwaitJobs))
 	put(descWrites, float64(s.Writes))
 	for _, b := range s.Blocks {
 		n := strconv.Itoa(b.Block)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -75,14 +76,26 @@
 	CancelS float64 `json:"cancel_s"`
 }
 
-// State holds the limits of the state service.
+// State holds the limits of the state service, and those that it will have later.
 type State struct {
+	Limits
+	Next Limits `json:"next"` // from some moment on; what is missing stays as it is
+}
+
+// Limits of the state service.
+type Limits struct {
 	RPS      float64 `json:"rps"`
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
 }
 
+// Later returns the limits that the service will have in the end.
+func (s State) Later() Limits {
+	return Limits{RPS: cmp.Or(s.Next.RPS, s.RPS), WriteRPS: cmp.Or(s.Next.WriteRPS, s.WriteRPS),
+		ValueKB: cmp.Or(s.Next.ValueKB, s.ValueKB), TxnOps: cmp.Or(s.Next.TxnOps, s.TxnOps)}
+}
+
 // Cloud holds the limits of the cloud's interface.
 type Cloud struct {
 	RPS      float64 `json:"rps"`
@@ -172,6 +185,10 @@
 	if d.State.TxnOps < 3 {
 		return errors.New("deployment.state.txn_ops: want at least 3")
 	}
+	later := d.State.Later()
+	if later.TxnOps < 3 {
+		return errors.New("deployment.state.next.txn_ops: want at least 3")
+	}
 	if d.Quota.FDLimit < 32 {
 		return errors.New("deployment.quota.fd_limit: want at least 32")
 	}
@@ -198,6 +215,9 @@
 		{"deployment.state.rps", d.State.RPS, 1, 1e6},
 		{"deployment.state.write_rps", d.State.WriteRPS, 1, 1e6},
 		{"deployment.state.value_kb", d.State.ValueKB, 2, 1e6},
+		{"deployment.state.next.rps", later.RPS, 1, 1e6},
+		{"deployment.state.next.write_rps", later.WriteRPS, 1, 1e6},
+		{"deployment.state.next.value_kb", later.ValueKB, 2, 1e6},
 		{"deployment.cloud.rps", d.Cloud.RPS, 0.1, 1e6},
 		{"deployment.cloud.list_lag_s", d.Cloud.ListLagS, 0, 3600},
 		{"deployment.quota.cpu", d.Quota.CPU, 0.001, 1024},
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -40,7 +40,7 @@
 	untyped     bool     // the capacity of some of them is not known
 	hiddenStale bool
 	active      map[string]*ledger.Job
-	order       []*ledger.Job // active jobs by submission
+	order       []*ledger.Job // active jobs, by when they could first start
 	within      map[string]bool
 	share       map[string]float64 // fair share of one job, by team
 	orderStale  bool
@@ -125,7 +125,7 @@
 			}
 		}
 		for _, id := range sortedKeys(c.active) {
-			if j := c.active[id]; j.Record.Block == bl.n {
+			if j := c.active[id]; j.Record.Block == bl.n && j.Awaiting == 0 {
 				j.Reset()
 				bl.addJob(j)
 				// Whether any of its tasks were ever started only the last holder knew.
@@ -190,25 +190,28 @@
 	bl.orderStale = true
 	spec := j.Spec()
 	c.log.Info("job over", "job", j.ID, "status", s, "class", spec.Class, "tasks", spec.Tasks,
-		"took_s", (c.wall - j.Record.Submitted).Seconds(), "deadline_s", spec.Deadline.Seconds())
+		"took_s", (c.wall - j.Since).Seconds(), "waited_s", (j.Since - j.Record.Submitted).Seconds(), "deadline_s", spec.Deadline.Seconds())
 }
 
-func sortBySubmission(js []*ledger.Job) {
+// sortByStart orders jobs by when they could first start.
+func sortByStart(js []*ledger.Job) {
 	slices.SortFunc(js, func(x, y *ledger.Job) int {
-		return cmp.Or(cmp.Compare(x.Record.Submitted, y.Record.Submitted), strings.Compare(x.ID, y.ID))
+		return cmp.Or(cmp.Compare(x.Since, y.Since), strings.Compare(x.ID, y.ID))
 	})
 }
 
-// sortJobs keeps the active jobs in the order of submission, and notes which
-// fit their team's guarantee together with the team's earlier jobs.
+// sortJobs keeps the active jobs in the order in which they could first start, and
+// notes which fit their team's guarantee together with the team's earlier jobs. Jobs
+// that wait for others count nowhere.
 func (c *Core) sortJobs(bl *block) {
+	c.flow(bl)
 	if bl.orderStale {
 		bl.orderStale = false
 		bl.order = bl.order[:0]
 		for _, j := range bl.active {
 			bl.order = append(bl.order, j)
 		}
-		sortBySubmission(bl.order)
+		sortByStart(bl.order)
 	}
 	bl.within = map[string]bool{}
 	bl.share = map[string]float64{}
@@ -223,8 +226,8 @@
 	// A guarantee covers the earliest of a team's jobs in all blocks.
 	all := bl.order
 	if len(c.active) > len(bl.active) {
-		all = slices.Collect(maps.Values(c.active))
-		sortBySubmission(all)
+		all = slices.DeleteFunc(slices.Collect(maps.Values(c.active)), func(j *ledger.Job) bool { return j.Awaiting > 0 })
+		sortByStart(all)
 	}
 	sum := map[string]pack.Vec{}
 	for _, j := range all {
@@ -310,6 +313,7 @@
 	}
 	// Submissions come in bursts that seldom meet the holders' changes: together
 	// the lanes may ask for more than the budget.
+	c.lanes[UserLane].Rate = c.cfg.WriteRate / float64(2*c.cfg.Size)
 	c.lanes[LeaderLane].Rate = c.cfg.WriteRate * 0.8 * part
 	if part != c.cloudPart {
 		c.cloudPart = part
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,13 +44,16 @@
 	LeaderTTL   unit.Micros
 	CancelIn    unit.Micros // cancelled work must be gone after this
 	ListLag     unit.Micros
-	TxnOps      int
-	ValueKB     float64
+	TxnOps      int     // the least that the state service will ever take
+	ValueKB     float64 // decides what the keys of finished tasks mean
+	ValueMax    int     // bytes; the least that the state service will ever take
 	StateRate   float64
-	CloudRate   float64
 	WriteRate   float64
-	Pack        pack.Params
-	Scale       scale.Params
+	// What the rates are once the state service has refused something as too much.
+	NextStateRate, NextWriteRate float64
+	CloudRate                    float64
+	Pack                         pack.Params
+	Scale                        scale.Params
 	// BlockMachines is the number of machines beyond which several blocks share the work.
 	BlockMachines int
 	RoundShare    float64 // share of a job's time that renting counts on for tasks one after the other
@@ -157,7 +160,12 @@
 	lanes   [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job
-	active map[string]*ledger.Job // those that are not final
+	active map[string]*ledger.Job       // those that are not final
+	graph  ledger.Graph                 // which of them wait for which
+	parts  map[string]map[string]string // descriptions stored in parts: their texts until they are read, by job and key
+	heads  map[string]store.Event       // records whose parts are not all known
+	untidy map[string]bool              // jobs that are over and of which something is to be cleaned up in the state service
+	flowAt unit.Micros
 	types  map[string]*fleet.Type
 	claim  lead.Claim // of the present leader; Node "" if none
 	term   lead.Term
@@ -166,13 +174,14 @@
 	shares map[int]shared
 	groups map[string]fleet.Group // stored machines, by key
 	where  map[string]int         // block of each stored machine
-	chunk  int                    // tasks per finished-task record
+	layout ledger.Layout          // of records of finished tasks
 	load   []load                 // unfinished work of each block
 	loadAt unit.Micros
 
 	sync      syncState
 	seat      seat
 	voters    map[string]*lead.Voter // what is owed with regard to each controller
+	releases  map[string]int         // of the other controllers, as last heard or read
 	polls     map[string]*poll
 	leader    *leader // nil unless this node leads
 	claiming  bool
@@ -195,15 +204,19 @@
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
 		types: map[string]*fleet.Type{}, seats: map[string]*seatView{}, blocks: map[int]granted{}, shares: map[int]shared{},
 		groups: map[string]fleet.Group{}, where: map[string]int{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{},
-		held: map[int]*block{}, load: make([]load, cfg.Size), chunk: ledger.ChunkTasks(cfg.ValueKB)}
+		parts: map[string]map[string]string{}, heads: map[string]store.Event{}, untidy: map[string]bool{}, releases: map[string]int{},
+		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
+	if c.cfg.ValueMax == 0 {
+		c.cfg.ValueMax = int(cfg.ValueKB * 1024)
+	}
+	c.layout.Split = ledger.ChunkTasks(float64(c.cfg.ValueMax)/1024) < c.layout.Chunk
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
 	c.peers = newPeers(cfg.Peers)
-	share := cfg.WriteRate / float64(2*cfg.Size)
 	for i := range c.lanes {
-		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256, Rate: share}
+		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256}
 	}
 	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
 	c.setRates()
@@ -265,7 +278,7 @@
 // OnCommit takes a transaction's outcome. What was put is known at once.
 func (c *Core) OnCommit(now unit.Micros, lane LaneID, t *store.Txn, o store.Outcome, rev uint64, failed []string) {
 	c.at(now)
-	c.heard(o)
+	o = c.heard(o)
 	if o == store.OK {
 		for _, ch := range t.Changes {
 			if ch.Value != nil {
@@ -283,7 +296,8 @@
 const (
 	root        = "shalestage/"
 	jobPrefix   = root + "job/"
-	donePrefix  = root + "progress/" // JOB/CHUNK; listed after the jobs
+	partPrefix  = root + "part/"     // JOB/SUM/N, of a description that does not fit one value; listed after the jobs
+	donePrefix  = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
 	machPrefix  = root + "machine/"
 	typePrefix  = root + "type/"
 	seatPrefix  = root + "seat/"
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -50,15 +50,12 @@
 // patience bounds the time a job without any aim is given, in run times.
 const patience = 8
 
-// timeLeft is the time in which a job should be done, by its deadline or by
-// the strictest aim for its class.
+// timeLeft is the time in which a job should be done, by the earliest deadline
+// that depends on it or by the strictest aim for its class.
 func (c *Core) timeLeft(bl *block, j *ledger.Job) unit.Micros {
 	s := j.Spec()
 	run := bl.runtime(s)
 	left := unit.Never
-	if s.Deadline > 0 {
-		left = s.Deadline
-	}
 	for _, o := range c.cfg.Objectives {
 		if o.Class != s.Class || o.Within <= 0 {
 			continue
@@ -70,10 +67,10 @@
 			left = min(left, o.Within+run)
 		}
 	}
-	if left == unit.Never {
+	if left == unit.Never && j.Aims.Due == unit.Never {
 		left = patience * run
 	}
-	return left - (c.wall - j.Record.Submitted)
+	return min(left-(c.wall-j.Since), j.Aims.Due-c.wall)
 }
 
 // Urgency of a job within its tier: work that can still meet its first aim
@@ -87,10 +84,11 @@
 	urgencies
 )
 
-// urgency tells which of a job's aims can still be met.
+// urgency tells which of a job's aims can still be met. All times are from when
+// the job could first start.
 func (c *Core) urgency(bl *block, j *ledger.Job) int {
 	s := j.Spec()
-	ends := c.wall - j.Record.Submitted + bl.runtime(s)
+	ends := c.wall - j.Since + bl.runtime(s)
 	aims, missed := 0, 0
 	first := unit.Never
 	aim := func(t unit.Micros) {
@@ -109,14 +107,13 @@
 			first = 0 // its tasks should start soon: no time to spare
 		case "finished":
 			aim(o.Within)
-		case "deadline":
-			if s.Deadline > 0 {
-				aim(unit.Micros(float64(s.Deadline) * max(o.Times, 1)))
-			}
 		}
 	}
-	if aims == 0 && s.Deadline > 0 {
-		aim(s.Deadline)
+	if due := j.Aims.Due; due != unit.Never {
+		aim(due - j.Since)
+		if last := j.Aims.LastDue; last > due {
+			aim(last - j.Since)
+		}
 	}
 	switch {
 	case missed == 0 && aims > 0 && first-ends > first/2:
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -15,6 +15,12 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s: %s, finished %d of %d, ready %d, placed %d, held %v, not before %.1f, now %.1f, failed on %d machines",
 		id, j.Record.Status, j.Finished(), j.Record.Tasks, j.Ready(), j.Placed(), j.Held, j.NotBefore.Seconds(), c.now.Seconds(), len(j.Errors))
+	if j.Awaiting > 0 {
+		fmt.Fprintf(&b, ", waits for %d of %v", j.Awaiting, j.Spec().Awaits)
+	}
+	if j.Through != "" {
+		fmt.Fprintf(&b, ", cancelled with %s", j.Through)
+	}
 	bl := c.held[j.Record.Block]
 	if bl == nil {
 		s := c.sync
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -12,7 +12,7 @@
 // lowest priority, nobody expects it by any time, and it has not waited for long.
 func (c *Core) idleTime(bl *block, j *ledger.Job) bool {
 	s := j.Spec()
-	if s.Priority != ledger.Low || s.Service || s.Deadline > 0 {
+	if j.Aims.Priority != ledger.Low || s.Service || j.Aims.Due != unit.Never {
 		return false
 	}
 	for _, o := range c.cfg.Objectives {
@@ -25,7 +25,7 @@
 
 // yields reports whether a job uses what room is left, and keeps its progress
 // when it makes room: stopping its tasks costs little.
-func yields(j *ledger.Job) bool { return j.Spec().Priority == ledger.Low && j.Spec().Checkpoint > 0 }
+func yields(j *ledger.Job) bool { return j.Aims.Priority == ledger.Low && j.Spec().Checkpoint > 0 }
 
 const (
 	// vacateAfter is how long a machine must have been spare before what runs
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -15,6 +15,8 @@
 // next, and all that a controller holds is held by its seat.
 type Seat struct {
 	Node string `json:"node"`
+	// Release tells what the controller understands; 0: less than 0.3 does.
+	Release int `json:"release,omitempty"`
 }
 
 // Claim is the leader's record; it is attached to the same lease.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -174,7 +174,12 @@
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  append(guards, store.Guard{Key: leadKey, Stamp: l.stamp}),
 		Changes: changes,
-		Done:    func(store.Outcome, uint64) { l.writing = false },
+		Done: func(o store.Outcome, _ uint64) {
+			l.writing = false
+			if o == store.TooLarge {
+				l.lookAt = c.now + 5*unit.Second // the same would come again
+			}
+		},
 	})
 }
 
@@ -287,6 +292,9 @@
 		if n == last.Left || c.isDeaf(n) {
 			cost += 1000
 		}
+		if n != c.cfg.Node && c.releases[n] < release {
+			cost += 100 // it is to be replaced, and its blocks would change hands once more
+		}
 		if cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -335,12 +343,12 @@
 		}
 	}
 	switch {
-	case len(lower) > 0:
-		l.write(c, guards, lower...)
+	case len(lower) > 0: // each by itself is safe
+		l.write(c, guards, lower[:min(len(lower), c.cfg.TxnOps)]...)
 		return true
 	case len(raise) > 0 && certain && sum <= 1+1e-6:
 		c.log.Info("limits divided", "blocks", open)
-		l.write(c, guards, raise...)
+		l.write(c, guards, raise[:min(len(raise), c.cfg.TxnOps)]...)
 		return true
 	}
 	return len(raise) > 0
@@ -441,7 +449,7 @@
 	c.loadAt = c.now + unit.Second/4
 	c.load = make([]load, c.blockCount())
 	for _, j := range c.active {
-		if k := j.Record.Block; k < len(c.load) {
+		if k := j.Record.Block; k < len(c.load) && j.Awaiting == 0 {
 			c.load[k].work += workOf(j)
 		}
 	}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"regexp"
 	"slices"
 	"strconv"
@@ -63,11 +62,13 @@
 	Checkpoint unit.Micros `json:"checkpoint,omitempty"`
 	Save       unit.Micros `json:"save,omitempty"`
 	Deadline   unit.Micros `json:"deadline,omitempty"` // from submission; 0: none
+	Awaits     []string    `json:"awaits,omitempty"`   // jobs that must be done before any task starts
 }
 
 // Record is a job's value in the state service. Once a job is final only the
-// status and the number of tasks are kept, and of a cancelled job what its
-// tasks take, as some may still be running when the next holder comes.
+// status and the number of tasks are kept, of a done job when it ended, and of a
+// cancelled one what its tasks take, as some may still be running when the next
+// holder comes.
 type Record struct {
 	Status    Status      `json:"status"`
 	Block     int         `json:"block,omitempty"` // whose holder owns the job
@@ -75,10 +76,15 @@
 	Team      string      `json:"team,omitempty"`
 	Demand    pack.Vec    `json:"demand,omitzero"`
 	Submitted unit.Micros `json:"submitted,omitempty"` // time of day
+	Ended     unit.Micros `json:"ended,omitempty"`     // time of day; 0: not known (releases before 0.3)
 	Spec      *Spec       `json:"spec,omitempty"`
+	// A description that does not fit one value is stored in parts, see Split.
+	Parts int    `json:"parts,omitempty"`
+	Sum   string `json:"sum,omitempty"`
 }
 
-// DecodeRecord reads a stored record.
+// DecodeRecord reads a stored record. Where the description is stored in parts
+// it is still missing, and the record is of use only once Join has added it.
 func DecodeRecord(b []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(b, &r); err != nil {
@@ -86,15 +92,25 @@
 	}
 	switch {
 	case r.Status.Final():
-		r.Spec = nil
+		r.Spec, r.Parts, r.Sum = nil, 0, ""
 	case r.Status != Pending:
 		return r, fmt.Errorf("status %q", r.Status)
-	case r.Spec == nil || !r.Spec.Sane() || r.Tasks != r.Spec.Tasks || r.Block < 0:
-		return r, errors.New("no usable description")
+	case r.Parts < 0 || r.Parts > MaxParts || r.Parts > 0 && (r.Sum == "" || r.Spec != nil):
+		return r, errors.New("unusable parts")
+	case r.Parts == 0:
+		return r, r.check()
 	}
 	return r, nil
 }
 
+// check reports why a record of an unfinished job cannot be worked with.
+func (r *Record) check() error {
+	if r.Spec == nil || !r.Spec.Sane() || r.Tasks != r.Spec.Tasks || r.Block < 0 {
+		return errors.New("no usable description")
+	}
+	return nil
+}
+
 var idForm = regexp.MustCompile(`^wk-(\d{6}|[1-9]\d{6,17})$`)
 
 // ValidID reports whether a job id has the form that users give ids.
@@ -146,7 +162,10 @@
 func (s *Set) Len() int { return s.n }
 
 // Ranges writes the members within [lo, hi) relative to lo, as "0-4,7".
-func (s *Set) Ranges(lo, hi int) string {
+func (s *Set) Ranges(lo, hi int) string { return s.rangesFrom(lo, lo, hi) }
+
+// rangesFrom writes the members within [lo, hi) relative to base.
+func (s *Set) rangesFrom(base, lo, hi int) string {
 	var b strings.Builder
 	for i := lo; i < hi; {
 		if !s.Has(i) {
@@ -164,10 +183,10 @@
 		if b.Len() > 0 {
 			b.WriteByte(',')
 		}
-		b.WriteString(strconv.Itoa(i - lo))
+		b.WriteString(strconv.Itoa(i - base))
 		if j > i {
 			b.WriteByte('-')
-			b.WriteString(strconv.Itoa(j - lo))
+			b.WriteString(strconv.Itoa(j - base))
 		}
 		i = j + 1
 	}
@@ -201,17 +220,6 @@
 	return nil
 }
 
-// ChunkTasks returns how many tasks one finished-task record covers, so that
-// even the worst pattern of ranges stays under the state service's value limit.
-func ChunkTasks(valueKB float64) int {
-	limit := int(valueKB*1024) - 64
-	n := 256
-	for n < 1<<17 && (n*2)/2*6 <= limit { // every other task: n/2 numbers of at most 5 digits and a comma
-		n *= 2
-	}
-	return n
-}
-
 // Place is where an attempt of a task may be running.
 type Place struct {
 	Machine string
@@ -246,6 +254,11 @@
 	Closing   bool // its end is being stored
 	Held      bool // may have been started by an earlier holder: wait until all machines are accounted for
 	Moving    bool // to another block: not started here
+
+	Awaiting int         // awaited jobs that are not stored as done; none of its tasks may start before
+	Since    unit.Micros // time of day from which its times count, but for the deadline
+	Through  string      // the awaited job whose cancellation cancelled this one
+	Aims     Aims        // its own and those of the jobs that need it
 }
 
 // Spec returns the job's description; nil once the job is final.
@@ -321,16 +334,6 @@
 	return p, ok
 }
 
-// LoadFinished reads a stored chunk of finished tasks.
-func (j *Job) LoadFinished(chunk, chunkTasks int, ranges string) error {
-	lo := chunk * chunkTasks
-	hi := min(lo+chunkTasks, j.Record.Tasks)
-	if err := j.stored.AddRanges(ranges, lo, hi); err != nil {
-		return err
-	}
-	return j.finished.AddRanges(ranges, lo, hi)
-}
-
 // Clear forgets where tasks are. Only a holder keeps the list of ready tasks.
 func (j *Job) Clear() {
 	j.places = map[int]Place{}
@@ -403,13 +406,13 @@
 }
 
 // Finish records that a task is done, wherever it was.
-func (j *Job) Finish(task, chunkTasks int) {
+func (j *Job) Finish(task int, l Layout) {
 	if !j.Active() || task >= j.Record.Tasks || !j.finished.Add(task) {
 		return
 	}
 	j.Worked = true
 	j.Errors = map[string]int{}
-	j.dirty[task/chunkTasks] = true
+	j.dirty[l.Of(task, j.Record.Tasks).Lo] = true
 	if _, ok := j.places[task]; ok {
 		return // released when its machine's report is through
 	}
@@ -425,29 +428,14 @@
 	}
 }
 
-// DirtyChunks returns the chunks with finished tasks not yet handed over for
-// storing, and clears the list.
-func (j *Job) DirtyChunks() []int {
-	out := slices.Sorted(maps.Keys(j.dirty))
-	clear(j.dirty)
-	j.DirtySince = 0
-	return out
-}
-
-// MarkDirty puts a chunk back on the list of those to be stored.
-func (j *Job) MarkDirty(chunk int) { j.dirty[chunk] = true }
-
-// ChunkRanges returns the text to store for a chunk.
-func (j *Job) ChunkRanges(chunk, chunkTasks int) string {
-	lo := chunk * chunkTasks
-	return j.finished.Ranges(lo, min(lo+chunkTasks, j.Record.Tasks))
-}
-
 // Settle makes the job final: only its status is kept.
 func (j *Job) Settle(r Record, stamp uint64) {
 	j.Record, j.Stamp = r, stamp
-	j.ready, j.dirty = nil, map[int]bool{}
+	j.ready, j.dirty, j.Errors = nil, nil, nil
 	j.finished, j.stored = Set{}, Set{}
+	if len(j.places) == 0 {
+		j.places, j.zones = nil, nil
+	}
 }
 
 // Sane reports whether a description that came from another process can be
@@ -458,6 +446,11 @@
 			return false
 		}
 	}
+	for _, id := range s.Awaits {
+		if !ValidID(id) {
+			return false
+		}
+	}
 	return s.Tasks >= 1 && s.Tasks <= MaxTasks && s.Estimate >= 0 && s.Deadline >= 0 && s.Save >= 0 && s.Checkpoint >= 0 &&
 		s.Priority >= Low && s.Priority <= Production
 }
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -93,7 +93,7 @@
 			},
 			"finish": func(t *rapid.T) {
 				k := rapid.IntRange(0, n-1).Draw(t, "task")
-				j.Finish(k, 256)
+				j.Finish(k, Layout{Chunk: 256})
 				finished[k] = true
 			},
 			"release": func(t *rapid.T) {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -37,7 +37,7 @@
 		w := workOf(j)
 		from, into := c.load[bl.n], c.load[to]
 		into.work += w
-		if !closed && c.weight(from) < unevenBy*c.weight(into) {
+		if !closed && c.weight(from) < unevenBy*c.weight(into) || len(j.Record.Encode()) > c.cfg.ValueMax {
 			continue
 		}
 		moved++
@@ -55,9 +55,10 @@
 	key := jobPrefix + j.ID
 	rec := j.Record
 	rec.Block = to
+	value := rec.Encode()
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key, Stamp: j.Stamp}, {Key: blockKey(bl.n), Stamp: bl.grant}},
-		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
+		Changes: []store.Change{{Key: key, Value: value}},
 		Done: func(o store.Outcome, _ uint64) {
 			if o == store.OK || c.held[bl.n] != bl || !j.Active() || j.Record.Block != bl.n {
 				return // whoever holds the job's block now starts anew
@@ -65,8 +66,8 @@
 			c.wantSync(func(bool) {
 				switch {
 				case c.held[bl.n] != bl || !j.Active() || j.Record.Block != bl.n:
-				case o == store.Failed && j.Stamp == c.replica.Stamp(key):
-					j.Moving = false // a guard failed: that transaction can never be carried out
+				case (o == store.Failed || o == store.TooLarge) && j.Stamp == c.replica.Stamp(key):
+					j.Moving = false // that transaction can never be carried out
 				default:
 					c.moveJob(bl, j, to)
 				}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,6 +20,7 @@
 		Sent     unit.Micros // on the sender's clock
 		Deaf     bool        // no worker has reached the sender for a while
 		Blocks   []BlockStatus
+		Release  int // what the sender understands; 0: less than 0.3 does
 	}
 	// BlockStatus tells of a block that the sender holds.
 	BlockStatus struct {
@@ -137,7 +138,7 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow()}
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release}
 		if c.valid(c.now) {
 			s.Seat, s.Sent = c.seat.id, c.now
 		}
@@ -201,6 +202,9 @@
 // serve to a controller that it does, or tells the user to come back.
 func (c *Core) handOver(req ReqID, kind AskKind, job string, spec *ledger.Spec, bad string) {
 	to := c.served()
+	if spec != nil && len(spec.Awaits) > 0 && c.releases[to] < release {
+		to = "" // it would start the job at once
+	}
 	if _, foreign := c.peers.foreign[req]; foreign || to == "" || len(c.peers.asks) >= maxAsks {
 		c.unavailable(req, "state service does not answer")
 		return
@@ -221,6 +225,7 @@
 	switch m := m.(type) {
 	case PeerStatus:
 		v.status, v.heard = m, now
+		c.heardRelease(from, m.Release)
 		if m.Seat != 0 && c.voter(from).Promise(now, m.Seat, c.seatOf(from)) {
 			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent}})
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -115,7 +115,7 @@
 	for _, cand := range bl.ranked {
 		j := cand.job
 		s := j.Spec()
-		if s == nil || c.wall-j.Record.Submitted < after || j.Suspect() || !c.startable(bl, j) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
+		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
 			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
 			continue
 		}
@@ -133,7 +133,7 @@
 
 // tier orders jobs by right: within their team's guarantee, then by priority.
 func (c *Core) tier(bl *block, j *ledger.Job) int {
-	t := int(j.Spec().Priority)
+	t := int(j.Aims.Priority)
 	if bl.within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
@@ -143,7 +143,7 @@
 // mayStop reports whether a task of victim may be stopped for a task of j.
 func (c *Core) mayStop(bl *block, j, victim *ledger.Job) bool {
 	s, v := j.Spec(), victim.Spec()
-	if v.Priority < s.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
+	if victim.Aims.Priority < j.Aims.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
 		return true
 	}
 	return bl.within[j.ID] && s.Team != v.Team && !bl.within[victim.ID] && c.beyond(bl, v.Team)
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -86,7 +86,7 @@
 // surely ended.
 func (c *Core) OnLease(now unit.Micros, o store.Outcome, id uint64) {
 	c.at(now)
-	c.heard(o)
+	o = c.heard(o)
 	s := &c.seat
 	if o != store.OK {
 		s.opening, s.after = false, now+unit.Second/2
@@ -96,7 +96,7 @@
 	sent := s.sent
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}},
-		Changes: []store.Change{{Key: key, Value: mustJSON(lead.Seat{Node: c.cfg.Node}), Lease: id}},
+		Changes: []store.Change{{Key: key, Value: mustJSON(lead.Seat{Node: c.cfg.Node, Release: release}), Lease: id}},
 		Done: func(o store.Outcome, rev uint64) {
 			s.opening = false
 			if o != store.OK {
@@ -117,7 +117,7 @@
 // OnRenew takes a renewal's outcome.
 func (c *Core) OnRenew(now unit.Micros, id uint64, o store.Outcome) {
 	c.at(now)
-	c.heard(o)
+	o = c.heard(o)
 	s := &c.seat
 	if s.id == 0 || s.pass != id {
 		return
@@ -173,6 +173,7 @@
 			return err
 		}
 		v.id = e.Stamp
+		c.heardRelease(node, s.Release)
 	}
 	c.seats[node] = v
 	if node == c.cfg.Node && c.seat.id != 0 && v.id != c.seat.id {
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -12,6 +12,7 @@
 	Leading    bool
 	KnownJobs  int // final ones included
 	ActiveJobs int // of all blocks
+	AwaitJobs  int // of those, the ones that wait for others to be done
 	Writes     int // that wait for the state service
 	Blocks     []BlockStats
 }
@@ -34,7 +35,7 @@
 
 // Stats answers a request for the present figures.
 func (c *Core) Stats(req ReqID) {
-	s := Stats{Seated: c.seat.id != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active)}
+	s := Stats{Seated: c.seat.id != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
 	for _, l := range c.lanes {
 		s.Writes += l.Len()
 	}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -37,6 +38,8 @@
 	Refused         // surely not carried out
 	Failed          // a guard did not hold, or the thing is gone
 	Unknown
+	Limited  // refused, as there were too many requests or changes
+	TooLarge // refused for good: the service takes nothing of that size
 )
 
 // Replica is the copy. Rev is the revision up to which it is complete.
@@ -105,6 +108,7 @@
 	Guards  []Guard
 	Changes []Change
 	Late    bool // goes only when nothing else waits
+	First   bool // goes ahead of all that waits
 	// Done is told the outcome, and the revision where it is OK.
 	Done func(o Outcome, rev uint64)
 }
@@ -136,9 +140,16 @@
 	if len(l.queue)+len(l.late) >= l.MaxQueue {
 		return false
 	}
-	if w.Late {
+	switch {
+	case w.Late:
 		l.late = append(l.late, w)
-	} else {
+	case w.First:
+		n := 0
+		for n < len(l.queue) && l.queue[n].First {
+			n++
+		}
+		l.queue = slices.Insert(l.queue, n, w)
+	default:
 		l.queue = append(l.queue, w)
 	}
 	return true
@@ -227,16 +238,29 @@
 
 // Finish takes the outcome of the transaction under way. Writes whose guards
 // failed are told so; the others of that transaction go again, ahead of the
-// queue. Refused writes also go again after a pause, as nothing was carried out.
+// queue. After a refusal the next transaction waits for a moment. Where the
+// service took no transaction of that size, its writes go again in smaller ones;
+// one that is too large by itself is told so, and never sent again as it is.
 func (l *Lane) Finish(now unit.Micros, o Outcome, rev uint64, failed []string) {
 	t := l.current
 	l.current = nil
 	if t == nil {
 		return
 	}
-	if o == Refused {
+	if o == Refused || o == Limited {
 		l.holdOff = now + 300_000
 	}
+	if o == TooLarge && len(t.writes) > 1 {
+		l.MaxOps, l.MaxBytes = max(1, len(t.Changes)/2), max(l.MaxBytes/2, 1<<10)
+		for i := len(t.writes) - 1; i >= 0; i-- {
+			if w := t.writes[i]; w.Late {
+				l.late = slices.Insert(l.late, 0, w)
+			} else {
+				l.queue = slices.Insert(l.queue, 0, w)
+			}
+		}
+		return
+	}
 	bad := map[string]bool{}
 	for _, k := range failed {
 		bad[k] = true
--- a/internal/core/storing.go
+++ b/internal/core/storing.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"fmt"
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -12,16 +11,20 @@
 
 // blockWrite queues a change that only the holder under this grant may make.
 func (c *Core) blockWrite(bl *block, late bool, done func(store.Outcome), guarded []string, changes ...store.Change) {
-	guards := []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}}
-	for _, k := range guarded {
-		guards = append(guards, store.Guard{Key: k, Stamp: c.replica.Stamp(k)})
+	w := c.guarded(bl, guarded, changes)
+	w.Late = late
+	w.Done = func(o store.Outcome, _ uint64) { done(o) }
+	c.lanes[LeaderLane].Add(w)
+}
+
+// guarded returns a write that fails once the grant has ended, or one of the keys
+// has another version than this node has seen.
+func (c *Core) guarded(bl *block, keys []string, changes []store.Change) *store.Write {
+	w := &store.Write{Guards: []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}}, Changes: changes}
+	for _, k := range keys {
+		w.Guards = append(w.Guards, store.Guard{Key: k, Stamp: c.replica.Stamp(k)})
 	}
-	c.lanes[LeaderLane].Add(&store.Write{
-		Late:    late,
-		Guards:  guards,
-		Changes: changes,
-		Done:    func(o store.Outcome, _ uint64) { done(o) },
-	})
+	return w
 }
 
 // group is how machines that were rented together are stored.
@@ -71,6 +74,7 @@
 	}
 	c.blockWrite(bl, true, func(o store.Outcome) {
 		switch {
+		case o == store.TooLarge: // not again as it is
 		case o != store.OK:
 			c.storeGroup(bl, g.key, len(rec.Up) > 0)
 		case ch.Value == nil:
@@ -99,7 +103,8 @@
 // its next transaction: machines that are up, then finished tasks, the longest
 // first, and what is only cleaned up.
 func (c *Core) lateWrites(bl *block) {
-	if c.now < bl.lateAt || len(bl.changed) == 0 && len(bl.dirty) == 0 {
+	tidies := bl.n == 0 && len(c.untidy) > 0
+	if c.now < bl.lateAt || len(bl.changed) == 0 && len(bl.dirty) == 0 && !tidies {
 		return
 	}
 	room := c.lanes[LeaderLane].Room(c.now)
@@ -123,9 +128,9 @@
 		if !j.Active() || j.AllFinished() {
 			continue
 		}
-		for _, n := range j.DirtyChunks() {
+		for _, lo := range j.Dirty() {
 			room--
-			c.writeChunk(bl, j, n)
+			c.writeFinished(bl, j, lo)
 		}
 	}
 	for room > 0 && len(bl.changed) > 0 {
@@ -134,11 +139,14 @@
 		bl.changed = bl.changed[1:]
 		c.writeGroup(bl, g)
 	}
+	if tidies {
+		c.tidy(bl, room)
+	}
 }
 
 // finished notes that a task is done.
 func (c *Core) finished(bl *block, j *ledger.Job, task int) {
-	j.Finish(task, c.chunk)
+	j.Finish(task, c.layout)
 	if j.AllFinished() {
 		c.closeJob(bl, j) // users wait for it
 		return
@@ -154,18 +162,20 @@
 	}
 }
 
-// writeChunk stores the finished tasks of a chunk. The record covers all that
-// is finished now; what is added before it is sent goes into the next one.
-func (c *Core) writeChunk(bl *block, j *ledger.Job, n int) {
-	k := progressKey(j.ID, n)
-	// The job's record is guarded as well: once that is final, its chunks are gone.
+// writeFinished stores the finished tasks of the record that begins with a task.
+// It covers all that is finished now; what is added before it is sent goes into
+// the next one.
+func (c *Core) writeFinished(bl *block, j *ledger.Job, lo int) {
+	p := c.layout.Of(lo, j.Record.Tasks)
+	k := progressKey(j.ID, p.Name)
+	// The job's record is guarded as well: once that is final, the others are gone.
 	guarded := []string{k, jobPrefix + j.ID}
 	c.blockWrite(bl, true, func(o store.Outcome) {
-		if o != store.OK && j.Active() {
-			j.MarkDirty(n)
+		if o != store.OK && o != store.TooLarge && j.Active() {
+			j.MarkDirty(lo)
 			c.markDirty(bl, j)
 		}
-	}, guarded, store.Change{Key: k, Value: mustJSON(finishedRecord{j.ChunkRanges(n, c.chunk), n == 0 && j.FailsEverywhere()})})
+	}, guarded, store.Change{Key: k, Value: mustJSON(finishedRecord{j.FinishedIn(p), p.Base == 0 && j.FailsEverywhere()})})
 }
 
 // closeJob stores that a job is done, and drops its records of finished tasks.
@@ -174,15 +184,18 @@
 		return
 	}
 	key := jobPrefix + j.ID
-	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks}
-	changes := []store.Change{{Key: key, Value: mustJSON(rec)}}
-	for n := 0; n <= (j.Record.Tasks-1)/c.chunk && len(changes) < c.cfg.TxnOps; n++ {
-		if k := progressKey(j.ID, n); c.replica.Stamp(k) != 0 {
+	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks, Ended: c.wall}
+	changes := []store.Change{{Key: key, Value: rec.Encode()}}
+	for _, name := range c.layout.Names(j.Record.Tasks) {
+		if k := progressKey(j.ID, name); c.replica.Stamp(k) != 0 && len(changes) < c.cfg.TxnOps {
 			changes = append(changes, store.Change{Key: k})
 		}
 	}
 	j.Closing = true
-	c.blockWrite(bl, false, func(store.Outcome) { j.Closing = false }, []string{key}, changes...)
+	w := c.guarded(bl, []string{key}, changes)
+	w.First = c.graph.Awaited(j.ID) // others wait for that to be stored
+	w.Done = func(store.Outcome, uint64) { j.Closing = false }
+	c.lanes[LeaderLane].Add(w)
 }
 
-func progressKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", donePrefix, id, chunk) }
+func progressKey(id, name string) string { return donePrefix + id + "/" + name }
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -53,11 +53,24 @@
 // controller knows, and can tell its peers, whether it is served.
 const heartbeat = 400 * unit.Second / 1000
 
-// heard notes whether the state service serves this node.
-func (c *Core) heard(o store.Outcome) {
-	if o == store.OK || o == store.Failed {
+// heard notes whether the state service serves this node, and at what rate. It
+// returns the outcome for those whom the reason of a refusal does not concern.
+func (c *Core) heard(o store.Outcome) store.Outcome {
+	switch o {
+	case store.OK, store.Failed, store.TooLarge:
 		c.sync.lastOK, c.sync.everOK = c.now, true
+	case store.Limited:
+		if next := min(c.cfg.WriteRate, c.cfg.NextWriteRate); 0 < next && next < c.cfg.WriteRate {
+			c.log.Info("state service takes fewer changes", "a_second", next)
+			c.cfg.WriteRate = next
+		}
+		if c.cfg.NextStateRate > 0 {
+			c.cfg.StateRate = min(c.cfg.StateRate, c.cfg.NextStateRate)
+		}
+		c.setRates()
+		return store.Refused
 	}
+	return o
 }
 
 func (c *Core) tickSync() {
@@ -92,7 +105,7 @@
 // OnList takes a full listing that began at rev.
 func (c *Core) OnList(now unit.Micros, o store.Outcome, rev uint64, items []store.Event) {
 	c.at(now)
-	c.heard(o)
+	o = c.heard(o)
 	s := &c.sync
 	s.listing = false
 	if o != store.OK {
@@ -110,7 +123,7 @@
 // all changes since then, so the copy is taken anew.
 func (c *Core) OnChanges(now unit.Micros, w Watch, o store.Outcome, rev uint64, events []store.Event, gone bool) {
 	c.at(now)
-	c.heard(o)
+	o = c.heard(o)
 	s := &c.sync
 	var told []func(bool)
 	if w.Fresh {
@@ -153,6 +166,8 @@
 		}
 	case strings.HasPrefix(e.Key, jobPrefix):
 		err = c.learnJob(e.Key[len(jobPrefix):], e)
+	case strings.HasPrefix(e.Key, partPrefix):
+		err = c.learnPart(e.Key[len(partPrefix):], e)
 	case strings.HasPrefix(e.Key, donePrefix):
 		err = c.learnFinished(e.Key[len(donePrefix):], e)
 	case strings.HasPrefix(e.Key, machPrefix):
@@ -174,24 +189,35 @@
 		return err
 	}
 	j := c.jobs[id]
+	if r.Parts > 0 && j == nil {
+		complete, err := c.join(id, &r)
+		if err != nil || !complete {
+			c.heads[id] = e
+			return err
+		}
+	}
+	delete(c.heads, id)
 	if j == nil {
 		j = &ledger.Job{ID: id, Stamp: e.Stamp, Record: r}
 		c.jobs[id] = j
 		j.Clear()
 		if !r.Status.Final() {
 			c.active[id] = j
-			c.joinBlock(j)
+			c.linkJob(j)
 		}
 	}
 	if r.Status.Final() {
 		if bl := c.held[j.Record.Block]; bl != nil && j.Active() {
 			bl.jobOver(c, j, r.Status)
 		}
-		delete(c.active, id)
 		j.Settle(r, e.Stamp)
+		c.jobFinal(j)
 		return nil
 	}
 	j.Stamp = e.Stamp
+	if !j.Active() {
+		return nil // cancelled through another: whatever its record says
+	}
 	if r.Block != j.Record.Block {
 		if bl := c.held[j.Record.Block]; bl != nil {
 			delete(bl.active, id)
@@ -206,7 +232,7 @@
 
 // joinBlock gives a job to its block, if this node holds that.
 func (c *Core) joinBlock(j *ledger.Job) {
-	if bl := c.held[j.Record.Block]; bl != nil && bl.ready {
+	if bl := c.held[j.Record.Block]; bl != nil && bl.ready && j.Awaiting == 0 {
 		j.Reset()
 		bl.addJob(j)
 	}
@@ -235,7 +261,7 @@
 	if n == 0 {
 		j.Failing = f.Failing
 	}
-	return j.LoadFinished(n, c.chunk, f.Tasks)
+	return j.LoadFinished(n, c.layout, f.Tasks)
 }
 
 func (c *Core) learnMachines(key string, e store.Event) error {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 
@@ -49,7 +50,8 @@
 		c.accept(req, id, spec)
 		return
 	}
-	// Before a refusal for good, make sure that no other node has accepted it.
+	// Before a refusal for good, make sure that no other node has accepted it, nor
+	// a job that it awaits.
 	c.wantSync(func(ok bool) {
 		j := c.jobs[id]
 		switch {
@@ -87,7 +89,7 @@
 	if !withinLimit(t.Limit, d) {
 		return "needs more than the team's limit"
 	}
-	return ""
+	return c.missing(s)
 }
 
 // withinLimit reports whether use stays within a limit, where 0 means none.
@@ -115,25 +117,63 @@
 // accept stores a new job and then answers 201. Where it is not sure that the
 // job is stored the user is told to ask again; asking again does no harm.
 func (c *Core) accept(req ReqID, id string, spec *ledger.Spec) {
-	key := jobPrefix + id
 	c.loads()
-	rec := ledger.Record{Status: ledger.Pending, Block: c.lightest(), Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
-	ok := c.lanes[UserLane].Add(&store.Write{
-		Guards:  []store.Guard{{Key: key}},
-		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
-		Done: func(o store.Outcome, _ uint64) {
-			switch o {
-			case store.OK:
-				c.reply(req, http.StatusCreated, JobAnswer{ID: id, Status: ledger.Pending})
-			case store.Failed: // another node, or an earlier try, was first
-				c.Query(c.now, req, id)
-			default:
-				c.handOver(req, AskSubmit, id, spec, "")
+	n := newJob{req: req, id: id, spec: spec}
+	n.record = ledger.Record{Status: ledger.Pending, Block: c.lightest(), Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
+	if len(n.record.Encode()) > c.cfg.ValueMax {
+		n.record, n.parts = n.record.Split(c.cfg.ValueMax)
+	}
+	if old := c.older(); old != "" && (len(n.parts) > 0 || len(spec.Awaits) > 0) {
+		// It would start the job at once, or could not read it.
+		c.unavailable(req, "controller "+old+" still runs an older release")
+		return
+	}
+	c.store(n)
+}
+
+// newJob is a job that is being accepted.
+type newJob struct {
+	req    ReqID
+	id     string
+	spec   *ledger.Spec
+	record ledger.Record
+	parts  []json.RawMessage // of its description, where that is stored in parts
+	stored int               // parts
+}
+
+// store stores what is next of a new job: parts of its description, if there are
+// any, and then the record, which makes the job visible.
+func (c *Core) store(n newJob) {
+	key := jobPrefix + n.id
+	w := &store.Write{Guards: []store.Guard{{Key: key}}} // also keeps late parts from an accepted job
+	last := n.stored == len(n.parts)
+	if last {
+		w.Changes = []store.Change{{Key: key, Value: n.record.Encode()}}
+	}
+	for len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts) {
+		w.Changes = append(w.Changes, store.Change{Key: partKey(n.id, n.record.Sum, n.stored), Value: n.parts[n.stored]})
+		n.stored++
+	}
+	w.Done = func(o store.Outcome, _ uint64) {
+		switch {
+		case o == store.OK && !last:
+			c.store(n)
+		case o == store.OK:
+			status := ledger.Pending
+			if j := c.jobs[n.id]; j != nil && !j.Active() {
+				status = j.Record.Status // it awaits a cancelled one
 			}
-		},
-	})
-	if !ok {
-		c.unavailable(req, "too many submissions")
+			c.reply(n.req, http.StatusCreated, JobAnswer{ID: n.id, Status: status})
+		case o == store.Failed: // another node, or an earlier try, was first
+			c.Query(c.now, n.req, n.id)
+		case o == store.TooLarge:
+			c.unavailable(n.req, "the state service takes no value of that size")
+		default:
+			c.handOver(n.req, AskSubmit, n.id, n.spec, "")
+		}
+	}
+	if !c.lanes[UserLane].Add(w) {
+		c.unavailable(n.req, "too many submissions")
 	}
 }
 
@@ -191,7 +231,7 @@
 	rec := ledger.Record{Status: ledger.Cancelled, Tasks: j.Record.Tasks, Team: j.Spec().Team, Demand: j.Spec().Demand}
 	ok := c.lanes[UserLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key, Stamp: j.Stamp}},
-		Changes: []store.Change{{Key: key, Value: mustJSON(rec)}},
+		Changes: []store.Change{{Key: key, Value: rec.Encode()}},
 		Done: func(o store.Outcome, _ uint64) {
 			switch o {
 			case store.OK:
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -22,6 +22,39 @@
 	leases      map[uint64]*stateLease
 	nextLease   uint64
 	outageUntil unit.Micros
+	limits      limits
+	spent       float64 // changes of the burst
+	spentAt     unit.Micros
+}
+
+// limits of the state service; they may fall while it runs.
+type limits struct {
+	ops, value int
+	changes    float64 // a second
+}
+
+// takes judges a transaction by the limits.
+func (s *stateService) takes(t *store.Txn) store.Outcome {
+	size := 0
+	for _, c := range t.Changes {
+		size += len(c.Key) + len(c.Value)
+		if len(c.Value) > s.limits.value {
+			return store.TooLarge
+		}
+	}
+	for _, g := range t.Guards {
+		size += len(g.Key) + 20
+	}
+	if len(t.Changes) > s.limits.ops || len(t.Guards) > 4*s.limits.ops || size > 64<<10 {
+		return store.TooLarge
+	}
+	s.spent = max(0, s.spent-(s.w.now-s.spentAt).Seconds()*s.limits.changes)
+	s.spentAt = s.w.now
+	if s.spent+float64(len(t.Changes)) > s.limits.changes {
+		return store.Limited
+	}
+	s.spent += float64(len(t.Changes))
+	return store.OK
 }
 
 type item struct {
@@ -58,6 +91,12 @@
 
 func (s *stateService) commit(t *store.Txn) (store.Outcome, uint64, []string) {
 	s.expire()
+	if o := s.takes(t); o != store.OK {
+		if o == store.TooLarge {
+			s.w.violate("too_large", "%d changes, %d guards, first %s", len(t.Changes), len(t.Guards), t.Changes[0].Key)
+		}
+		return o, s.rev, nil
+	}
 	var failed []string
 	for _, g := range t.Guards {
 		if s.keys[g.Key].stamp != g.Stamp {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -49,7 +49,11 @@
 	opt.Seed = rapid.Uint64().Draw(t, "seed")
 	opt.Nodes = rapid.SampledFrom([]int{1, 2, 3, 3, 5}).Draw(t, "nodes")
 	opt.BlockMachines = rapid.SampledFrom([]int{0, 1, 4}).Draw(t, "block_machines")
+	if rapid.Bool().Draw(t, "limits_fall") {
+		opt.LimitsFall = unit.Seconds(float64(rapid.IntRange(1, 100).Draw(t, "limits_fall_at")))
+	}
 	w := New(opt)
+	var jobs []*job
 	for range rapid.IntRange(3, 14).Draw(t, "jobs") {
 		at := unit.Seconds(float64(rapid.IntRange(0, 60).Draw(t, "at")))
 		length := unit.Seconds(float64(rapid.IntRange(1, 20).Draw(t, "length")))
@@ -61,7 +65,13 @@
 		if broken {
 			cancel = unit.Seconds(float64(rapid.IntRange(20, 100).Draw(t, "give_up")))
 		}
-		w.Submit(at, drawJob(t), length, cancel).broken = broken
+		var needs []*job
+		if len(jobs) > 0 && rapid.Bool().Draw(t, "awaits") {
+			needs = rapid.SliceOfNDistinct(rapid.SampledFrom(jobs), 1, min(len(jobs), 3), rapid.ID).Draw(t, "needs")
+		}
+		j := w.Submit(at, drawJob(t), length, cancel, needs...)
+		j.broken = broken
+		jobs = append(jobs, j)
 	}
 	w.Run(420 * second)
 	return w
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -24,6 +24,7 @@
 	length    unit.Micros
 	broken    bool         // submitted with a mistake: fails on every machine
 	done      map[int]bool // truth: completed on some machine
+	needs     []*job       // that it awaits
 	accepted  bool
 	final     ledger.Status // as told
 	wantsOff  bool
@@ -37,13 +38,14 @@
 }
 
 // Submit plans a job's submission and all that follows.
-func (w *World) Submit(at unit.Micros, spec *ledger.Spec, length, cancelAfter unit.Micros) *job {
+func (w *World) Submit(at unit.Micros, spec *ledger.Spec, length, cancelAfter unit.Micros, needs ...*job) *job {
 	u := w.users
 	j := &job{id: fmt.Sprintf("wk-%06d", len(u.ids)), spec: spec, length: length, done: map[int]bool{}}
 	u.ids = append(u.ids, j.id)
+	j.needs = needs
 	w.after(at-w.now, func() {
 		u.jobs[j.id] = j
-		u.submit(j)
+		u.submitAfter(j)
 		if cancelAfter > 0 {
 			w.after(cancelAfter, func() { j.wantsOff = true; u.abort(j) })
 		}
@@ -51,6 +53,38 @@
 	return j
 }
 
+// submitAfter submits a job as soon as those that it awaits are accepted.
+func (u *users) submitAfter(j *job) {
+	for _, a := range j.needs {
+		if !a.accepted {
+			u.w.after(20*millis, func() { u.submitAfter(j) })
+			return
+		}
+	}
+	j.spec.Awaits = nil
+	for _, a := range j.needs {
+		j.spec.Awaits = append(j.spec.Awaits, a.id)
+	}
+	u.submit(j)
+}
+
+// isDone reports whether all tasks of a job have completed.
+func (j *job) isDone() bool { return len(j.done) == j.spec.Tasks }
+
+// offAt is when a user was told that a job is cancelled, or one that it needs,
+// directly or through others; wanted is whether any of their users asked for it.
+func (j *job) offAt() (at unit.Micros, wanted bool) {
+	at, wanted = j.toldOffAt, j.wantsOff
+	for _, a := range j.needs {
+		t, off := a.offAt()
+		wanted = wanted || off
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	return at, wanted
+}
+
 // pick is the load balancer.
 func (u *users) pick() *node {
 	n := u.w.nodes[u.w.rng.IntN(len(u.w.nodes))]
@@ -135,17 +169,22 @@
 	if j.final != "" && a.Status != j.final {
 		u.w.violate("went_back", "%s was told %s, now %s", j.id, j.final, a.Status)
 	}
+	off, wanted := j.offAt()
 	switch a.Status {
+	case ledger.Pending, ledger.Running:
+		if off > 0 && u.w.now > off+cancelIn {
+			u.w.violate("orphaned", "%s is called %s, and what it needs was cancelled at %.1f", j.id, a.Status, off.Seconds())
+		}
 	case ledger.Done:
 		j.final = a.Status
-		if len(j.done) != j.spec.Tasks {
+		if !j.isDone() {
 			u.w.violate("not_done", "%s with %d of %d tasks", j.id, len(j.done), j.spec.Tasks)
 		}
 	case ledger.Cancelled:
-		if !j.wantsOff {
+		if !wanted {
 			u.w.violate("went_back", "%s cancelled by nobody", j.id)
 		}
-		if j.final == "" {
+		if j.final == "" && j.wantsOff {
 			j.toldOffAt = u.w.now
 		}
 		j.final = a.Status
@@ -158,6 +197,11 @@
 	w.Starts++
 	j := u.jobs[id.Job]
 	s := j.spec
+	for _, a := range j.needs {
+		if !a.isDone() {
+			w.violate("too_early", "%s before %s is done", id, a.id)
+		}
+	}
 	if !s.Allows(k.pool.Type, k.pool.Zone, k.pool.Spot) {
 		w.violate("wrong_place", "%s on %+v", id, k.pool)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -37,6 +37,9 @@
 	TroubleTo unit.Micros // no new trouble after that
 	// BlockMachines is the number of machines that one block carries; 0: any.
 	BlockMachines int
+	// LimitsFall is when the state service's limits fall to those that the
+	// controllers were told of; 0: never.
+	LimitsFall unit.Micros
 	// Tamper, if set, changes reports on their way to a controller: it stands
 	// for a controller that does not see what it should.
 	Tamper func(*fleet.Report)
@@ -85,7 +88,10 @@
 // New builds a world with its controllers started.
 func New(opt Options) *World {
 	w := &World{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), workers: map[string]*worker{}}
-	w.state = &stateService{w: w, keys: map[string]item{}, leases: map[uint64]*stateLease{}}
+	w.state = &stateService{w: w, keys: map[string]item{}, leases: map[uint64]*stateLease{}, limits: limits{12, 8 << 10, 100}}
+	if opt.LimitsFall > 0 {
+		w.after(opt.LimitsFall, func() { w.state.limits = limits{4, 2 << 10, 70} })
+	}
 	w.cloud = &cloudService{w: w, answers: map[string][]string{}}
 	w.users = newUsers(w)
 	for i := range opt.Nodes {
@@ -226,7 +232,7 @@
 	n.core = core.New(core.Config{
 		Node: n.name, Peers: peers, Size: n.w.opt.Nodes, Zones: []string{"a", "b"}, Teams: teams,
 		Lease: lease, ReportEvery: report, LeaderTTL: 4 * second, CancelIn: cancelIn, ListLag: 3 * second,
-		TxnOps: 8, ValueKB: 8, StateRate: 200, CloudRate: 5, WriteRate: 100,
+		TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 200, CloudRate: 5, WriteRate: 100, NextWriteRate: 70,
 		BlockMachines: cmp.Or(n.w.opt.BlockMachines, 1000),
 		Pack:          pack.Params{Fairness: 0.25, EpsilonScale: 1, ImagePenalty: 0.1},
 		Scale:         scale.Params{Spare: 0.2, Memory: 30 * second, Worth: 10 * second, IdleReturn: 10 * second},
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -30,15 +30,18 @@
 	base  string
 	http  *http.Client
 	limit *rate.Limiter
+	next  rate.Limit // once the service has refused a request as one too many
 	log   *slog.Logger
 }
 
-// New returns a client. rps is this node's share of the request budget.
-func New(addr string, rps float64, log *slog.Logger) *Client {
+// New returns a client. rps is this node's share of the request budget, and next
+// its share once the service's limits have fallen.
+func New(addr string, rps, next float64, log *slog.Logger) *Client {
 	return &Client{
 		base:  "http://" + addr,
 		http:  rest.NewClient(8),
 		limit: rate.NewLimiter(rate.Limit(rps), max(4, int(rps))),
+		next:  rate.Limit(next),
 		log:   log,
 	}
 }
@@ -56,9 +59,13 @@
 	switch code {
 	case http.StatusOK:
 		return code, store.OK
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable:
 		c.log.Debug("state service", "method", method, "path", path, "code", code)
 		return code, store.Refused
+	case http.StatusTooManyRequests:
+		c.log.Debug("state service", "method", method, "path", path, "code", code)
+		c.limit.SetLimit(min(c.limit.Limit(), c.next))
+		return code, store.Limited
 	}
 	return code, store.Failed
 }
@@ -142,6 +149,10 @@
 	code, o := c.call(http.MethodPost, wire.CommitPath, callTimeout, body, &r)
 	if o == store.Failed && code != http.StatusConflict {
 		c.log.Error("state service refused a transaction", "code", code, "err", r.Error)
+		// A lease that has ended is the other reason, and an ordinary one.
+		if r.Error != wire.NoSuchLease && (code == http.StatusBadRequest || code == http.StatusRequestEntityTooLarge) {
+			o = store.TooLarge
+		}
 	}
 	return o, r.Revision, r.Failed
 }
--- a/internal/wire/services.go
+++ b/internal/wire/services.go
@@ -29,6 +29,9 @@
 	Then []Change `json:"apply"`
 }
 
+// NoSuchLease is the error of a transaction whose lease has ended.
+const NoSuchLease = "no such lease"
+
 // CommitResult answers a transaction.
 type CommitResult struct {
 	Revision uint64   `json:"ledger_rev"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -59,6 +59,7 @@
 	Checkpoint *float64  `json:"bookmark_s"`
 	Save       *float64  `json:"stow_s"`
 	Deadline   *float64  `json:"curtain_s"`
+	Awaits     []*string `json:"awaits"`
 }
 
 var priorities = map[string]ledger.Priority{
@@ -192,6 +193,16 @@
 	if b, _ := json.Marshal(spec); len(b) > 6<<10 {
 		return "", nil, errors.New("description too long")
 	}
+	seen := map[string]bool{}
+	for _, id := range s.Awaits {
+		if id == nil || !ledger.ValidID(*id) {
+			return "", nil, errors.New("awaits: not the form of a job's id")
+		}
+		if !seen[*id] {
+			seen[*id] = true
+			spec.Awaits = append(spec.Awaits, *id)
+		}
+	}
 	return *s.ID, spec, nil
 }
 
