--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -27,12 +27,28 @@
 	}
 }
 
+// What is to come is told field by field; what is missing stays as it is.
+func TestLaterLimits(t *testing.T) {
+	for next, want := range map[string]Limits{
+		``:                       {200, 80, 8, 12},
+		`,"next":null`:           {200, 80, 8, 12},
+		`,"next":{"value_kb":2}`: {200, 80, 2, 12},
+		`,"next":{"txn_ops":4,"write_rps":56,"x":1}`: {200, 56, 8, 4},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, `"txn_ops":12`, `"txn_ops":12`+next, 1)))
+		if err != nil || s.Deployment.State.Later() != want {
+			t.Errorf("%q: %+v %v", next, s, err)
+		}
+	}
+}
+
 // A bad field is named in one line.
 func TestBadFieldsAreNamed(t *testing.T) {
 	for field, v := range map[string]any{
 		"node_name": "", "listen": "here", "internal_addr": nil, "services.state": "x:1", "deployment.size": 3,
 		"deployment.state.rps": 0, "deployment.workers.lease_s": -1, "deployment.quota.fd_limit": 1, "deployment.cloud.rps": "many",
 		"deployment.state.txn_ops": 0, "deployment.zones": []string{}, "deployment.teams": nil, "deployment.quota.ram_mb": 1,
+		"deployment.state.next": "soon",
 	} {
 		var m map[string]any
 		if err := json.Unmarshal([]byte(good), &m); err != nil {
--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -26,3 +29,58 @@
 		t.Fatalf("machine %+v", m)
 	}
 }
+
+// TestLateReportOfReturnedMachine brings a report that a cut has held back after
+// its machine was returned. It was taken for a living machine, and the tasks that
+// it showed waited for it instead of starting elsewhere.
+func TestLateReportOfReturnedMachine(t *testing.T) {
+	c := holding(t, map[string]any{
+		machPrefix + "r-1":      fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}},
+		jobPrefix + "wk-000001": ledger.Record{Status: ledger.Pending, Tasks: 1, Spec: &ledger.Spec{Tasks: 1, AnyType: true}},
+	})
+	bl := c.held[0]
+	c.OnReturn(c.now, ReturnHosts{Names: []string{"n-1"}, Grant: bl.grant}, store.OK)
+	c.Drain()
+	c.Report(c.now, 9, &fleet.Report{Machine: "n-1", Type: "big", Zone: "z", Session: 1, Seq: 7, Token: bl.token, Notice: unit.Never,
+		Tasks: []fleet.Task{{ID: ledger.TaskID{Job: "wk-000001"}, Attempt: 1, State: fleet.Running}}})
+	if r := replyTo(t, c, 9); r.Code != 421 {
+		t.Fatalf("answered %d", r.Code)
+	}
+	if j := c.jobs["wk-000001"]; bl.machines["n-1"] != nil || j.Placed() != 0 {
+		t.Fatalf("machine %v, %d tasks placed", bl.machines["n-1"], j.Placed())
+	}
+}
+
+// holding returns a controller that holds the first block and has read some
+// records.
+func holding(t *testing.T, values map[string]any) *Core {
+	t.Helper()
+	c := New(Config{Node: "a", Size: 1, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, NextWriteRate: 20, Teams: []Team{{Name: "t"}},
+		LeaderTTL: 2 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second})
+	c.Tick(unit.Second, 1000*unit.Second)
+	var items []store.Event
+	for _, k := range sortedKeys(values) {
+		items = append(items, store.Event{Key: k, Value: mustJSON(values[k]), Stamp: uint64(len(items) + 1)})
+	}
+	c.OnTypes(c.now, store.OK, []fleet.Type{{Name: "big", Capacity: pack.Vec{16_000, 0, 64_000}, Zones: []string{"z"}, Price: 2}})
+	c.OnList(c.now, store.OK, 100, items)
+	c.seat.id, c.seat.auth = 1, lead.Authority{TTL: 1000 * unit.Second}
+	c.seat.auth.Renewed(c.now)
+	c.hold(0, granted{Block: lead.Block{Term: 1, Node: "a", Seat: 1}, stamp: 101})
+	c.Drain()
+	c.OnChanges(c.now, Watch{After: 100, Fresh: true}, store.OK, 101, nil, false)
+	c.Drain()
+	return c
+}
+
+// replyTo returns the answer to a request.
+func replyTo(t *testing.T, c *Core, req ReqID) Reply {
+	t.Helper()
+	for _, e := range c.Drain() {
+		if r, ok := e.(Reply); ok && r.Req == req {
+			return r
+		}
+	}
+	t.Fatalf("request %d is not answered", req)
+	return Reply{}
+}
--- /dev/null
+++ b/internal/core/pipeline_test.go
@@ -0,0 +1,270 @@
+package core
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+func job(awaits ...string) *ledger.Spec {
+	return &ledger.Spec{Class: "x", Team: "t", Tasks: 1, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Image: "i", Estimate: unit.Second, Awaits: awaits}
+}
+
+func pending(s *ledger.Spec) ledger.Record {
+	return ledger.Record{Status: ledger.Pending, Tasks: s.Tasks, Submitted: 900 * unit.Second, Spec: s}
+}
+
+// serve plays the state service for a while: it carries out transactions and
+// answers reads at once, and returns the replies to users.
+func serve(t *testing.T, c *Core, keys map[string]store.Event) map[ReqID]Reply {
+	t.Helper()
+	replies := map[ReqID]Reply{}
+	rev := uint64(c.now) // beyond that of any earlier call
+	for range 400 {
+		c.Tick(c.now+TickEvery, c.wall+TickEvery)
+		for _, e := range c.Drain() {
+			switch e := e.(type) {
+			case Reply:
+				replies[e.Req] = e
+			case Watch:
+				if e.Fresh {
+					c.OnChanges(c.now, e, store.OK, c.replica.Rev, nil, false)
+				}
+			case Commit:
+				if len(e.Txn.Changes) > 4 || len(e.Txn.Guards) > 16 {
+					t.Fatalf("%d changes, %d guards", len(e.Txn.Changes), len(e.Txn.Guards))
+				}
+				rev++
+				for _, ch := range e.Txn.Changes {
+					if len(ch.Value) > 2<<10 {
+						t.Fatalf("%s has %d bytes", ch.Key, len(ch.Value))
+					}
+					if keys[ch.Key] = (store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev}); ch.Value == nil {
+						delete(keys, ch.Key)
+					}
+				}
+				c.OnCommit(c.now, e.Lane, e.Txn, store.OK, rev, nil)
+				for _, ch := range e.Txn.Changes {
+					if ch.Value == nil {
+						c.replica.Learn(store.Event{Key: ch.Key, Stamp: rev})
+					}
+				}
+			}
+		}
+	}
+	return replies
+}
+
+// An unknown name is refused for good only by a read that began after the
+// request; where there is none, the user is told to come back.
+func TestUnknownAwaited(t *testing.T) {
+	c := holding(t, map[string]any{jobPrefix + "wk-000001": pending(job()), jobPrefix + "wk-000002": pending(&ledger.Spec{Tasks: 1, Service: true})})
+	read := func(o store.Outcome, events ...store.Event) Reply {
+		t.Helper()
+		for _, e := range c.Drain() {
+			if w, ok := e.(Watch); ok && w.Fresh {
+				c.OnChanges(c.now, w, o, c.replica.Rev+1, events, false)
+				return replyTo(t, c, 5)
+			}
+		}
+		t.Fatal("nothing is read")
+		return Reply{}
+	}
+	step := func() {
+		c.Tick(c.now+unit.Second, c.wall+unit.Second)
+		c.OnChanges(c.now, Watch{Fresh: true, After: c.replica.Rev}, store.OK, c.replica.Rev, nil, false)
+	}
+	step()
+	c.Submit(c.now, 5, "wk-000009", job("wk-000001", "wk-000008"), "")
+	if r := read(store.Refused); r.Code != http.StatusServiceUnavailable || r.RetryAfter == 0 {
+		t.Fatalf("no read, and yet %+v", r)
+	}
+	step()
+	for _, awaits := range []string{"wk-000008", "wk-000009", "wk-000002"} {
+		c.Submit(c.now, 5, "wk-000009", job(awaits), "")
+		if r := read(store.OK); r.Code != http.StatusUnprocessableEntity {
+			t.Fatalf("awaits %s: %+v", awaits, r)
+		}
+		step()
+	}
+	c.Submit(c.now, 5, "wk-000009", job("wk-000008"), "")
+	for _, e := range c.Drain() {
+		if w, ok := e.(Watch); ok && w.Fresh { // another controller has accepted it meanwhile
+			c.OnChanges(c.now, w, store.OK, c.replica.Rev+1, []store.Event{{Key: jobPrefix + "wk-000008", Value: pending(job()).Encode(), Stamp: c.replica.Rev + 1}}, false)
+		}
+	}
+	if r := serve(t, c, map[string]store.Event{})[5]; r.Code != http.StatusCreated || c.jobs["wk-000009"].Awaiting != 1 {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// Only what is stored passes along the graph, and a job that awaits a cancelled
+// one is accepted and cancelled; what follows from it is stored in the end.
+func TestOutcomesPassAlong(t *testing.T) {
+	c := holding(t, map[string]any{
+		jobPrefix + "wk-000001": pending(job()), jobPrefix + "wk-000002": pending(job("wk-000001")), jobPrefix + "wk-000003": pending(job("wk-000002")),
+	})
+	keys := map[string]store.Event{}
+	first, second, third := c.jobs["wk-000001"], c.jobs["wk-000002"], c.jobs["wk-000003"]
+	c.finished(c.held[0], first, 0)
+	if !first.AllFinished() || second.Awaiting != 1 || c.held[0].active[second.ID] != nil {
+		t.Fatal("released before that is stored")
+	}
+	serve(t, c, keys)
+	if second.Awaiting != 0 || c.held[0].active[second.ID] == nil || second.Since < 1000*unit.Second || third.Awaiting != 1 {
+		t.Fatalf("awaiting %d and %d, since %d", second.Awaiting, third.Awaiting, second.Since)
+	}
+	c.Abort(c.now, 5, second.ID)
+	c.Submit(c.now, 6, "wk-000004", job("wk-000001", "wk-000003"), "")
+	replies := serve(t, c, keys)
+	for _, id := range []string{"wk-000002", "wk-000003", "wk-000004"} {
+		var r ledger.Record
+		if err := json.Unmarshal(keys[jobPrefix+id].Value, &r); err != nil || c.jobs[id].Record.Status != ledger.Cancelled || r.Status != ledger.Cancelled {
+			t.Errorf("%s: %s, stored %s, %v", id, c.jobs[id].Record.Status, r.Status, err)
+		}
+	}
+	if replies[5].Code != http.StatusOK || replies[6].Code != http.StatusCreated || len(c.active) != 0 || len(c.untidy) != 0 {
+		t.Fatalf("%+v, %d active, untidy %v", replies, len(c.active), c.untidy)
+	}
+}
+
+// A job that awaits others is not taken while an older controller is known to
+// serve: as the next holder it would start the job at once.
+func TestOlderControllerServes(t *testing.T) {
+	c := holding(t, map[string]any{jobPrefix + "wk-000001": pending(job())})
+	c.cfg.Size = 2
+	c.peers = newPeers([]string{"b"})
+	submit := func(id string, awaits ...string) Reply {
+		t.Helper()
+		c.Submit(c.now, 5, id, job(awaits...), "")
+		return serve(t, c, map[string]store.Event{})[5]
+	}
+	c.OnPeer(c.now, "b", PeerStatus{})
+	if r := submit("wk-000002", "wk-000001"); r.Code != http.StatusServiceUnavailable || r.RetryAfter == 0 {
+		t.Fatalf("%+v", r)
+	}
+	if r := submit("wk-000003"); r.Code != http.StatusCreated {
+		t.Fatalf("%+v", r)
+	}
+	c.learn(store.Event{Key: seatPrefix + "b", Value: json.RawMessage(`{"node":"b","release":3}`), Stamp: 1 << 40})
+	if r := submit("wk-000002", "wk-000001"); r.Code != http.StatusCreated {
+		t.Fatalf("%+v", r)
+	}
+	c.OnPeer(c.now, "b", PeerStatus{StateAge: 0})
+	c.sync.lastOK = 0
+	c.Submit(c.now, 7, "wk-000004", job("wk-000001"), "")
+	for _, e := range c.Drain() {
+		if m, ok := e.(SendPeer); ok {
+			if _, ask := m.Message.(PeerAsk); ask {
+				t.Fatal("an older controller is asked to take a job that awaits others")
+			}
+		}
+	}
+}
+
+// A submission whose names do not fit one value is stored in parts, is known to a
+// controller that reads all anew, and its parts go when it is over.
+func TestManyAwaited(t *testing.T) {
+	values := map[string]any{}
+	var awaits []string
+	for i := range 2500 {
+		id := fmt.Sprintf("wk-%06d", i)
+		values[jobPrefix+id] = ledger.Record{Status: ledger.Done, Tasks: 1, Ended: 1010 * unit.Second}
+		awaits = append(awaits, id)
+	}
+	values[jobPrefix+"wk-000007"] = pending(job())
+	c := holding(t, values)
+	keys := map[string]store.Event{}
+	c.Submit(c.now, 5, "wk-900000", job(awaits...), "")
+	if r := serve(t, c, keys)[5]; r.Code != http.StatusCreated {
+		t.Fatalf("%+v", r)
+	}
+	if len(keys) < 10 {
+		t.Fatalf("%d records", len(keys))
+	}
+	all := map[string]any{}
+	for k, e := range keys {
+		all[k] = e.Value
+	}
+	for k, v := range values {
+		if all[k] == nil {
+			all[k] = v
+		}
+	}
+	again := holding(t, all)
+	j := again.jobs["wk-900000"]
+	if j == nil || j.Awaiting != 1 || len(j.Spec().Awaits) != 2500 || j.Since != 1010*unit.Second {
+		t.Fatalf("read anew: %+v", j)
+	}
+	delete(all, partKey("wk-900000", j.Record.Sum, 1))
+	if j := holding(t, all).jobs["wk-900000"]; j != nil {
+		t.Fatal("a job whose awaited names cannot be read is taken for one that may start")
+	}
+	c.Abort(c.now, 6, "wk-000007")
+	serve(t, c, keys)
+	if len(keys) != 2 || c.jobs["wk-900000"].Record.Status != ledger.Cancelled {
+		t.Fatalf("%d records left, %s", len(keys), c.jobs["wk-900000"].Record.Status)
+	}
+}
+
+// The rates of later are used once the state service has refused something as too
+// much.
+func TestRatesFall(t *testing.T) {
+	c := holding(t, nil)
+	before := c.lanes[LeaderLane].Rate
+	if o := c.heard(store.Limited); o != store.Refused || c.lanes[LeaderLane].Rate >= before || c.cfg.WriteRate != 20 {
+		t.Fatalf("%v, %v after %v", o, c.lanes[LeaderLane].Rate, before)
+	}
+}
+
+// What the version before awaited jobs has stored is read as it was meant, and
+// what this one stores of a job that awaits none is read by it: it knows the
+// fields below and ignores others.
+func TestProductionValues(t *testing.T) {
+	b, err := os.ReadFile("testdata/production-values.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values map[string]any
+	if err := json.Unmarshal(b, &values); err != nil {
+		t.Fatal(err)
+	}
+	c := New(Config{Node: "a", Size: 3, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, Peers: []string{"stagehand-1"}})
+	var items []store.Event
+	for _, k := range sortedKeys(values) {
+		items = append(items, store.Event{Key: k, Value: mustJSON(values[k]), Stamp: uint64(len(items) + 1)})
+	}
+	c.OnList(1, store.OK, 100, items)
+	j := c.jobs["wk-000412"]
+	if j == nil || j.Finished() != 615 || !j.IsStored(1499) || j.IsStored(512) || j.Awaiting != 0 || j.Spec().Deadline != 900*unit.Second ||
+		c.jobs["wk-000398"].Record.Status != ledger.Done || c.jobs["wk-000405"].Record.Demand[0] != 1000 ||
+		c.claim.Term != 3 || c.blocks[1].Left != "stagehand-0" || c.shares[0].share != 0.75 || c.where["n-000002"] != 1 || c.older() != "stagehand-1" {
+		t.Fatalf("%+v", j)
+	}
+	type oldRecord struct {
+		Status    string          `json:"status"`
+		Block     int             `json:"block"`
+		Tasks     int             `json:"tasks"`
+		Submitted int64           `json:"submitted"`
+		Spec      json.RawMessage `json:"spec"`
+	}
+	var was, is oldRecord
+	if json.Unmarshal(mustJSON(values[jobPrefix+"wk-000412"]), &was) != nil || json.Unmarshal(j.Record.Encode(), &is) != nil {
+		t.Fatal("unreadable")
+	}
+	var a, z any
+	if json.Unmarshal(was.Spec, &a) != nil || json.Unmarshal(is.Spec, &z) != nil || fmt.Sprint(a) != fmt.Sprint(z) {
+		t.Fatalf("%s\nis now stored as\n%s", was.Spec, is.Spec)
+	}
+	was.Spec, is.Spec = nil, nil
+	if fmt.Sprint(was) != fmt.Sprint(is) {
+		t.Fatalf("%+v is now stored as %+v", was, is)
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -29,7 +29,6 @@
 	m := bl.machines[r.Machine]
 	if m == nil {
 		m = c.newMachine(bl, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot}, 0)
-		delete(bl.gone, r.Machine)
 	}
 	orders := Orders{Token: bl.token}
 	if !m.Newer(r) {
@@ -101,7 +100,14 @@
 		c.wantSync(nil)
 		return nil
 	}
-	if !known && bl.gone[r.Machine] == 0 {
+	if bl.gone[r.Machine] != 0 {
+		// The cloud has said that it is gone: a cut held the report back. Taken for
+		// alive, it would keep the tasks that it shows from starting elsewhere.
+		c.log.Debug("late report of a returned machine", "machine", r.Machine)
+		c.reply(req, http.StatusMisdirectedRequest, Redirect{})
+		return nil
+	}
+	if !known {
 		// Whoever has rented it may not have stored that yet: it is adopted only
 		// when nobody has for a while.
 		since, seen := bl.strays[r.Machine]
--- /dev/null
+++ b/internal/peer/production_test.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"reflect"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// TestProductionFrames reads frames as controllers of the version before awaited
+// jobs have sent them.
+func TestProductionFrames(t *testing.T) {
+	b, err := os.ReadFile("testdata/production-frames.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var frames map[string]string
+	if err := json.Unmarshal(b, &frames); err != nil {
+		t.Fatal(err)
+	}
+	spec := &ledger.Spec{Class: "train", Team: "vision", Priority: ledger.High, Tasks: 1500, Demand: pack.Vec{4000, 0, 16000}, Types: []string{"g8"},
+		Zone: "a", OneZone: true, Spot: true, Image: "img-07", ImageMB: 6200, Estimate: 240e6, Checkpoint: 30e6, Save: 4e6, Deadline: 900e6}
+	for name, want := range map[string]any{
+		"status":     core.PeerStatus{StateAge: 7, Seat: 41, Sent: 12345678, Blocks: []core.BlockStatus{{Block: 1, Share: 9, Use: 0.25}, {Block: 0, Share: 3, Use: -1}}},
+		"deaf":       core.PeerStatus{StateAge: 7, Deaf: true},
+		"promise":    core.PeerPromise{Seat: 41, Sent: 12345678},
+		"permit_ask": core.PeerPermitAsk{Node: "stagehand-2", Seat: 17},
+		"permit":     core.PeerPermit{Node: "stagehand-2", Seat: 17},
+		"release":    core.PeerRelease{Block: 2, Grant: 77},
+		"ask":        core.PeerAsk{ID: 5, Kind: core.AskSubmit, Job: "wk-000412", Spec: spec},
+		"answer":     core.PeerAnswer{ID: 5, Code: 201, Body: &core.JobAnswer{ID: "wk-000412", Status: ledger.Pending, Counts: true, Done: 3, Running: 2}},
+		"refusal":    core.PeerAnswer{ID: 6, Code: 503, Text: "try again", RetryAfter: 1e6},
+	} {
+		raw, err := hex.DecodeString(frames[name])
+		if err != nil {
+			t.Fatal(err)
+		}
+		from, m, err := Decode(bytes.NewReader(raw))
+		if err != nil || from != "stagehand-1" || !reflect.DeepEqual(m, want) {
+			t.Errorf("%s: %q %+v %v", name, from, m, err)
+		}
+		delete(frames, name)
+	}
+	if len(frames) > 0 {
+		t.Errorf("not looked at: %v", frames)
+	}
+}
+
+// What that version knows of the messages that have gained fields.
+type (
+	oldStatus struct {
+		StateAge unit.Micros
+		Seat     uint64
+		Sent     unit.Micros
+		Deaf     bool
+		Blocks   []core.BlockStatus
+	}
+	oldSpec struct {
+		Class    string
+		Tasks    int
+		Demand   pack.Vec
+		Deadline unit.Micros
+	}
+	oldAsk struct {
+		ID   uint64
+		Kind core.AskKind
+		Job  string
+		Spec *oldSpec
+	}
+)
+
+// TestProductionReads has messages of today read by the types of that version:
+// gob leaves out fields that the reader does not have.
+func TestProductionReads(t *testing.T) {
+	var b bytes.Buffer
+	enc, dec := gob.NewEncoder(&b), gob.NewDecoder(&b)
+	if err := enc.Encode(core.PeerStatus{Seat: 4, Sent: 5, Release: 3, Blocks: []core.BlockStatus{{Block: 1, Use: 0.5}}}); err != nil {
+		t.Fatal(err)
+	}
+	var s oldStatus
+	if err := dec.Decode(&s); err != nil || s.Seat != 4 || s.Sent != 5 || len(s.Blocks) != 1 || s.Blocks[0].Use != 0.5 {
+		t.Fatalf("%+v %v", s, err)
+	}
+	if err := enc.Encode(core.PeerAsk{ID: 6, Job: "wk-000001", Spec: &ledger.Spec{Class: "x", Tasks: 3, Awaits: []string{"wk-000002"}}}); err != nil {
+		t.Fatal(err)
+	}
+	var a oldAsk
+	if err := dec.Decode(&a); err != nil || a.ID != 6 || a.Job != "wk-000001" || a.Spec == nil || a.Spec.Tasks != 3 {
+		t.Fatalf("%+v %v", a, err)
+	}
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -42,6 +42,14 @@
 			}
 		}
 	}
+	for _, v := range []any{nil, []string{}, "DROP"} {
+		if _, s, err := DecodeSubmission(edit(t, "awaits", v)); err != nil || s.Awaits != nil {
+			t.Errorf("awaits %v: %+v %v", v, s, err)
+		}
+	}
+	if _, s, err := DecodeSubmission(edit(t, "awaits", []string{"wk-000398", "wk-000405", "wk-000398"})); err != nil || len(s.Awaits) != 2 || s.Awaits[1] != "wk-000405" {
+		t.Errorf("%+v %v", s, err)
+	}
 	if _, _, err := DecodeSubmission(edit(t, "news", 1)); err != nil {
 		t.Errorf("unknown field: %v", err)
 	}
@@ -60,6 +68,7 @@
 		"name_id": {"wk-1", "x", 7}, "shape": {"ensemble", ""}, "urgency": {"soon"}, "cues": {0, -1, 100001, 1.5, "2"},
 		"cores": {-1, 1e300, "8"}, "memory_gb": {-0.5}, "runtime_s": {-1}, "curtain_s": {-1, "x"}, "rigs": {"g8", []int{1}, []string{""}},
 		"hall": {1, ""}, "same_place": {1, "true"},
+		"awaits": {"wk-000398", 7, true, map[string]int{}, []any{nil}, []int{1}, []string{""}, []string{"wk-1"}, []any{[]string{"wk-000398"}}},
 	} {
 		for _, v := range vs {
 			if _, _, err := DecodeSubmission(edit(t, name, v)); err == nil {
