--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -7,6 +7,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -51,18 +52,41 @@
 	}
 }
 
+// TestLateBoot has a job wait for a machine that does not come up. It waited for as
+// long as the slowest machines take, 160 s: no other was rented for it.
+func TestLateBoot(t *testing.T) {
+	for rented, want := range map[unit.Micros]bool{5 * unit.Second: false, 25 * unit.Second: true} {
+		c := holding(t, map[string]any{
+			machPrefix + "r-1":      fleet.Group{Type: "big", Zone: "z", Booting: []string{"n-1"}, Rented: 1000*unit.Second - rented},
+			jobPrefix + "wk-000001": pending(job()),
+		})
+		rents := false
+		for range 10 {
+			c.Tick(c.now+TickEvery, c.wall+TickEvery)
+			for _, e := range c.Drain() {
+				_, ok := e.(RentHosts)
+				rents = rents || ok
+			}
+		}
+		if rents != want {
+			t.Errorf("rented %.0f s ago: rents another: %v", rented.Seconds(), rents)
+		}
+	}
+}
+
 // holding returns a controller that holds the first block and has read some
 // records.
 func holding(t *testing.T, values map[string]any) *Core {
 	t.Helper()
 	c := New(Config{Node: "a", Size: 1, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, NextWriteRate: 20, Teams: []Team{{Name: "t"}},
-		LeaderTTL: 2 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second})
+		LeaderTTL: 2 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second, CloudRate: 5,
+		Scale: scale.Params{Memory: 15 * unit.Second, Worth: 20 * unit.Second, IdleReturn: 5 * unit.Second}})
 	c.Tick(unit.Second, 1000*unit.Second)
 	var items []store.Event
 	for _, k := range sortedKeys(values) {
 		items = append(items, store.Event{Key: k, Value: mustJSON(values[k]), Stamp: uint64(len(items) + 1)})
 	}
-	c.OnTypes(c.now, store.OK, []fleet.Type{{Name: "big", Capacity: pack.Vec{16_000, 0, 64_000}, Zones: []string{"z"}, Price: 2}})
+	c.OnTypes(c.now, store.OK, []fleet.Type{{Name: "big", Capacity: pack.Vec{16_000, 0, 64_000}, Zones: []string{"z"}, Price: 2, Boot: 10 * unit.Second}})
 	c.OnList(c.now, store.OK, 100, items)
 	c.seat.id, c.seat.auth = 1, lead.Authority{TTL: 1000 * unit.Second}
 	c.seat.auth.Renewed(c.now)
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -43,11 +43,16 @@
 	}
 	needs := c.needs(bl)
 	var ms []scale.Machine
+	late := 0
 	for _, name := range sortedKeys(bl.machines) {
 		m := bl.machines[name]
 		if m.Leaving || m.Lost || m.Sick || m.Notice != unit.Never {
 			continue
 		}
+		if m.Type != nil && m.LastSeen == 0 && m.LeaseEnd == 0 && c.now-m.Rented > lateBoot*m.Type.Boot && late < fewOf(len(bl.machines)) {
+			late++ // what waits for it should not wait for that one alone
+			continue
+		}
 		sm := scale.Machine{Name: name, Pool: poolOf(m), Booted: m.LastSeen != 0, Age: c.now - m.Rented}
 		if len(m.Tasks) == 0 {
 			sm.Idle = c.now - m.IdleSince + 1
@@ -84,6 +89,12 @@
 	}
 }
 
+// lateBoot is how many times as long as usual a machine may take to come up
+// before the work at hand no longer counts on it. It takes up to one and a half
+// times; those that never come up are returned much later. Of many machines only
+// a few can be late for reasons of their own.
+const lateBoot = 2
+
 // rent asks for machines in as many requests as the cloud takes in a second, a
 // part of them for each of the offers.
 func (c *Core) rent(bl *block, rents []scale.Rent) {
