--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -52,6 +53,56 @@
 	}
 }
 
+// TestRatiosOutliveHolder has the next holder know what tasks of a class really
+// take. One that goes by wrong estimates again takes jobs for late that are not.
+func TestRatiosOutliveHolder(t *testing.T) {
+	c := holding(t, nil)
+	for range 9 {
+		c.held[0].learnRun(job(), unit.Second/5)
+	}
+	keys := map[string]store.Event{}
+	serve(t, c, keys)
+	next := holding(t, map[string]any{ratioKey(0): keys[ratioKey(0)].Value})
+	if run := next.held[0].runtime(job()); run != unit.Second/5 {
+		t.Fatalf("%.2f s", run.Seconds())
+	}
+	if bad := holding(t, map[string]any{ratioKey(0): map[string]any{"x": map[string]any{"mean": -1, "tasks": 9}}}); bad.held[0].runtime(job()) != unit.Second {
+		t.Fatal("a ratio that cannot be is used")
+	}
+}
+
+// TestSilentZone has most machines of a zone go silent together while the others
+// are heard. What they may run waited for their leases.
+func TestSilentZone(t *testing.T) {
+	var names []string
+	for i := range 9 {
+		names = append(names, fmt.Sprintf("n-%d", i))
+	}
+	for heard, want := range map[int]int{0: 0, 1: 0, 3: 6} {
+		c := holding(t, map[string]any{machPrefix + "r-1": fleet.Group{Type: "big", Zone: "z", Up: names}})
+		c.cfg.Zones, c.cfg.Lease = []string{"z"}, 60*unit.Second
+		returned := map[string]bool{}
+		for i := range 200 {
+			for k := range heard {
+				if i%20 == k {
+					c.Report(c.now, ReqID(1000*i+k+1), &fleet.Report{Machine: names[k], Type: "big", Zone: "z", Session: 1, Seq: uint64(i + 1), Token: c.held[0].token, Notice: unit.Never})
+				}
+			}
+			c.Tick(c.now+TickEvery, c.wall+TickEvery)
+			for _, e := range c.Drain() {
+				if r, ok := e.(ReturnHosts); ok {
+					for _, n := range r.Names {
+						returned[n] = true
+					}
+				}
+			}
+		}
+		if len(returned) != want {
+			t.Errorf("%d of 9 heard: %d returned", heard, len(returned))
+		}
+	}
+}
+
 // TestLateBoot has a job wait for a machine that does not come up. It waited for as
 // long as the slowest machines take, 160 s: no other was rented for it.
 func TestLateBoot(t *testing.T) {
--- a/internal/core/silent.go
+++ b/internal/core/silent.go
@@ -121,11 +121,16 @@
 // fewOf is how many machines may be given up early, as a part of all.
 func fewOf(n int) int { return max(1, n/20) }
 
+// heardPart is how many silent machines one that is heard speaks against.
+const heardPart = 4
+
 // dropSilent returns machines that have gone silent: once the cloud has said
 // that they are gone their tasks may start elsewhere, long before their lease
 // would have run out. A machine whose notice has run out is expected to be
-// gone. Any other is given up only while most machines of its zone are heard:
-// otherwise it is more likely this node that cannot be reached.
+// gone. Any other is given up only while enough machines of its zone are heard:
+// otherwise it is more likely this node that cannot be reached. They need not be
+// most: when the greater part of a zone's spot machines was taken while controllers
+// were down, work accepted earlier waited for the leases of the dead ones.
 func (c *Core) dropSilent(bl *block, silent []*fleet.Machine, heard map[string]int) {
 	patience := c.patience()
 	count := map[string]int{}
@@ -137,13 +142,13 @@
 	for _, z := range c.cfg.Zones {
 		// After a cut the first machines heard again do not speak against those
 		// that are about to be: the zone must have been heard for a while.
-		if heard[z] <= count[z] {
+		if heardPart*heard[z] <= count[z] {
 			bl.deafZone[z] = c.now
 		}
 	}
 	for _, m := range silent {
 		z := m.Record.Zone
-		if m.Notice != unit.Never || heard[z] > count[z] && c.now-bl.deafZone[z] > patience {
+		if m.Notice != unit.Never || heardPart*heard[z] > count[z] && c.now-bl.deafZone[z] > patience {
 			c.log.Warn("machine silent", "machine", m.Name, "tasks", len(m.Tasks), "notice", m.Notice != unit.Never)
 			bl.giveBack(m)
 		}
