--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,7 +165,7 @@
 	parts  map[string]map[string]string // descriptions stored in parts: their texts until they are read, by job and key
 	heads  map[string]store.Event       // records whose parts are not all known
 	untidy map[string]bool              // jobs that are over and of which something is to be cleaned up in the state service
-	flowAt unit.Micros
+	flowAt unit.Micros                  // when aims next pass back along the graph
 	types  map[string]*fleet.Type
 	claim  lead.Claim // of the present leader; Node "" if none
 	term   lead.Term
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -53,57 +53,65 @@
 	c.untidy[j.ID] = true
 }
 
-// tidy stores for some jobs that they were cancelled with others, and removes the
-// parts of descriptions that nobody needs any more.
+// tidy cleans up in the state service behind some jobs that are over.
 func (c *Core) tidy(bl *block, room int) {
 	for _, id := range sortedKeys(c.untidy) {
 		if room <= 0 {
 			return
 		}
 		delete(c.untidy, id)
-		j := c.jobs[id]
-		if j == nil || j.Active() {
-			continue
+		if j := c.jobs[id]; j.Through != "" {
+			room -= c.tidyRecord(bl, j)
+		} else {
+			room -= c.tidyParts(bl, id, room)
 		}
-		key := jobPrefix + id
-		again := func(o store.Outcome) {
-			if o != store.OK && o != store.TooLarge {
-				c.untidy[id] = true
-			}
-		}
-		if j.Through != "" {
-			room--
-			c.blockWrite(bl, true, func(o store.Outcome) {
-				if o == store.OK {
-					j.Through = ""
-				}
-				again(o)
-			}, []string{key}, store.Change{Key: key, Value: j.Record.Encode()})
-			continue
+	}
+}
+
+// tidyRecord has a job's record say that it was cancelled with another. It returns
+// how many changes that takes.
+func (c *Core) tidyRecord(bl *block, j *ledger.Job) int {
+	key := jobPrefix + j.ID
+	c.blockWrite(bl, true, func(o store.Outcome) {
+		if o != store.OK && j.Through != "" {
+			c.untidy[j.ID] = true
 		}
-		var changes []store.Change
-		var guards []string
-		for _, k := range sortedKeys(c.parts[id]) {
-			if len(changes) == min(room, c.cfg.TxnOps) {
-				break
+	}, []string{key}, store.Change{Key: key, Value: j.Record.Encode()})
+	return 1
+}
+
+// tidyParts removes parts of a description that nobody needs any more, as many as
+// there is room for, and returns how many.
+func (c *Core) tidyParts(bl *block, id string, room int) int {
+	keys := sortedKeys(c.parts[id])
+	keys = keys[:min(len(keys), room, c.cfg.TxnOps)]
+	if len(keys) == 0 {
+		return 0
+	}
+	changes := make([]store.Change, len(keys))
+	for i, k := range keys {
+		changes[i].Key = k
+	}
+	c.blockWrite(bl, true, func(o store.Outcome) {
+		if o == store.OK {
+			for _, k := range keys {
+				c.forgetPart(id, k)
 			}
-			changes = append(changes, store.Change{Key: k})
-			guards = append(guards, k)
 		}
-		if len(changes) == 0 {
-			continue
+		if len(c.parts[id]) > 0 {
+			c.untidy[id] = true
+		}
+	}, keys, changes...)
+	return len(keys)
+}
+
+// forgetPart notes that a part is no longer stored.
+func (c *Core) forgetPart(id, key string) {
+	if delete(c.parts[id], key); len(c.parts[id]) == 0 {
+		delete(c.parts, id)
+		if j := c.jobs[id]; j != nil && j.Through == "" {
+			delete(c.untidy, id)
 		}
-		room -= len(changes)
-		c.blockWrite(bl, true, func(o store.Outcome) {
-			if o == store.OK {
-				for _, k := range guards {
-					delete(c.parts[id], k)
-				}
-			}
-			if len(c.parts[id]) > 0 {
-				c.untidy[id] = true
-			}
-		}, guards, changes...)
 	}
 }
 
@@ -115,9 +123,7 @@
 func (c *Core) learnPart(key string, e store.Event) error {
 	id, _, _ := strings.Cut(key, "/")
 	if e.Value == nil {
-		if delete(c.parts[id], e.Key); len(c.parts[id]) == 0 {
-			delete(c.parts, id)
-		}
+		c.forgetPart(id, e.Key)
 		return nil
 	}
 	text, err := ledger.PartText(e.Value)
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -60,19 +60,24 @@
 	case store.OK, store.Failed, store.TooLarge:
 		c.sync.lastOK, c.sync.everOK = c.now, true
 	case store.Limited:
-		if next := min(c.cfg.WriteRate, c.cfg.NextWriteRate); 0 < next && next < c.cfg.WriteRate {
-			c.log.Info("state service takes fewer changes", "a_second", next)
-			c.cfg.WriteRate = next
-		}
-		if c.cfg.NextStateRate > 0 {
-			c.cfg.StateRate = min(c.cfg.StateRate, c.cfg.NextStateRate)
-		}
-		c.setRates()
+		c.useNextRates()
 		return store.Refused
 	}
 	return o
 }
 
+// useNextRates goes by the rates that the state service was to have later.
+func (c *Core) useNextRates() {
+	if next := c.cfg.NextStateRate; next > 0 {
+		c.cfg.StateRate = min(c.cfg.StateRate, next)
+	}
+	if next := c.cfg.NextWriteRate; 0 < next && next < c.cfg.WriteRate {
+		c.log.Info("state service takes fewer changes", "a_second", next)
+		c.cfg.WriteRate = next
+		c.setRates()
+	}
+}
+
 func (c *Core) tickSync() {
 	s := &c.sync
 	if s.loaded && c.now-s.lastOK > heartbeat {
@@ -213,6 +218,8 @@
 			bl.jobOver(c, j, r.Status)
 		}
 		j.Settle(r, e.Stamp)
+		j.Through = "" // its own record says so now, whoever has cleaned up
+		delete(c.untidy, id)
 		c.jobFinal(j)
 		return nil
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -67,6 +67,9 @@
 		c.limit.SetLimit(min(c.limit.Limit(), c.next))
 		return code, store.Limited
 	}
+	if code >= http.StatusInternalServerError {
+		return code, store.Unknown // none of the service's own answers
+	}
 	return code, store.Failed
 }
 
