--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -68,7 +68,6 @@
 	planAt    unit.Micros
 	sortAt    unit.Micros
 	sweepAt   unit.Micros
-	ratiosAt  unit.Micros // when the ratios of classes are next stored
 	moveAt    unit.Micros
 	logAt     unit.Micros
 	cloudWait unit.Micros
@@ -133,7 +132,6 @@
 				j.Held = len(bl.unaccounted) > 0
 			}
 		}
-		c.takeRatios(bl)
 		bl.ready = true
 		c.log.Info("picture read", "block", bl.n, "jobs", len(bl.active), "machines", len(bl.machines))
 	})
@@ -293,10 +291,6 @@
 		bl.moveAt = c.now + unit.Second/2
 		c.moveJobs(bl)
 	}
-	if c.now >= bl.ratiosAt {
-		bl.ratiosAt = c.now + ratiosEvery
-		c.storeRatios(bl)
-	}
 	c.contact(bl)
 	c.tickCloud(bl)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,11 +172,10 @@
 	seats  map[string]*seatView
 	blocks map[int]granted
 	shares map[int]shared
-	groups map[string]fleet.Group        // stored machines, by key
-	where  map[string]int                // block of each stored machine
-	layout ledger.Layout                 // of records of finished tasks
-	ratios map[int]map[string]shownRatio // stored, by block and class
-	load   []load                        // unfinished work of each block
+	groups map[string]fleet.Group // stored machines, by key
+	where  map[string]int         // block of each stored machine
+	layout ledger.Layout          // of records of finished tasks
+	load   []load                 // unfinished work of each block
 	loadAt unit.Micros
 
 	sync      syncState
@@ -205,7 +204,7 @@
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
 		types: map[string]*fleet.Type{}, seats: map[string]*seatView{}, blocks: map[int]granted{}, shares: map[int]shared{},
 		groups: map[string]fleet.Group{}, where: map[string]int{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{},
-		parts: map[string]map[string]string{}, heads: map[string]store.Event{}, untidy: map[string]bool{}, releases: map[string]int{}, ratios: map[int]map[string]shownRatio{},
+		parts: map[string]map[string]string{}, heads: map[string]store.Event{}, untidy: map[string]bool{}, releases: map[string]int{},
 		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
 	if c.cfg.ValueMax == 0 {
 		c.cfg.ValueMax = int(cfg.ValueKB * 1024)
@@ -304,7 +303,6 @@
 	seatPrefix  = root + "seat/"
 	blockPrefix = root + "block/"
 	sharePrefix = root + "share/"
-	ratioPrefix = root + "ratio/" // K; run times of classes by their owners' estimates
 	leadKey     = root + "leader"
 	termKey     = root + "term"
 )
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -1,14 +1,12 @@
 package core
 
 import (
-	"encoding/json"
 	"math"
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/scale"
-	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -22,85 +20,11 @@
 // ratioMemory is how many tasks the mean looks back on.
 const ratioMemory = 50
 
-const (
-	knownTasks = 5  // after so many tasks a class's ratio counts
-	maxRatio   = 10 // beyond, a task says nothing of others
-)
-
 func (r *ratio) add(x float64) {
 	r.n++
 	r.mean += (x - r.mean) / float64(min(r.n, ratioMemory))
 }
 
-// shownRatio is the stored form of a class's ratio.
-type shownRatio struct {
-	Mean  float64 `json:"mean"`
-	Tasks int     `json:"tasks"`
-}
-
-const (
-	// ratiosEvery is how often the ratios are stored, if one has moved by ratioMoves.
-	ratiosEvery = 10 * unit.Second
-	ratioMoves  = 0.1
-)
-
-// storeRatios has the classes' ratios stored where they have moved: a new holder
-// that went by the owners' estimates again would take jobs for late, or for in time,
-// and rent for them, until enough tasks of each class had run under it.
-func (c *Core) storeRatios(bl *block) {
-	moved := false
-	was := c.ratios[bl.n]
-	shown := map[string]shownRatio{}
-	for class, r := range bl.runtimes {
-		if r.n < knownTasks {
-			continue
-		}
-		shown[class] = shownRatio{r.mean, min(r.n, ratioMemory)}
-		old, ok := was[class]
-		moved = moved || !ok || math.Abs(old.Mean-r.mean) > ratioMoves*old.Mean
-	}
-	if !moved {
-		return
-	}
-	for _, class := range sortedKeys(shown) {
-		if len(mustJSON(shown)) <= c.cfg.ValueMax {
-			break
-		}
-		delete(shown, class)
-	}
-	key := ratioKey(bl.n)
-	c.blockWrite(bl, true, func(store.Outcome) {}, []string{key}, store.Change{Key: key, Value: mustJSON(shown)})
-}
-
-func (c *Core) learnRatios(e store.Event) error {
-	k, err := blockNumber(e.Key, ratioPrefix)
-	if err != nil {
-		return err
-	}
-	if e.Value == nil {
-		delete(c.ratios, k)
-		return nil
-	}
-	var shown map[string]shownRatio
-	if err := json.Unmarshal(e.Value, &shown); err != nil {
-		return err
-	}
-	for class, r := range shown {
-		if !(r.Mean > 0 && r.Mean <= maxRatio) || r.Tasks < knownTasks {
-			delete(shown, class)
-		}
-	}
-	c.ratios[k] = shown
-	return nil
-}
-
-// takeRatios begins with what earlier holders of the block have learnt.
-func (c *Core) takeRatios(bl *block) {
-	for class, r := range c.ratios[bl.n] {
-		bl.runtimes[class] = &ratio{r.Mean, min(r.Tasks, ratioMemory)}
-	}
-}
-
 // learnRun takes in how long a task ran.
 func (bl *block) learnRun(s *ledger.Spec, took unit.Micros) {
 	if s.Service || s.Estimate <= 0 || took <= 0 {
@@ -111,13 +35,13 @@
 		r = &ratio{}
 		bl.runtimes[s.Class] = r
 	}
-	r.add(math.Min(float64(took)/float64(s.Estimate), maxRatio))
+	r.add(math.Min(float64(took)/float64(s.Estimate), 10))
 }
 
 // runtime is how long a task of the job is expected to run: the owner's
 // estimate, corrected by what the class has shown once a few tasks are through.
 func (bl *block) runtime(s *ledger.Spec) unit.Micros {
-	if r := bl.runtimes[s.Class]; r != nil && r.n >= knownTasks {
+	if r := bl.runtimes[s.Class]; r != nil && r.n >= 5 {
 		return unit.Micros(float64(s.Estimate) * r.mean)
 	}
 	return s.Estimate
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -185,7 +185,6 @@
 
 func blockKey(k int) string { return blockPrefix + strconv.Itoa(k) }
 func shareKey(k int) string { return sharePrefix + strconv.Itoa(k) }
-func ratioKey(k int) string { return ratioPrefix + strconv.Itoa(k) }
 
 // govern does one thing that is due: blocks whose holder is gone go to another,
 // then shares follow the mode, then blocks are moved.
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -175,8 +175,6 @@
 		err = c.learnPart(e.Key[len(partPrefix):], e)
 	case strings.HasPrefix(e.Key, donePrefix):
 		err = c.learnFinished(e.Key[len(donePrefix):], e)
-	case strings.HasPrefix(e.Key, ratioPrefix):
-		err = c.learnRatios(e)
 	case strings.HasPrefix(e.Key, machPrefix):
 		err = c.learnMachines(e.Key, e)
 	case strings.HasPrefix(e.Key, typePrefix):
