Read again: one way to store plain data, a record encoded once, one way to queue writes again

ledger had written core's mustJSON again: both are store.Value. A submission's record was encoded twice, the sum of a description in two places. What goes again after a refusal for size takes the same way as what goes again beside a failed guard.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -158,7 +158,7 @@
 	bl.freeing = true
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}},
-		Changes: []store.Change{{Key: blockKey(bl.n), Value: mustJSON(lead.Block{Term: g.Term, Number: g.Number, Left: c.cfg.Node})}},
+		Changes: []store.Change{{Key: blockKey(bl.n), Value: store.Value(lead.Block{Term: g.Term, Number: g.Number, Left: c.cfg.Node})}},
 		Done:    func(store.Outcome, uint64) { bl.freeing = false }, // tried again until it is known to be so
 	})
 }
--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -22,7 +22,7 @@
 	now, wall := unit.Second, 1000*unit.Second
 	c.Tick(now, wall)
 	g := fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}, Rented: wall - 400*unit.Second}
-	c.OnList(now, store.OK, 5, []store.Event{{Key: machPrefix + "r-1", Value: mustJSON(g), Stamp: 3}})
+	c.OnList(now, store.OK, 5, []store.Event{{Key: machPrefix + "r-1", Value: store.Value(g), Stamp: 3}})
 	c.hold(0, granted{stamp: 4})
 	c.Drain()
 	c.OnChanges(now, Watch{After: 5, Fresh: true}, store.OK, 5, nil, false)
@@ -117,7 +117,7 @@
 	c.Tick(unit.Second, 1000*unit.Second)
 	var items []store.Event
 	for _, k := range sortedKeys(values) {
-		items = append(items, store.Event{Key: k, Value: mustJSON(values[k]), Stamp: uint64(len(items) + 1)})
+		items = append(items, store.Event{Key: k, Value: store.Value(values[k]), Stamp: uint64(len(items) + 1)})
 	}
 	c.OnTypes(c.now, store.OK, []fleet.Type{{Name: "big", Capacity: pack.Vec{16_000, 0, 64_000}, Zones: []string{"z"}, Price: 2, Boot: 10 * unit.Second}})
 	c.OnList(c.now, store.OK, 100, items)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,7 +4,6 @@
 package core
 
 import (
-	"encoding/json"
 	"log/slog"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -309,12 +308,3 @@
 
 // Root is the prefix of every key that the service uses.
 const Root = root
-
-// mustJSON returns a record's stored form.
-func mustJSON(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // plain data: cannot fail
-	}
-	return b
-}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -82,8 +82,8 @@
 		Guards: []store.Guard{{Key: leadKey, Stamp: c.replica.Stamp(leadKey)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)},
 			{Key: seatPrefix + me, Stamp: c.seat.id}},
 		Changes: []store.Change{
-			{Key: leadKey, Value: mustJSON(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
-			{Key: termKey, Value: mustJSON(lead.Term{Term: term, Node: me})},
+			{Key: leadKey, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
+			{Key: termKey, Value: store.Value(lead.Term{Term: term, Node: me})},
 		},
 		Done: func(o store.Outcome, rev uint64) {
 			c.claiming = false
@@ -211,14 +211,14 @@
 		l.number++
 		b := lead.Block{Term: l.term, Number: l.number, Node: to, Seat: c.seatOf(to)}
 		guards = append(guards, store.Guard{Key: blockKey(k), Stamp: g.stamp}, store.Guard{Key: seatPrefix + to, Stamp: b.Seat})
-		changes = append(changes, store.Change{Key: blockKey(k), Value: mustJSON(b)})
+		changes = append(changes, store.Change{Key: blockKey(k), Value: store.Value(b)})
 		if _, ok := c.shares[k]; !ok {
 			share := 0.0
 			if k == 0 {
 				share = 1
 			}
 			guards = append(guards, store.Guard{Key: shareKey(k)})
-			changes = append(changes, store.Change{Key: shareKey(k), Value: mustJSON(lead.Share{Share: share})})
+			changes = append(changes, store.Change{Key: shareKey(k), Value: store.Value(lead.Share{Share: share})})
 		}
 		c.log.Info("block granted", "block", k, "to", to, "term", l.term, "number", l.number)
 	}
@@ -337,9 +337,9 @@
 		certain = certain && known && use.share == s.stamp
 		sum += max(target, use.use)
 		if s.share > target+1e-9 {
-			lower = append(lower, store.Change{Key: shareKey(k), Value: mustJSON(lead.Share{Share: target})})
+			lower = append(lower, store.Change{Key: shareKey(k), Value: store.Value(lead.Share{Share: target})})
 		} else if s.share < target-1e-9 {
-			raise = append(raise, store.Change{Key: shareKey(k), Value: mustJSON(lead.Share{Share: target})})
+			raise = append(raise, store.Change{Key: shareKey(k), Value: store.Value(lead.Share{Share: target})})
 		}
 	}
 	switch {
--- a/internal/core/ledger/parts.go
+++ b/internal/core/ledger/parts.go
@@ -7,6 +7,8 @@
 	"hash/fnv"
 	"strings"
 	"unicode/utf8"
+
+	"shalestage.example/shalestage/internal/core/store"
 )
 
 // MaxParts bounds the parts of one description, far above what a submission of
@@ -24,15 +26,14 @@
 	if r.Parts > 0 {
 		r.Spec = nil
 	}
-	return encode(r)
+	return store.Value(r)
 }
 
-func encode(v any) json.RawMessage {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // plain data: cannot fail
-	}
-	return b
+// sumOf names a description by its content.
+func sumOf(text string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return fmt.Sprintf("%016x", h.Sum64())
 }
 
 // Split divides a description among values of at most limit bytes, and returns
@@ -40,10 +41,8 @@
 // tries to store the same job write the same, and those with another body do not
 // meet. They are stored before the record, which alone makes the job visible.
 func (r Record) Split(limit int) (Record, []json.RawMessage) {
-	text := string(encode(r.Spec))
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text))
-	r.Sum = fmt.Sprintf("%016x", h.Sum64())
+	text := string(store.Value(r.Spec))
+	r.Sum = sumOf(text)
 	var parts []json.RawMessage
 	step := (limit - len(`{"text":""}`)) / 2 // quoted once more, a byte becomes two at most
 	for len(text) > 0 {
@@ -51,7 +50,7 @@
 		for n < len(text) && n > 0 && !utf8.RuneStart(text[n]) {
 			n--
 		}
-		parts = append(parts, encode(part{text[:n]}))
+		parts = append(parts, store.Value(part{text[:n]}))
 		text = text[n:]
 	}
 	r.Parts = len(parts)
@@ -68,9 +67,7 @@
 // Join adds a description from its parts to a record.
 func (r *Record) Join(texts []string) error {
 	text := strings.Join(texts, "")
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text))
-	if fmt.Sprintf("%016x", h.Sum64()) != r.Sum {
+	if sumOf(text) != r.Sum {
 		return errors.New("the parts are not those of the description")
 	}
 	var s Spec
--- a/internal/core/ledger/progress_test.go
+++ b/internal/core/ledger/progress_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/store"
 )
 
 // productionRead reads a record of finished tasks as the releases before 0.3 do:
@@ -106,7 +108,7 @@
 		if err := back.Join(texts); err != nil {
 			t.Fatal(err)
 		}
-		if string(encode(back.Spec)) != string(encode(s)) {
+		if string(store.Value(back.Spec)) != string(store.Value(s)) {
 			t.Fatal("another description")
 		}
 		texts[0] = "x" + texts[0]
--- a/internal/core/pipeline_test.go
+++ b/internal/core/pipeline_test.go
@@ -246,7 +246,7 @@
 	c := New(Config{Node: "a", Size: 3, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, Peers: []string{"stagehand-1"}})
 	var items []store.Event
 	for _, k := range sortedKeys(values) {
-		items = append(items, store.Event{Key: k, Value: mustJSON(values[k]), Stamp: uint64(len(items) + 1)})
+		items = append(items, store.Event{Key: k, Value: store.Value(values[k]), Stamp: uint64(len(items) + 1)})
 	}
 	c.OnList(1, store.OK, 100, items)
 	j := c.jobs["wk-000412"]
@@ -263,7 +263,7 @@
 		Spec      json.RawMessage `json:"spec"`
 	}
 	var was, is oldRecord
-	if json.Unmarshal(mustJSON(values[jobPrefix+"wk-000412"]), &was) != nil || json.Unmarshal(j.Record.Encode(), &is) != nil {
+	if json.Unmarshal(store.Value(values[jobPrefix+"wk-000412"]), &was) != nil || json.Unmarshal(j.Record.Encode(), &is) != nil {
 		t.Fatal("unreadable")
 	}
 	var a, z any
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -135,7 +135,7 @@
 		old := c.types[t.Name]
 		c.setType(t)
 		if l := c.leader; l != nil && (old == nil || c.replica.Stamp(key) == 0) {
-			l.write(c, []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}}, store.Change{Key: key, Value: mustJSON(t)})
+			l.write(c, []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}}, store.Change{Key: key, Value: store.Value(t)})
 		}
 	}
 	for _, bl := range c.held {
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -96,7 +96,7 @@
 	sent := s.sent
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards:  []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}},
-		Changes: []store.Change{{Key: key, Value: mustJSON(lead.Seat{Node: c.cfg.Node, Release: release}), Lease: id}},
+		Changes: []store.Change{{Key: key, Value: store.Value(lead.Seat{Node: c.cfg.Node, Release: release}), Lease: id}},
 		Done: func(o store.Outcome, rev uint64) {
 			s.opening = false
 			if o != store.OK {
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -9,6 +9,15 @@
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
+// Value returns plain data in the form in which it is stored.
+func Value(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain data: cannot fail
+	}
+	return b
+}
+
 // Guard is a condition: the key has this version (0: it does not exist).
 type Guard struct {
 	Key   string
@@ -250,16 +259,9 @@
 	if o == Refused || o == Limited {
 		l.holdOff = now + 300_000
 	}
-	if o == TooLarge && len(t.writes) > 1 {
+	split := o == TooLarge && len(t.writes) > 1
+	if split {
 		l.MaxOps, l.MaxBytes = max(1, len(t.Changes)/2), max(l.MaxBytes/2, 1<<10)
-		for i := len(t.writes) - 1; i >= 0; i-- {
-			if w := t.writes[i]; w.Late {
-				l.late = slices.Insert(l.late, 0, w)
-			} else {
-				l.queue = slices.Insert(l.queue, 0, w)
-			}
-		}
-		return
 	}
 	bad := map[string]bool{}
 	for _, k := range failed {
@@ -268,22 +270,15 @@
 	var again, late []*Write
 	var tell []func()
 	for _, w := range t.writes {
-		o := o
-		if o == Failed && len(failed) > 0 {
-			hit := false
-			for _, g := range w.Guards {
-				hit = hit || bad[g.Key]
-			}
-			if !hit {
-				if w.Late {
-					late = append(late, w)
-				} else {
-					again = append(again, w)
-				}
-				continue
-			}
+		spared := o == Failed && len(failed) > 0 && !slices.ContainsFunc(w.Guards, func(g Guard) bool { return bad[g.Key] })
+		switch {
+		case !split && !spared:
+			tell = append(tell, func() { w.Done(o, rev) })
+		case w.Late:
+			late = append(late, w)
+		default:
+			again = append(again, w)
 		}
-		tell = append(tell, func() { w.Done(o, rev) })
 	}
 	l.queue, l.late = append(again, l.queue...), append(late, l.late...)
 	for _, f := range tell {
--- a/internal/core/storing.go
+++ b/internal/core/storing.go
@@ -67,7 +67,7 @@
 	}
 	ch := store.Change{Key: g.key}
 	if len(g.members) > 0 {
-		ch.Value = mustJSON(rec)
+		ch.Value = store.Value(rec)
 	} else if c.replica.Stamp(g.key) == 0 {
 		delete(bl.groups, g.key)
 		return
@@ -175,7 +175,7 @@
 			j.MarkDirty(lo)
 			c.markDirty(bl, j)
 		}
-	}, guarded, store.Change{Key: k, Value: mustJSON(finishedRecord{j.FinishedIn(p), p.Base == 0 && j.FailsEverywhere()})})
+	}, guarded, store.Change{Key: k, Value: store.Value(finishedRecord{j.FinishedIn(p), p.Base == 0 && j.FailsEverywhere()})})
 }
 
 // closeJob stores that a job is done, and drops its records of finished tasks.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -120,8 +120,9 @@
 	c.loads()
 	n := newJob{req: req, id: id, spec: spec}
 	n.record = ledger.Record{Status: ledger.Pending, Block: c.lightest(), Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
-	if len(n.record.Encode()) > c.cfg.ValueMax {
+	if n.value = n.record.Encode(); len(n.value) > c.cfg.ValueMax {
 		n.record, n.parts = n.record.Split(c.cfg.ValueMax)
+		n.value = n.record.Encode()
 	}
 	if old := c.older(); old != "" && (len(n.parts) > 0 || len(spec.Awaits) > 0) {
 		// It would start the job at once, or could not read it.
@@ -137,6 +138,7 @@
 	id     string
 	spec   *ledger.Spec
 	record ledger.Record
+	value  json.RawMessage   // its stored form
 	parts  []json.RawMessage // of its description, where that is stored in parts
 	stored int               // parts
 }
@@ -148,7 +150,7 @@
 	w := &store.Write{Guards: []store.Guard{{Key: key}}} // also keeps late parts from an accepted job
 	last := n.stored == len(n.parts)
 	if last {
-		w.Changes = []store.Change{{Key: key, Value: n.record.Encode()}}
+		w.Changes = []store.Change{{Key: key, Value: n.value}}
 	}
 	for len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts) {
 		w.Changes = append(w.Changes, store.Change{Key: partKey(n.id, n.record.Sum, n.stored), Value: n.parts[n.stored]})
