--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -1,134 +1,82 @@
-// Command shalestage runs one controller of the cluster scheduler.
+// Command shalestage is the cluster scheduler: a controller, and the commands that
+// start a whole deployment, submit jobs to it and rehearse failures.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"log/slog"
-	"net"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"strings"
 
 	"github.com/alecthomas/kong"
-
-	"shalestage.example/shalestage/internal/api"
-	"shalestage.example/shalestage/internal/cloud"
-	"shalestage.example/shalestage/internal/config"
-	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/scale"
-	"shalestage.example/shalestage/internal/core/unit"
-	"shalestage.example/shalestage/internal/node"
-	"shalestage.example/shalestage/internal/peer"
-	"shalestage.example/shalestage/internal/state"
-	"shalestage.example/shalestage/internal/worker"
 )
 
-const version = "0.3.0"
+const version = "0.4.0"
 
-type options struct {
-	Config  string           `required:"" placeholder:"FILE" help:"Settings file (JSON)."`
-	Check   bool             `help:"Check the settings file and stop."`
-	Version kong.VersionFlag `help:"Print the version and stop."`
+// Exit statuses. Those of status tell a job's state to scripts.
+const (
+	exitFailed    = 1 // the service refused, a rule was broken, or jobs are not over
+	exitUnusable  = 2 // unusable input: a file, an argument, a port
+	exitNotOver   = 3
+	exitCancelled = 4
+	exitNoSuchJob = 5
+)
+
+// exit is an error with a status of its own.
+type exit struct {
+	code int
+	err  error // nil: nothing to say
 }
 
-func main() {
-	var o options
-	kong.Parse(&o, kong.Name("shalestage"),
-		kong.Description("A controller of the shalestage cluster scheduler. LOG_LEVEL sets the log level: error, info or debug."),
-		kong.Vars{"version": version})
-	if err := run(o); err != nil {
-		fmt.Fprintf(os.Stderr, "shalestage: %v\n", err)
-		os.Exit(1)
+func (e exit) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("exit status %d", e.code)
 	}
+	return e.err.Error()
 }
 
-func run(o options) error {
-	s, err := config.Load(o.Config)
-	if err != nil {
-		return err
-	}
-	if o.Check {
-		fmt.Printf("%s: settings of %s are valid\n", o.Config, s.Node)
-		return nil
-	}
-	log, err := logger(os.Getenv("LOG_LEVEL"))
-	if err != nil {
-		return err
-	}
-	limitResources(s.Deployment.Quota)
+func unusable(err error) error { return exit{exitUnusable, err} }
 
-	l, err := net.Listen("tcp4", s.Listen)
-	if err != nil {
-		return err
-	}
-	d := s.Deployment
-	share := float64(d.Size)
-	pl, err := net.Listen("tcp4", s.PeerListen)
-	if err != nil {
-		return err
-	}
-	addrs := map[string]string{}
-	for _, p := range s.Peers {
-		addrs[p.Node] = p.Addr
-	}
-	link := peer.New(s.Node, addrs, log)
-	n := node.New(core.New(coreConfig(s, log)),
-		state.New(s.Services.State, d.State.RPS/share, d.State.Later().RPS/share, log),
-		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), worker.New(log), link, log)
-	go n.Run(context.Background())
-	go link.Serve(pl, n.Hear)
-	log.Info("serving", "node", s.Node, "listen", s.Listen, "version", version)
-	// Room is left for connections to the services and to other controllers.
-	return api.Serve(l, n, d.Quota.FDLimit*9/10, 60*unit.Second, log)
+type commands struct {
+	Serve   serveCmd         `cmd:"" default:"withargs" help:"Run a controller (what --config FILE alone does)."`
+	Up      upCmd            `cmd:"" help:"Start a whole deployment on this machine and run a workload on it."`
+	Submit  submitCmd        `cmd:"" help:"Submit the jobs of a file."`
+	Status  statusCmd        `cmd:"" help:"Tell the state of jobs."`
+	Cancel  cancelCmd        `cmd:"" help:"Cancel jobs."`
+	Jobs    jobsCmd          `cmd:"" help:"List the jobs that were submitted from here."`
+	Fault   faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
+	Emulate emulateCmd       `cmd:"" hidden:"" help:"Run one of the emulator's processes."`
+	Version kong.VersionFlag `help:"Print the version and stop."`
 }
 
-func logger(level string) (*slog.Logger, error) {
-	var l slog.Level
-	if level == "" {
-		level = "info"
-	}
-	if err := l.UnmarshalText([]byte(strings.ToUpper(level))); err != nil {
-		return nil, fmt.Errorf("LOG_LEVEL: want error, info or debug, got %q", level)
+// model returns what the command line is read into. A controller, which is started
+// with flags alone, does not set up what only the other commands need.
+func model(args []string) any {
+	if len(args) > 0 && (strings.HasPrefix(args[0], "--config") || args[0] == "--check") {
+		return &struct {
+			Serve serveCmd `cmd:"" default:"withargs"`
+		}{}
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+	return &commands{}
 }
 
-// limitResources keeps the process within its quota: one thread runs at a time
-// on a share of a core, and past the memory limit the process is killed.
-func limitResources(q config.Quota) {
-	runtime.GOMAXPROCS(max(1, int(q.CPU)))
-	debug.SetGCPercent(200)
-	debug.SetMemoryLimit(int64(q.RAMMB * 0.6 * (1 << 20)))
-}
-
-func coreConfig(s *config.Settings, log *slog.Logger) core.Config {
-	d, t := s.Deployment, s.Tuning
-	now, later := d.State.Limits, d.State.Later()
-	c := core.Config{
-		Node: s.Node, Size: d.Size, Zones: d.Zones,
-		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
-		CancelIn:  unit.Seconds(d.Workers.CancelS),
-		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
-		TxnOps: min(now.TxnOps, later.TxnOps), ValueKB: now.ValueKB, ValueMax: int(min(now.ValueKB, later.ValueKB) * 1024),
-		StateRate: now.RPS, WriteRate: now.WriteRPS, NextStateRate: later.RPS, NextWriteRate: later.WriteRPS, CloudRate: d.Cloud.RPS,
-		Pack:          pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
-		Scale:         scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), Worth: unit.Seconds(t.WorthS), IdleReturn: unit.Seconds(t.IdleS)},
-		BlockMachines: s.BlockMachines(), RoundShare: t.RoundShare,
-		Log: log,
-	}
-	for _, p := range s.Peers {
-		c.Peers = append(c.Peers, p.Node)
-	}
-	for _, tm := range d.Teams {
-		c.Teams = append(c.Teams, core.Team{Name: tm.Name,
-			Guarantee: pack.Vec{unit.MilliDown(tm.CPUs), unit.MilliDown(tm.GPUs)},
-			Limit:     pack.Vec{unit.MilliDown(tm.CPUsMax), unit.MilliDown(tm.GPUsMax)}})
+func main() {
+	k := kong.Must(model(os.Args[1:]), kong.Name("shalestage"),
+		kong.Description("The shalestage cluster scheduler. LOG_LEVEL sets a controller's log level: error, info or debug."),
+		kong.Vars{"version": version}, kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	ctx, err := k.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "shalestage: %v; --help lists the commands\n", err)
+		os.Exit(exitUnusable)
 	}
-	for _, o := range d.Objectives {
-		c.Objectives = append(c.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS), Times: o.Times})
+	if err := ctx.Run(); err != nil {
+		var e exit
+		if !errors.As(err, &e) {
+			e = exit{exitFailed, err}
+		}
+		if e.err != nil {
+			fmt.Fprintf(os.Stderr, "shalestage: %v\n", e.err)
+		}
+		os.Exit(e.code)
 	}
-	return c
 }
--- /dev/null
+++ b/internal/emulator/check/check.go
@@ -0,0 +1,494 @@
+// Package check holds the rules of the protocol against what really happened: what
+// runs where, and what users were told. It stands apart from the models and from
+// the service, and believes neither: it keeps books of its own from facts that go
+// in one by one. The cost of a fact does not grow with machines or jobs.
+package check
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"net/http"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/agenda"
+)
+
+// The rules: those of the protocol and of the page on jobs that await others, and
+// three of our own: nothing accepted is lost, one holder for each block, and
+// nothing is sent that the state service would refuse for its size.
+const (
+	RanTwice     = "ran_twice"
+	Quota        = "quota"
+	WrongPlace   = "wrong_place"
+	RanCancelled = "ran_cancelled"
+	Forgotten    = "forgotten"
+	Invented     = "invented"
+	NotDone      = "not_done"
+	WentBack     = "went_back"
+	NothingRan   = "nothing_ran"
+	TooEarly     = "too_early"
+	Orphaned     = "orphaned"
+	Lost         = "lost"
+	TwoHolders   = "two_holders"
+	TooLarge     = "too_large"
+)
+
+// Rules lists all rules.
+var Rules = []string{RanTwice, Quota, WrongPlace, RanCancelled, Forgotten, Invented, NotDone, WentBack, NothingRan, TooEarly,
+	Orphaned, Lost, TwoHolders, TooLarge}
+
+// pollsFail is for how long every poll for a job may fail while most others do not.
+const pollsFail = 90 * unit.Second
+
+// Team is a team's limit; 0 means none.
+type Team struct {
+	Name  string
+	Limit pack.Vec
+}
+
+// Config says what the rules are measured by.
+type Config struct {
+	Teams    []Team
+	CancelIn unit.Micros // cancelled work must be gone after this
+}
+
+// Machine is where a task runs.
+type Machine struct {
+	Name, Type, Zone string
+	Spot             bool
+}
+
+// Break is a broken rule, with the part of the history that concerns it.
+type Break struct {
+	At      unit.Micros
+	Rule    string
+	Text    string
+	History []string
+}
+
+func (b Break) String() string { return fmt.Sprintf("%.3f %s: %s", b.At.Seconds(), b.Rule, b.Text) }
+
+type job struct {
+	id        string
+	spec      *ledger.Spec
+	accepted  bool
+	asked     bool          // to cancel
+	toldOff   unit.Micros   // when its user was told that it is cancelled; 0: never
+	final     ledger.Status // as told
+	done      ledger.Set
+	on        map[int]Machine // tasks that are on a machine
+	zones     map[string]int
+	lastGood  unit.Micros // of its polls, or when it was accepted
+	pollsLost int         // one after another
+	okBefore  int         // polls that were answered, of all jobs, at lastGood
+	allBefore int
+	needs     []*job
+	needed    []*job // by whom
+	lines     []int  // of the history
+}
+
+// Checker keeps the books.
+type Checker struct {
+	cfg     Config
+	limits  map[string]pack.Vec
+	jobs    map[string]*job
+	use     map[string]pack.Vec // of each team's tasks on machines
+	later   agenda.Agenda[*job] // cancelled jobs, by when their tasks must be gone
+	polls   int
+	polled  int // answered
+	starts  int
+	broken  []Break
+	said    map[string]bool
+	history []line
+	sum     hash.Hash
+	now     unit.Micros
+}
+
+type line struct {
+	at        unit.Micros
+	machine   string
+	text      string
+	important bool
+}
+
+// keptLines bounds the history that is kept to explain a broken rule.
+const keptLines = 400_000
+
+// New returns a checker that has seen nothing.
+func New(cfg Config) *Checker {
+	c := &Checker{cfg: cfg, limits: map[string]pack.Vec{}, jobs: map[string]*job{}, use: map[string]pack.Vec{}, said: map[string]bool{}, sum: sha256.New()}
+	for _, t := range cfg.Teams {
+		c.limits[t.Name] = t.Limit
+	}
+	return c
+}
+
+// note writes a line of the history: it goes into the digest, and explains what
+// breaks later.
+func (c *Checker) note(at unit.Micros, j *job, machine string, important bool, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	fmt.Fprintf(c.sum, "%d %s\n", at, text)
+	if len(c.history) >= keptLines {
+		return
+	}
+	if j != nil {
+		j.lines = append(j.lines, len(c.history))
+	}
+	c.history = append(c.history, line{at, machine, text, important})
+}
+
+// Note writes an event that is no fact of a job, such as a fault, into the history.
+func (c *Checker) Note(at unit.Micros, format string, args ...any) {
+	c.note(at, nil, "", true, format, args...)
+}
+
+// Digest names the history: equal histories have equal digests.
+func (c *Checker) Digest() string { return hex.EncodeToString(c.sum.Sum(nil))[:16] }
+
+// Broken returns the broken rules so far.
+func (c *Checker) Broken() []Break { return c.broken }
+
+// Starts returns how many tasks were on a machine.
+func (c *Checker) Starts() int { return c.starts }
+
+// Break records a broken rule that somebody else has found.
+func (c *Checker) Break(at unit.Micros, rule, format string, args ...any) {
+	c.breaks(at, rule, nil, "", format, args...)
+}
+
+func (c *Checker) breaks(at unit.Micros, rule string, j *job, machine, format string, args ...any) {
+	b := Break{At: at, Rule: rule, Text: fmt.Sprintf(format, args...)}
+	// The same rule broken by the same job again adds nothing.
+	if key := rule + b.Text; j != nil {
+		key = rule + j.id
+		if c.said[key] {
+			return
+		}
+		c.said[key] = true
+	} else if c.said[key] {
+		return
+	} else {
+		c.said[key] = true
+	}
+	c.note(at, j, machine, true, "BROKEN %s: %s", rule, b.Text)
+	b.History = c.explain(at, j, machine)
+	c.broken = append(c.broken, b)
+}
+
+// explain returns the shortest useful part of the history: what concerns the job
+// and those that it needs, the machine's last events, and faults.
+func (c *Checker) explain(at unit.Micros, j *job, machine string) []string {
+	const most = 40
+	pick := map[int]bool{}
+	if j != nil {
+		for _, o := range append([]*job{j}, j.needs...) {
+			lines := o.lines
+			for _, i := range lines[max(0, len(lines)-most/2):] {
+				pick[i] = true
+			}
+			if len(lines) > 0 {
+				pick[lines[0]] = true
+			}
+		}
+	}
+	seen := 0
+	for i := len(c.history) - 1; i >= 0 && seen < most/2; i-- {
+		if l := c.history[i]; l.important || machine != "" && l.machine == machine {
+			pick[i] = true
+			seen++
+		}
+	}
+	var idx []int
+	for i := range pick {
+		idx = append(idx, i)
+	}
+	slices.Sort(idx)
+	idx = idx[max(0, len(idx)-most):]
+	var out []string
+	for _, i := range idx {
+		out = append(out, fmt.Sprintf("%10.3f  %s", c.history[i].at.Seconds(), c.history[i].text))
+	}
+	return out
+}
+
+// Planned says that a user begins to submit a job.
+func (c *Checker) Planned(at unit.Micros, id string, spec *ledger.Spec) {
+	c.Advance(at)
+	j := &job{id: id, spec: spec, on: map[int]Machine{}, zones: map[string]int{}}
+	for _, n := range spec.Awaits {
+		if a := c.jobs[n]; a != nil {
+			j.needs = append(j.needs, a)
+			a.needed = append(a.needed, j)
+		}
+	}
+	c.jobs[id] = j
+	c.note(at, j, "", false, "%s: submitted, %d tasks of team %s, awaits %v", id, spec.Tasks, spec.Team, spec.Awaits)
+}
+
+// Earlier says that a job was accepted before this checker began to look, and which
+// of its tasks had completed. Whether it was cancelled since is not known.
+func (c *Checker) Earlier(at unit.Micros, id string, spec *ledger.Spec, finished func(task int) bool) {
+	c.Planned(at, id, spec)
+	j := c.jobs[id]
+	j.accepted, j.asked, j.lastGood = true, true, at
+	for t := range spec.Tasks {
+		if finished(t) {
+			j.done.Add(t)
+		}
+	}
+}
+
+// CancelAsked says that a user has asked to cancel a job.
+func (c *Checker) CancelAsked(at unit.Micros, id string) {
+	c.Advance(at)
+	if j := c.jobs[id]; j != nil {
+		j.asked = true
+		c.note(at, j, "", false, "%s: its user asks to cancel it", id)
+	}
+}
+
+// Submitted says what a submission was answered; code 0: nothing in time.
+func (c *Checker) Submitted(at unit.Micros, id string, code int, s ledger.Status) {
+	c.Advance(at)
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	c.note(at, j, "", false, "%s: submission answered %d %s", id, code, s)
+	switch {
+	case code == http.StatusOK || code == http.StatusCreated:
+		if !j.accepted {
+			j.accepted, j.lastGood = true, at
+			j.okBefore, j.allBefore = c.polled, c.polls
+		}
+		c.told(at, j, s)
+	case j.accepted && (code == http.StatusBadRequest || code == http.StatusUnprocessableEntity):
+		c.breaks(at, Forgotten, j, "", "%s was accepted, and submitted again it is refused with %d", id, code)
+	}
+}
+
+// Polled says what a poll was answered.
+func (c *Checker) Polled(at unit.Micros, id string, code int, s ledger.Status) {
+	c.Advance(at)
+	c.polls++
+	if code == http.StatusOK || code == http.StatusNotFound {
+		c.polled++
+	}
+	j := c.jobs[id]
+	switch {
+	case j == nil && code == http.StatusOK:
+		c.breaks(at, Invented, nil, "", "%s, which nobody submitted, is called %s", id, s)
+	case j == nil:
+	case code == http.StatusOK:
+		c.note(at, j, "", false, "%s: polled, %s", id, s)
+		j.lastGood, j.pollsLost, j.okBefore, j.allBefore = at, 0, c.polled, c.polls
+		c.told(at, j, s)
+	case code == http.StatusNotFound:
+		if j.accepted {
+			c.breaks(at, Forgotten, j, "", "%s was accepted, and a poll for it is answered 404", id)
+		}
+	case j.accepted:
+		j.pollsLost++
+		c.note(at, j, "", false, "%s: poll fails with %d", id, code)
+		all, ok := c.polls-j.allBefore, c.polled-j.okBefore
+		if at-j.lastGood > pollsFail && j.pollsLost > 2 && 2*ok > all {
+			c.breaks(at, Forgotten, j, "", "every poll for %s has failed since %.1f", id, j.lastGood.Seconds())
+		}
+	}
+}
+
+// Cancelled says what a request to cancel was answered.
+func (c *Checker) Cancelled(at unit.Micros, id string, code int, s ledger.Status) {
+	c.Advance(at)
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	c.note(at, j, "", false, "%s: request to cancel answered %d %s", id, code, s)
+	switch {
+	case code == http.StatusOK:
+		if s != ledger.Cancelled && s != ledger.Done {
+			c.breaks(at, WentBack, j, "", "the request to cancel %s is answered %s", id, s)
+		}
+		c.told(at, j, s)
+	case code == http.StatusNotFound && j.accepted:
+		c.breaks(at, Forgotten, j, "", "%s was accepted, and the request to cancel it is answered 404", id)
+	}
+}
+
+// told holds a status against what was told before and against the truth.
+func (c *Checker) told(at unit.Micros, j *job, s ledger.Status) {
+	if j.final != "" && s != j.final {
+		c.breaks(at, WentBack, j, "", "%s was called %s, and now %s", j.id, j.final, s)
+	}
+	off, asked := c.off(j, nil)
+	switch s {
+	case ledger.Pending, ledger.Running:
+		if off > 0 && at > off+c.cfg.CancelIn {
+			c.breaks(at, Orphaned, j, "", "%s is called %s, and what it needs was cancelled at %.1f", j.id, s, off.Seconds())
+		}
+	case ledger.Done:
+		j.final = s
+		if j.spec.Service || j.done.Len() < j.spec.Tasks {
+			c.breaks(at, NotDone, j, "", "%s is called done with %d of %d tasks", j.id, j.done.Len(), j.spec.Tasks)
+		}
+	case ledger.Cancelled:
+		if !asked {
+			c.breaks(at, WentBack, j, "", "%s is called cancelled, and nobody has asked for it", j.id)
+		}
+		if j.final == "" {
+			j.final, j.toldOff = s, at
+			c.offLater(at, j, map[*job]bool{})
+		}
+	}
+}
+
+// offLater plans to look whether a cancelled job and all that need it are gone.
+func (c *Checker) offLater(at unit.Micros, j *job, seen map[*job]bool) {
+	if seen[j] {
+		return
+	}
+	seen[j] = true
+	c.later.Add(at+c.cfg.CancelIn+1, j)
+	for _, d := range j.needed {
+		c.offLater(at, d, seen)
+	}
+}
+
+// off returns when a user was first told that a job or one that it needs is
+// cancelled, and whether any of their users has asked for it.
+func (c *Checker) off(j *job, seen map[*job]bool) (at unit.Micros, asked bool) {
+	at, asked = j.toldOff, j.asked
+	if len(j.needs) == 0 {
+		return at, asked
+	}
+	if seen[j] {
+		return 0, false
+	}
+	if seen == nil {
+		seen = map[*job]bool{}
+	}
+	seen[j] = true
+	for _, a := range j.needs {
+		t, yes := c.off(a, seen)
+		asked = asked || yes
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	return at, asked
+}
+
+// Began says that a task is on a machine, with its image.
+func (c *Checker) Began(at unit.Micros, m Machine, id ledger.TaskID) {
+	c.Advance(at)
+	c.starts++
+	j := c.jobs[id.Job]
+	if j == nil {
+		c.breaks(at, Invented, nil, m.Name, "%s runs on %s, and nobody has submitted its job", id, m.Name)
+		return
+	}
+	c.note(at, j, m.Name, false, "%s begins on %s (%s, zone %s, spot %v)", id, m.Name, m.Type, m.Zone, m.Spot)
+	for _, a := range j.needs {
+		if a.done.Len() < a.spec.Tasks {
+			c.breaks(at, TooEarly, j, m.Name, "%s begins before %s is done", id, a.id)
+		}
+	}
+	if other, ok := j.on[id.Task]; ok {
+		c.breaks(at, RanTwice, j, m.Name, "%s begins on %s while it is on %s", id, m.Name, other.Name)
+		return
+	}
+	s := j.spec
+	if !s.Allows(m.Type, m.Zone, m.Spot) {
+		c.breaks(at, WrongPlace, j, m.Name, "%s begins on %s: %s, zone %s, spot %v", id, m.Name, m.Type, m.Zone, m.Spot)
+	}
+	if off, _ := c.off(j, nil); off > 0 && at > off+c.cfg.CancelIn {
+		c.breaks(at, RanCancelled, j, m.Name, "%s begins on %s, and its cancellation was told at %.1f", id, m.Name, off.Seconds())
+	}
+	j.on[id.Task] = m
+	j.zones[m.Zone]++
+	if s.OneZone && len(j.zones) > 1 || s.Spread && j.zones[m.Zone] > (s.Tasks+1)/2 {
+		c.breaks(at, WrongPlace, j, m.Name, "%s begins on %s: tasks by zone %v", id, m.Name, j.zones)
+	}
+	u := c.use[s.Team].Add(s.Demand)
+	c.use[s.Team] = u
+	for r, lim := range c.limits[s.Team] {
+		if lim > 0 && u[r] > lim {
+			c.breaks(at, Quota, j, m.Name, "team %s uses %v, its limit is %v", s.Team, u, c.limits[s.Team])
+		}
+	}
+}
+
+// Ended says that a task is no longer on a machine, and whether it completed.
+func (c *Checker) Ended(at unit.Micros, m Machine, id ledger.TaskID, completed bool) {
+	c.Advance(at)
+	j := c.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	c.note(at, j, m.Name, false, "%s ends on %s, completed %v", id, m.Name, completed)
+	if completed {
+		j.done.Add(id.Task)
+	}
+	if on, ok := j.on[id.Task]; ok && on.Name == m.Name {
+		delete(j.on, id.Task)
+		if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
+			delete(j.zones, m.Zone)
+		}
+		c.use[j.spec.Team] = c.use[j.spec.Team].Sub(j.spec.Demand)
+	}
+}
+
+// Advance lets time pass: what was cancelled must be gone by its time.
+func (c *Checker) Advance(now unit.Micros) {
+	c.now = max(c.now, now)
+	for {
+		at, j, ok := c.later.Due(c.now)
+		if !ok {
+			return
+		}
+		if off, _ := c.off(j, nil); off == 0 || len(j.on) == 0 || j.final == ledger.Done {
+			continue
+		}
+		for _, t := range sortedTasks(j.on) {
+			c.breaks(at, RanCancelled, j, j.on[t].Name, "%s/%d is still on %s", j.id, t, j.on[t].Name)
+		}
+	}
+}
+
+func sortedTasks(on map[int]Machine) []int {
+	var out []int
+	for t := range on {
+		out = append(out, t)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Finish looks at the whole: whether anything ran, and, if all work should be
+// over by now, whether something that was accepted is not.
+func (c *Checker) Finish(at unit.Micros, over bool) {
+	c.Advance(at)
+	if c.starts == 0 && len(c.jobs) > 0 {
+		c.breaks(at, NothingRan, nil, "", "no task was started")
+	}
+	if !over {
+		return
+	}
+	var left []*job
+	for _, j := range c.jobs {
+		if j.accepted && j.final == "" && !j.spec.Service {
+			left = append(left, j)
+		}
+	}
+	slices.SortFunc(left, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	for _, j := range left {
+		c.breaks(at, Lost, j, "", "%s was accepted, and is not over: %d of %d tasks are done", j.id, j.done.Len(), j.spec.Tasks)
+	}
+}
--- /dev/null
+++ b/internal/emulator/host/cloud.go
@@ -0,0 +1,300 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/work"
+	"shalestage.example/shalestage/internal/wire"
+)
+
+// Facts takes what happens on machines, for a checker.
+type Facts interface {
+	Began(m *rental.Machine, id ledger.TaskID)
+	Ended(m *rental.Machine, id ledger.TaskID, completed bool)
+}
+
+// Cloud serves the cloud's interface over HTTP and runs the machines' workers.
+type Cloud struct {
+	ctx     context.Context
+	loop    *loop
+	site    *site.Site
+	nodes   map[string]map[string]string // controllers' addresses, by the zone that they are reached from
+	host    string                       // on which workers listen
+	latency time.Duration
+	slow    atomic.Int64
+	client  *http.Client
+	facts   Facts
+	doors   map[string]net.Listener // of machines
+	log     *slog.Logger
+}
+
+// NewCloud returns a cloud whose machines report to controllers at the given
+// addresses and listen on a host's own ports.
+func NewCloud(ctx context.Context, s *site.Site, nodes map[string]map[string]string, host string, latency time.Duration, facts Facts, log *slog.Logger) *Cloud {
+	c := &Cloud{ctx: ctx, site: s, nodes: nodes, host: host, latency: latency, facts: facts, doors: map[string]net.Listener{}, log: log}
+	c.client = &http.Client{Timeout: time.Duration(machine.AnswerWithin) * time.Microsecond, Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4096, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	c.loop = newLoop(s, c.settle, func(error) {})
+	return c
+}
+
+// Run serves until the context ends.
+func (c *Cloud) Run() { c.loop.run(c.ctx) }
+
+// Do runs a function on the model, for faults by command and uploads.
+func (c *Cloud) Do(f func(now unit.Micros, s *site.Site)) bool {
+	return c.loop.do(c.ctx, func(now unit.Micros) { f(now, c.site) })
+}
+
+// Upload makes a job's description known to the workers.
+func (c *Cloud) Upload(j *work.Job) bool {
+	return c.Do(func(_ unit.Micros, s *site.Site) {
+		if s.Book[j.ID] == nil {
+			s.Book[j.ID] = j
+		}
+	})
+}
+
+func (c *Cloud) settle(now unit.Micros) error {
+	c.site.Advance(now)
+	for _, e := range c.site.Drain() {
+		switch e := e.(type) {
+		case site.Gone:
+			if l := c.doors[e.Machine.Name]; l != nil {
+				_ = l.Close() // nothing to lose
+				delete(c.doors, e.Machine.Name)
+			}
+		case site.Send:
+			go c.send(e)
+		case site.Began:
+			c.facts.Began(e.Machine, e.Task)
+		case site.Ended:
+			c.facts.Ended(e.Machine, e.Task, e.Completed)
+		}
+	}
+	return nil
+}
+
+// open lets a machine listen for direct commands. Its address is known from the
+// rental on, and nobody answers there before its worker begins.
+func (c *Cloud) open(m *rental.Machine) {
+	l, err := net.Listen("tcp4", net.JoinHostPort(c.host, "0"))
+	if err != nil {
+		c.log.Error("a machine cannot listen", "machine", m.Name, "err", err)
+		return
+	}
+	m.Addr = l.Addr().String()
+	c.doors[m.Name] = l
+	go func() { _ = server(c.worker(m.Name)).Serve(l) }() // ends with the machine
+}
+
+// send brings a report to a controller.
+func (c *Cloud) send(e site.Send) {
+	b, err := json.Marshal(wire.EncodeReport(e.Body, e.Saved))
+	a := machine.Answer{}
+	if err == nil {
+		a = c.post(c.nodes[e.Body.Zone][e.Node], b)
+	}
+	c.loop.tell(c.ctx, func(now unit.Micros) { c.site.Answer(now, e.Machine, e.Number, a) })
+}
+
+func (c *Cloud) post(addr string, body []byte) machine.Answer {
+	resp, err := c.client.Post("http://"+addr+wire.ReportPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return machine.Answer{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return machine.Answer{}
+	}
+	a := machine.Answer{Code: resp.StatusCode}
+	o, err := wire.DecodeOrders(b)
+	if err != nil {
+		if a.Code == http.StatusOK {
+			a.Code = 0
+		}
+		return a
+	}
+	a.Node, a.Commands, a.NoToken = o.Node, o.Commands, o.Token == nil
+	if o.Token != nil {
+		a.Token = *o.Token
+	}
+	return a
+}
+
+// Slow makes every answer of the cloud take longer by d.
+func (c *Cloud) Slow(d time.Duration) { c.slow.Store(d.Microseconds()) }
+
+func (c *Cloud) pause() { time.Sleep(c.latency + time.Duration(c.slow.Load())*time.Microsecond) }
+
+// Serve answers requests to the cloud on a listener.
+func (c *Cloud) Serve(l net.Listener) error { return server(c.Handler()).Serve(l) }
+
+// Handler serves the cloud's interface.
+func (c *Cloud) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get(wire.TypesPath, func(w http.ResponseWriter, req *http.Request) {
+		var types []rental.Type
+		var code int
+		if !c.loop.do(req.Context(), func(now unit.Micros) { types, code = c.site.Cloud.Types(now) }) {
+			return
+		}
+		c.pause()
+		if code != http.StatusOK {
+			c.refuse(w, code)
+			return
+		}
+		out := wire.MachineTypes{Types: []wire.MachineType{}}
+		for _, t := range types {
+			out.Types = append(out.Types, wire.MachineType{Name: t.Name, Cores: t.CPUs, Cards: t.GPUs, MemoryGB: t.MemoryGB, CacheGB: t.CacheGB,
+				FetchGBs: t.FetchGBs, Price: t.Price, SpotPrice: t.SpotPrice, BootS: t.Boot.Seconds(), Zones: t.Zones})
+		}
+		answer(w, code, out)
+	})
+	r.Post(wire.HostsPath, func(w http.ResponseWriter, req *http.Request) {
+		var b wire.RentRequest
+		if !read(w, req, &b) {
+			return
+		}
+		var names []string
+		var noRoom bool
+		var code int
+		if !c.loop.do(req.Context(), func(now unit.Micros) {
+			names, noRoom, code = c.site.Cloud.Rent(now, b.Request, rental.Pool{Type: b.Type, Zone: b.Zone, Spot: b.Spot}, b.Count)
+			for _, n := range names {
+				if m := c.site.Cloud.Machine(n); m != nil && m.Addr == "" {
+					c.open(m)
+				}
+			}
+		}) {
+			return
+		}
+		c.pause()
+		switch {
+		case noRoom:
+			problem(w, code, wire.NoCapacity)
+		case code != http.StatusOK:
+			c.refuse(w, code)
+		default:
+			answer(w, code, wire.Names{Machines: names})
+		}
+	})
+	r.Post(wire.ReturnPath, func(w http.ResponseWriter, req *http.Request) {
+		var b wire.Names
+		if !read(w, req, &b) {
+			return
+		}
+		var code int
+		if !c.loop.do(req.Context(), func(now unit.Micros) { code = c.site.Cloud.Return(now, b.Machines) }) {
+			return
+		}
+		c.pause()
+		if code != http.StatusOK {
+			c.refuse(w, code)
+			return
+		}
+		answer(w, code, struct{}{})
+	})
+	r.Get(wire.HostsPath, func(w http.ResponseWriter, req *http.Request) {
+		q := req.URL.Query()
+		page := rental.MaxPage
+		if v := q.Get("page"); v != "" {
+			page, _ = strconv.Atoi(v) // 0 is refused
+		}
+		out := wire.Hosts{Machines: []wire.Host{}}
+		var code int
+		if !c.loop.do(req.Context(), func(now unit.Micros) {
+			var list []rental.Listed
+			list, out.More, code = c.site.Cloud.List(now, q.Get("after"), page)
+			for _, l := range list {
+				out.Machines = append(out.Machines, wire.Host{ID: l.Name, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot,
+					State: hostState[l.State], AgeS: l.Age.Seconds()})
+			}
+		}) {
+			return
+		}
+		c.pause()
+		if code != http.StatusOK {
+			c.refuse(w, code)
+			return
+		}
+		answer(w, code, out)
+	})
+	return r
+}
+
+var hostState = map[string]string{rental.Booting: wire.HostBooting, rental.Running: wire.HostRunning, rental.Failed: wire.HostFailed}
+
+func (c *Cloud) refuse(w http.ResponseWriter, code int) {
+	if code == http.StatusServiceUnavailable {
+		problem(w, code, wire.Trouble)
+		return
+	}
+	problem(w, code, http.StatusText(code))
+}
+
+// worker serves a machine's own address.
+func (c *Cloud) worker(name string) http.Handler {
+	r := chi.NewRouter()
+	r.Post(wire.CommandsPath, func(w http.ResponseWriter, req *http.Request) {
+		b, err := io.ReadAll(http.MaxBytesReader(w, req.Body, wire.MaxBody))
+		o, err2 := wire.DecodeOrders(b)
+		if err != nil || err2 != nil || o.Token == nil || o.Session == nil {
+			problem(w, http.StatusBadRequest, "malformed")
+			return
+		}
+		var body wire.MachineReport
+		var taken, found bool
+		if !c.loop.do(req.Context(), func(now unit.Micros) {
+			r, saved, t, f := c.site.Direct(now, name, *o.Token, *o.Session, o.Commands)
+			if taken, found = t, f; f {
+				body = wire.EncodeReport(r, saved)
+			}
+		}) {
+			return
+		}
+		switch {
+		case !found: // a machine that stands still, or is not up yet, says nothing
+			<-req.Context().Done()
+		case taken:
+			answer(w, http.StatusOK, body)
+		default:
+			answer(w, http.StatusConflict, body)
+		}
+	})
+	r.Get("/status", func(w http.ResponseWriter, req *http.Request) {
+		var body wire.MachineReport
+		var found bool
+		if !c.loop.do(req.Context(), func(now unit.Micros) {
+			r, saved, f := c.site.Status(now, name)
+			if found = f; f {
+				body = wire.EncodeReport(r, saved)
+			}
+		}) {
+			return
+		}
+		if !found {
+			<-req.Context().Done()
+			return
+		}
+		answer(w, http.StatusOK, body)
+	})
+	return r
+}
--- /dev/null
+++ b/internal/emulator/machine/machine.go
@@ -0,0 +1,648 @@
+// Package machine is the model of a worker and of the machine that it runs on:
+// reports, tokens, leases and sessions, commands, images, checkpoints, as the
+// protocol describes them. It is pure: time, answers and draws go in, effects
+// come out of Drain.
+package machine
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/work"
+)
+
+// Times of the protocol.
+const (
+	AnswerWithin = 4 * unit.Second
+	changeGap    = unit.Second / 2 // between reports of changes
+	retryPause   = unit.Second
+)
+
+// Config describes a machine.
+type Config struct {
+	Name, Addr  string
+	Type, Zone  string
+	Spot        bool
+	Capacity    pack.Vec
+	CacheMB     int64
+	FetchMBs    int64 // megabytes a second, shared by all fetches
+	ReportEvery unit.Micros
+	Lease       unit.Micros
+	Nodes       []string // controllers, in the order in which they are tried
+	Clock       float64  // rate of its steady clock, about 1
+}
+
+// Fault is what is wrong with a machine; it may change while it runs.
+type Fault struct {
+	Speed float64 // of its processors
+	Sick  bool    // every task fails
+}
+
+// Effects.
+type (
+	// Report is to be sent to a controller; its answer goes to Answer, none after 4 s.
+	Report struct {
+		Node   string
+		Number int
+		Body   *fleet.Report
+		Saved  map[ledger.TaskID]bool // of the stopped tasks, whose progress was saved
+	}
+	// Began says that a task is on the machine with its image; Ended that it no
+	// longer is, and whether it completed.
+	Began struct{ Task ledger.TaskID }
+	Ended struct {
+		Task      ledger.TaskID
+		Completed bool
+	}
+)
+
+// Answer is a controller's answer to a report.
+type Answer struct {
+	Code     int
+	Node     string // of a 421
+	Token    uint64
+	NoToken  bool
+	Commands []fleet.Command
+}
+
+type task struct {
+	id      ledger.TaskID
+	attempt uint64
+	state   fleet.State
+	cause   fleet.Cause
+	saved   bool
+	job     *work.Job
+	// A running task has done progress by the time since, and ends at ends; a
+	// saving one has saved at ends.
+	progress unit.Micros
+	since    unit.Micros
+	ends     unit.Micros
+}
+
+// Worker is a machine with its worker.
+type Worker struct {
+	cfg   Config
+	fault Fault
+	book  work.Book
+	rng   *rand.Rand
+	now   unit.Micros
+	born  unit.Micros
+
+	node      int
+	session   uint64
+	seq       uint64
+	token     uint64
+	leaseFrom unit.Micros // when the last report that got an answer was sent
+	noticeAt  unit.Micros // when the cloud takes the machine, by its word; Never: no notice
+	hungTill  unit.Micros
+
+	reportAt   unit.Micros // the next report, unless something changes before
+	changed    bool
+	lastReport unit.Micros
+	notBefore  unit.Micros // pause after a failure
+	inFlight   int         // number of the report under way; 0: none
+	sentAt     unit.Micros
+	sentIn     uint64 // session
+	reports    int
+	tokenTold  unit.Micros // when a higher token last counted as a change
+
+	tasks   map[ledger.TaskID]*task
+	refused []*task // refusals that stand beside an attempt of the same task
+	free    pack.Vec
+	cache   []string // images, the most recently used last
+	cached  map[string]int64
+	fetches map[string]*fetch
+	fetched unit.Micros // up to when fetches have gone on
+	out     []any
+}
+
+type fetch struct {
+	image string
+	left  float64 // megabytes
+	size  int64
+}
+
+// New returns a worker that has just begun.
+func New(cfg Config, f Fault, book work.Book, now unit.Micros, rng *rand.Rand) *Worker {
+	w := &Worker{cfg: cfg, fault: f, book: book, rng: rng, now: now, born: now, session: 1, leaseFrom: now, noticeAt: unit.Never,
+		free: cfg.Capacity, tasks: map[ledger.TaskID]*task{}, cached: map[string]int64{}, fetches: map[string]*fetch{},
+		fetched: now, reportAt: now, lastReport: now - changeGap, tokenTold: now - cfg.Lease}
+	if len(cfg.Nodes) > 0 {
+		w.node = rng.IntN(len(cfg.Nodes))
+	}
+	return w
+}
+
+// Name returns the machine's name.
+func (w *Worker) Name() string { return w.cfg.Name }
+
+// Config returns what the machine is.
+func (w *Worker) Config() Config { return w.cfg }
+
+// Session returns the present session.
+func (w *Worker) Session() uint64 { return w.session }
+
+// Running returns how many tasks are on the machine with their image.
+func (w *Worker) Running() int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.on() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *task) on() bool { return t.state == fleet.Running || t.state == fleet.Saving }
+
+// SetFault changes what is wrong with the machine.
+func (w *Worker) SetFault(now unit.Micros, f Fault) {
+	w.Advance(now)
+	for _, t := range w.tasks {
+		if t.state == fleet.Running {
+			t.progress = w.progressOf(t)
+			t.since = w.now
+		}
+	}
+	w.fault = f
+	for _, t := range w.tasks {
+		if t.state == fleet.Running {
+			w.planEnd(t)
+		}
+	}
+}
+
+// Notice tells the worker that the cloud takes the machine away.
+func (w *Worker) Notice(now, in unit.Micros) {
+	w.Advance(now)
+	w.noticeAt = now + in
+	w.changed = true
+}
+
+// Hang lets the machine stand still until a time: it neither works nor speaks,
+// its clock runs on, and it goes on where it was unless its lease has run out.
+func (w *Worker) Hang(now, until unit.Micros) {
+	w.Advance(now)
+	if until <= w.hungTill || until <= now {
+		return
+	}
+	still := until - max(now, w.hungTill)
+	w.hungTill = until
+	for _, t := range w.tasks {
+		t.since += still
+		if t.on() {
+			t.ends += still
+		}
+	}
+	w.fetched += still
+}
+
+// Hangs reports whether the machine stands still.
+func (w *Worker) Hangs(now unit.Micros) bool { return now < w.hungTill }
+
+// Stop ends all that is on a machine that is gone.
+func (w *Worker) Stop(now unit.Micros) {
+	w.Advance(now)
+	w.dropAll()
+}
+
+func (w *Worker) dropAll() {
+	for _, id := range w.ids() {
+		if t := w.tasks[id]; t.on() {
+			if t.state == fleet.Running {
+				w.keep(t)
+			}
+			w.out = append(w.out, Ended{Task: id})
+		}
+	}
+	w.tasks = map[ledger.TaskID]*task{}
+	w.refused = nil
+	w.fetches = map[string]*fetch{}
+	w.free = w.cfg.Capacity
+}
+
+// ids returns the tasks in the order of their names.
+func (w *Worker) ids() []ledger.TaskID {
+	ids := make([]ledger.TaskID, 0, len(w.tasks))
+	for id := range w.tasks {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ledger.TaskID) int {
+		if c := strings.Compare(a.Job, b.Job); c != 0 {
+			return c
+		}
+		return a.Task - b.Task
+	})
+	return ids
+}
+
+// leaseEnds is when the lease runs out, by the world's clock.
+func (w *Worker) leaseEnds() unit.Micros {
+	return w.leaseFrom + unit.Micros(float64(w.cfg.Lease)/w.clock()) + 1
+}
+
+func (w *Worker) clock() float64 {
+	if w.cfg.Clock == 0 {
+		return 1
+	}
+	return w.cfg.Clock
+}
+
+// Next returns when Advance is next of use.
+func (w *Worker) Next() unit.Micros {
+	next := w.leaseEnds()
+	switch {
+	case w.inFlight != 0:
+		next = min(next, w.sentAt+AnswerWithin)
+	case w.changed:
+		next = min(next, max(min(w.reportAt, w.lastReport+changeGap), w.notBefore))
+	default:
+		next = min(next, max(w.reportAt, w.notBefore))
+	}
+	for _, t := range w.tasks {
+		if t.on() {
+			next = min(next, t.ends)
+		}
+	}
+	if n := len(w.fetches); n > 0 {
+		next = min(next, w.fetched+w.fetchTime())
+	}
+	return max(next, w.hungTill)
+}
+
+// fetchTime is how long it takes until the first fetch is through.
+func (w *Worker) fetchTime() unit.Micros {
+	least := -1.0
+	for _, f := range w.fetches {
+		if least < 0 || f.left < least {
+			least = f.left
+		}
+	}
+	return unit.Seconds(least*float64(len(w.fetches))/float64(max(w.cfg.FetchMBs, 1))) + 1
+}
+
+// Advance lets time pass.
+func (w *Worker) Advance(now unit.Micros) {
+	w.now = max(w.now, now)
+	if w.now < w.hungTill {
+		return
+	}
+	if w.now >= w.leaseEnds() {
+		w.dropAll()
+		w.session++
+		w.leaseFrom = w.now
+		w.changed = true
+	}
+	w.fetchOn()
+	for _, id := range w.due() {
+		w.ended(w.tasks[id])
+	}
+	if w.inFlight != 0 && w.now >= w.sentAt+AnswerWithin {
+		w.inFlight = 0
+		w.tryNext(retryPause)
+	}
+	due := w.reportAt
+	if w.changed {
+		due = min(due, w.lastReport+changeGap)
+	}
+	if w.inFlight == 0 && w.now >= max(due, w.notBefore) && len(w.cfg.Nodes) > 0 {
+		w.report()
+	}
+}
+
+// due returns the tasks whose run or saving is over, in the order of their names.
+func (w *Worker) due() []ledger.TaskID {
+	any := false
+	for _, t := range w.tasks {
+		any = any || t.on() && t.ends <= w.now
+	}
+	if !any {
+		return nil
+	}
+	return slices.DeleteFunc(w.ids(), func(id ledger.TaskID) bool {
+		t := w.tasks[id]
+		return !t.on() || t.ends > w.now
+	})
+}
+
+func (w *Worker) ended(t *task) {
+	switch {
+	case t.state == fleet.Saving:
+		t.job.Save(t.id.Task, t.progress)
+		t.saved = true
+		w.exit(t, fleet.Stopped)
+	case w.fault.Sick || t.job.Broken:
+		w.exit(t, fleet.Failed)
+	default:
+		t.job.Finish(t.id.Task)
+		w.exit(t, fleet.Completed)
+	}
+}
+
+// exit ends an attempt; it stays in the reports until it is to be forgotten.
+func (w *Worker) exit(t *task, c fleet.Cause) {
+	was := t.on()
+	if t.job != nil && t.state != fleet.Exited {
+		w.free = w.free.Add(t.job.Spec.Demand)
+	}
+	t.state, t.cause = fleet.Exited, c
+	if was {
+		w.out = append(w.out, Ended{t.id, c == fleet.Completed})
+	}
+	w.changed = true
+	w.dropFetches()
+}
+
+// report sends what the machine holds.
+func (w *Worker) report() {
+	w.reports++
+	w.inFlight, w.sentAt, w.sentIn, w.lastReport = w.reports, w.now, w.session, w.now
+	w.changed = false
+	w.reportAt = w.now + unit.Micros(float64(w.cfg.ReportEvery)*(0.75+0.5*w.rng.Float64()))
+	body, saved := w.List()
+	w.out = append(w.out, Report{w.cfg.Nodes[w.node], w.reports, body, saved})
+}
+
+// List is what a report tells; each counts as a message of its own.
+func (w *Worker) List() (*fleet.Report, map[ledger.TaskID]bool) {
+	w.seq++
+	r := &fleet.Report{Machine: w.cfg.Name, Addr: w.cfg.Addr, Type: w.cfg.Type, Zone: w.cfg.Zone, Spot: w.cfg.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token, Notice: unit.Never}
+	if w.noticeAt != unit.Never {
+		r.Notice = max(w.noticeAt-w.now, 0)
+	}
+	saved := map[ledger.TaskID]bool{}
+	add := func(t *task) {
+		r.Tasks = append(r.Tasks, fleet.Task{ID: t.id, Attempt: t.attempt, State: t.state, Cause: t.cause})
+		if t.saved {
+			saved[t.id] = true
+		}
+	}
+	for _, id := range w.ids() {
+		add(w.tasks[id])
+	}
+	for _, t := range w.refused {
+		add(t)
+	}
+	return r, saved
+}
+
+// Failed says that a report got no answer that counts.
+func (w *Worker) Failed(now unit.Micros, number int) {
+	w.Advance(now)
+	if w.inFlight == number && number != 0 {
+		w.inFlight = 0
+		w.tryNext(retryPause)
+	}
+}
+
+func (w *Worker) tryNext(pause unit.Micros) {
+	w.node = (w.node + 1) % len(w.cfg.Nodes)
+	w.again(pause)
+}
+
+func (w *Worker) again(pause unit.Micros) {
+	w.notBefore = w.now + pause
+	w.reportAt = w.notBefore
+}
+
+// Answer takes a controller's answer to a report. One that comes after 4 s, or
+// while a later report is under way, is nobody's.
+func (w *Worker) Answer(now unit.Micros, number int, a Answer) {
+	w.Advance(now)
+	if w.inFlight != number || number == 0 {
+		return
+	}
+	w.inFlight = 0
+	if a.Code == http.StatusMisdirectedRequest {
+		if i := slices.Index(w.cfg.Nodes, a.Node); i >= 0 && i != w.node {
+			w.node = i
+			w.again(unit.Micros(w.rng.Int64N(int64(unit.Second / 2))))
+			return
+		}
+	}
+	if a.Code != http.StatusOK {
+		w.tryNext(retryPause)
+		return
+	}
+	if a.NoToken || a.Token < w.token || w.sentIn != w.session {
+		return // dropped: its commands are not carried out, and it renews nothing
+	}
+	w.takeToken(a.Token)
+	w.leaseFrom = max(w.leaseFrom, w.sentAt)
+	for _, c := range a.Commands {
+		w.command(c)
+	}
+}
+
+func (w *Worker) takeToken(token uint64) {
+	if token > w.token && w.now-w.tokenTold >= w.cfg.Lease/2 {
+		w.tokenTold = w.now
+		w.changed = true
+	}
+	w.token = max(w.token, token)
+}
+
+// Direct carries commands out that came straight to the machine, and reports
+// whether the token and the session allowed it. No lease is renewed.
+func (w *Worker) Direct(now unit.Micros, token, session uint64, commands []fleet.Command) bool {
+	w.Advance(now)
+	if token < w.token || session != w.session {
+		return false
+	}
+	w.takeToken(token)
+	for _, c := range commands {
+		w.command(c)
+	}
+	return true
+}
+
+func (w *Worker) command(c fleet.Command) {
+	t := w.tasks[c.ID]
+	switch c.Op {
+	case fleet.Start:
+		w.start(c, t)
+	case fleet.Stop:
+		if t != nil && t.attempt == c.Attempt && t.state != fleet.Exited {
+			w.stop(t, c.Grace)
+		}
+	case fleet.Forget:
+		w.refused = slices.DeleteFunc(w.refused, func(r *task) bool { return r.id == c.ID && r.attempt == c.Attempt })
+		if t != nil && t.attempt == c.Attempt && t.state == fleet.Exited {
+			delete(w.tasks, c.ID)
+			w.changed = true
+		}
+	}
+}
+
+// stop lets a task that has checkpoints save, if the grace is long enough.
+func (w *Worker) stop(t *task, grace unit.Micros) {
+	s := t.job.Spec
+	if t.state == fleet.Running && s.Checkpoint > 0 && grace >= s.Save {
+		t.progress = w.progressOf(t)
+		t.state, t.ends = fleet.Saving, w.now+s.Save
+		w.changed = true
+		return
+	}
+	if t.state == fleet.Saving && grace > 0 {
+		return
+	}
+	if t.state == fleet.Running && s.Checkpoint > 0 {
+		w.keep(t)
+	}
+	w.exit(t, fleet.Stopped)
+}
+
+// keep saves what a task had saved by itself, at its last checkpoint.
+func (w *Worker) keep(t *task) {
+	if every := t.job.Spec.Checkpoint; every > 0 {
+		t.job.Save(t.id.Task, w.progressOf(t)/every*every)
+	}
+}
+
+// progressOf is how much of a running task is done, in time at speed 1.
+func (w *Worker) progressOf(t *task) unit.Micros {
+	return t.progress + unit.Micros(float64(max(w.now-t.since, 0))*w.fault.Speed)
+}
+
+func (w *Worker) start(c fleet.Command, old *task) {
+	if old != nil && old.attempt == c.Attempt ||
+		slices.ContainsFunc(w.refused, func(r *task) bool { return r.id == c.ID && r.attempt == c.Attempt }) {
+		return
+	}
+	n := &task{id: c.ID, attempt: c.Attempt, state: fleet.Exited}
+	w.changed = true
+	if old != nil && old.state != fleet.Exited {
+		n.cause = fleet.Busy
+		if len(w.refused) < 64 {
+			w.refused = append(w.refused, n)
+		}
+		return
+	}
+	w.tasks[c.ID] = n
+	j := w.book[c.ID.Job]
+	switch {
+	case j == nil || c.ID.Task >= j.Spec.Tasks:
+		n.cause = fleet.Unknown
+		return
+	case !j.Spec.Demand.Fits(w.free):
+		n.cause = fleet.NoRoom
+		return
+	}
+	n.job, n.state = j, fleet.Fetching
+	w.free = w.free.Sub(j.Spec.Demand)
+	if _, ok := w.cached[j.Spec.Image]; ok {
+		w.run(n)
+		return
+	}
+	if w.fetches[j.Spec.Image] == nil {
+		w.fetches[j.Spec.Image] = &fetch{j.Spec.Image, float64(j.Spec.ImageMB), j.Spec.ImageMB}
+	}
+}
+
+// run begins a task that has its image. A task that completed once does so again
+// at once.
+func (w *Worker) run(t *task) {
+	w.use(t.job.Spec.Image, t.job.Spec.ImageMB)
+	t.state, t.since, t.progress = fleet.Running, w.now, t.job.Saved(t.id.Task)
+	w.out = append(w.out, Began{t.id})
+	w.planEnd(t)
+	w.changed = true
+}
+
+func (w *Worker) planEnd(t *task) {
+	switch {
+	case t.job.Finished(t.id.Task):
+		t.ends = w.now
+	case t.job.Spec.Service && !t.job.Broken && !w.fault.Sick:
+		t.ends = unit.Never
+	default:
+		left := max(t.job.RunOf(t.id.Task)-t.progress, 0)
+		if (t.job.Broken || w.fault.Sick) && left > 2*unit.Second {
+			left = 2 * unit.Second // what fails does so soon
+		}
+		t.ends = w.now + unit.Micros(float64(left)/max(w.fault.Speed, 0.01))
+	}
+}
+
+// use puts an image last in the cache, and drops the least recently used ones
+// beyond its size that no task needs.
+func (w *Worker) use(image string, size int64) {
+	if i := slices.Index(w.cache, image); i >= 0 {
+		w.cache = slices.Delete(w.cache, i, i+1)
+	}
+	w.cache = append(w.cache, image)
+	w.cached[image] = size
+	var sum int64
+	for _, s := range w.cached {
+		sum += s
+	}
+	for i := 0; i < len(w.cache)-1 && sum > w.cfg.CacheMB; {
+		if w.needed(w.cache[i]) {
+			i++
+			continue
+		}
+		sum -= w.cached[w.cache[i]]
+		delete(w.cached, w.cache[i])
+		w.cache = slices.Delete(w.cache, i, i+1)
+	}
+}
+
+// needed reports whether a task on the machine uses an image.
+func (w *Worker) needed(image string) bool {
+	for _, t := range w.tasks {
+		if t.state != fleet.Exited && t.job.Spec.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// dropFetches gives fetches up for which no task waits any more.
+func (w *Worker) dropFetches() {
+	for image := range w.fetches {
+		if !w.needed(image) {
+			delete(w.fetches, image)
+		}
+	}
+}
+
+// fetchOn lets fetches go on up to now; all under way share the machine's rate.
+func (w *Worker) fetchOn() {
+	for len(w.fetches) > 0 && w.fetched < w.now {
+		step := min(w.fetchTime(), w.now-w.fetched)
+		part := step.Seconds() * float64(w.cfg.FetchMBs) / float64(len(w.fetches))
+		w.fetched += step
+		var through []string
+		for image, f := range w.fetches {
+			if f.left -= part; f.left <= 0 {
+				through = append(through, image)
+			}
+		}
+		slices.Sort(through)
+		for _, image := range through {
+			f := w.fetches[image]
+			delete(w.fetches, image)
+			w.use(image, f.size)
+			for _, id := range w.ids() {
+				if t := w.tasks[id]; t.state == fleet.Fetching && t.job.Spec.Image == image {
+					w.run(t)
+				}
+			}
+		}
+	}
+	w.fetched = max(w.fetched, w.now)
+}
+
+// Drain returns the effects since the last call.
+func (w *Worker) Drain() []any {
+	out := w.out
+	w.out = nil
+	return out
+}
--- /dev/null
+++ b/internal/emulator/site/site.go
@@ -0,0 +1,266 @@
+// Package site joins the models of the cloud and of its machines: what is rented
+// boots and works, and what is taken or dies ends with all that is on it. It is
+// pure like they are.
+package site
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/agenda"
+	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/work"
+)
+
+// Config says what the site is like.
+type Config struct {
+	Cloud       rental.Config
+	ReportEvery unit.Micros
+	Lease       unit.Micros
+	Nodes       []string // controllers
+	MaxDrift    float64  // of workers' clocks, as a share
+}
+
+// Effects.
+type (
+	// Up says that a machine's worker begins, Gone that the machine has ended.
+	Up   struct{ *rental.Machine }
+	Gone struct{ *rental.Machine }
+	// Send is a report to be sent to a controller.
+	Send struct {
+		Machine string
+		machine.Report
+	}
+	// Began and Ended say what is on a machine with its image.
+	Began struct {
+		*rental.Machine
+		Task ledger.TaskID
+	}
+	Ended struct {
+		*rental.Machine
+		Task      ledger.TaskID
+		Completed bool
+	}
+)
+
+// Site is the cloud with its machines.
+type Site struct {
+	Cloud *rental.Service
+	Book  work.Book
+
+	cfg     Config
+	rng     *rand.Rand
+	types   map[string]rental.Type
+	workers map[string]*member
+	due     agenda.Agenda[*member]
+	out     []any
+}
+
+type member struct {
+	*machine.Worker
+	m    *rental.Machine
+	plan unit.Micros // when it is next looked at
+}
+
+// New returns a site with nothing rented.
+func New(cfg Config, rng *rand.Rand) *Site {
+	s := &Site{Cloud: rental.New(cfg.Cloud, rand.New(rand.NewPCG(rng.Uint64(), 1))), Book: work.Book{}, cfg: cfg, rng: rng,
+		types: map[string]rental.Type{}, workers: map[string]*member{}}
+	for _, t := range cfg.Cloud.Types {
+		s.types[t.Name] = t
+	}
+	return s
+}
+
+// Next returns when Advance is next of use.
+func (s *Site) Next() unit.Micros { return min(s.Cloud.Next(), s.due.Next()) }
+
+// Advance lets time pass.
+func (s *Site) Advance(now unit.Micros) {
+	s.Cloud.Advance(now)
+	s.sync(now)
+	for {
+		at, k, ok := s.due.Due(now)
+		if !ok {
+			return
+		}
+		if s.workers[k.m.Name] == k && k.plan == at {
+			k.Advance(now)
+			s.settle(now, k)
+		}
+	}
+}
+
+// sync takes up what the cloud did.
+func (s *Site) sync(now unit.Micros) {
+	for _, e := range s.Cloud.Drain() {
+		switch e := e.(type) {
+		case rental.Began:
+			s.begin(now, e.Machine)
+		case rental.Ended:
+			if k := s.workers[e.Machine.Name]; k != nil {
+				k.Stop(now)
+				s.collect(k)
+				delete(s.workers, e.Machine.Name)
+			}
+			s.out = append(s.out, Gone{e.Machine})
+		case rental.Noticed:
+			if k := s.workers[e.Machine.Name]; k != nil {
+				k.Notice(now, e.In)
+				s.settle(now, k)
+			}
+		}
+	}
+}
+
+func (s *Site) begin(now unit.Micros, m *rental.Machine) {
+	t := s.types[m.Type]
+	cfg := machine.Config{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+		Capacity: Capacity(t), CacheMB: unit.MilliDown(t.CacheGB), FetchMBs: max(1, int64(float64(unit.MilliDown(t.FetchGBs))*m.Fetch)),
+		ReportEvery: s.cfg.ReportEvery, Lease: s.cfg.Lease, Nodes: s.cfg.Nodes, Clock: 1 + s.cfg.MaxDrift*(2*s.rng.Float64()-1)}
+	k := &member{m: m, Worker: machine.New(cfg, machine.Fault{Speed: m.Speed, Sick: m.Sick}, s.Book, now, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))}
+	s.workers[m.Name] = k
+	s.out = append(s.out, Up{m})
+	k.Advance(now)
+	s.settle(now, k)
+}
+
+// Capacity is what a machine of a type has, in thousandths.
+func Capacity(t rental.Type) pack.Vec {
+	return pack.Vec{unit.MilliDown(t.CPUs), unit.MilliDown(t.GPUs), unit.MilliDown(t.MemoryGB)}
+}
+
+// settle takes up what a worker did and plans its next look.
+func (s *Site) settle(now unit.Micros, k *member) {
+	s.collect(k)
+	if next := max(k.Next(), now+1); next != k.plan {
+		k.plan = next
+		s.due.Add(next, k)
+	}
+}
+
+func (s *Site) collect(k *member) {
+	for _, e := range k.Drain() {
+		switch e := e.(type) {
+		case machine.Report:
+			s.out = append(s.out, Send{k.m.Name, e})
+		case machine.Began:
+			s.out = append(s.out, Began{k.m, e.Task})
+		case machine.Ended:
+			s.out = append(s.out, Ended{k.m, e.Task, e.Completed})
+		}
+	}
+}
+
+// Answer takes the answer to a report; Code 0: it failed.
+func (s *Site) Answer(now unit.Micros, name string, number int, a machine.Answer) {
+	s.Advance(now)
+	k := s.workers[name]
+	if k == nil {
+		return
+	}
+	if a.Code == 0 {
+		k.Failed(now, number)
+	} else {
+		k.Answer(now, number, a)
+	}
+	s.settle(now, k)
+}
+
+// Direct carries commands out that came straight to a machine, and returns its
+// report; found is false where there is no such machine, or it does not speak.
+func (s *Site) Direct(now unit.Micros, name string, token, session uint64, commands []fleet.Command) (r *fleet.Report, saved map[ledger.TaskID]bool, taken, found bool) {
+	s.Advance(now)
+	k := s.workers[name]
+	if k == nil || k.Hangs(now) {
+		return nil, nil, false, false
+	}
+	taken = k.Direct(now, token, session, commands)
+	r, saved = k.List()
+	s.settle(now, k)
+	return r, saved, taken, true
+}
+
+// Status returns a machine's report.
+func (s *Site) Status(now unit.Micros, name string) (r *fleet.Report, saved map[ledger.TaskID]bool, found bool) {
+	s.Advance(now)
+	k := s.workers[name]
+	if k == nil || k.Hangs(now) {
+		return nil, nil, false
+	}
+	r, saved = k.List()
+	return r, saved, true
+}
+
+// Worker returns a machine's worker, or nil.
+func (s *Site) Worker(name string) *machine.Worker {
+	if k := s.workers[name]; k != nil {
+		return k.Worker
+	}
+	return nil
+}
+
+// Workers returns how many machines are up.
+func (s *Site) Workers() int { return len(s.workers) }
+
+// Running returns how many tasks are on machines with their image.
+func (s *Site) Running() int {
+	n := 0
+	for _, k := range s.workers {
+		n += k.Running()
+	}
+	return n
+}
+
+// Pick draws n of the machines that are up and match; an empty type or zone
+// matches any. The order is that of the draw.
+func (s *Site) Pick(n int, match func(*rental.Machine) bool) []*rental.Machine {
+	alive := slices.DeleteFunc(s.Cloud.Alive(), func(m *rental.Machine) bool { return match != nil && !match(m) })
+	s.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(n, len(alive))]
+}
+
+// Kill stops a machine with all that is on it.
+func (s *Site) Kill(now unit.Micros, m *rental.Machine) {
+	s.Advance(now)
+	s.Cloud.Kill(now, m)
+	s.sync(now)
+}
+
+// Take lets the cloud take a spot machine back.
+func (s *Site) Take(now unit.Micros, m *rental.Machine, notice unit.Micros, silent float64) {
+	s.Advance(now)
+	s.Cloud.Take(now, m, notice, silent)
+	s.sync(now)
+}
+
+// Hang lets a machine stand still until a time.
+func (s *Site) Hang(now unit.Micros, m *rental.Machine, until unit.Micros) {
+	s.Advance(now)
+	if k := s.workers[m.Name]; k != nil {
+		k.Hang(now, until)
+		s.settle(now, k)
+	}
+}
+
+// Spoil changes what is wrong with a machine.
+func (s *Site) Spoil(now unit.Micros, m *rental.Machine, f machine.Fault) {
+	s.Advance(now)
+	m.Speed, m.Sick = f.Speed, f.Sick
+	if k := s.workers[m.Name]; k != nil {
+		k.SetFault(now, f)
+		s.settle(now, k)
+	}
+}
+
+// Drain returns the effects since the last call.
+func (s *Site) Drain() []any {
+	out := s.out
+	s.out = nil
+	return out
+}
--- /dev/null
+++ b/internal/emulator/user/user.go
@@ -0,0 +1,326 @@
+// Package user is the model of the users: they submit jobs, retry, poll and
+// cancel as the protocol says they do. It is pure: time, answers and draws go in,
+// calls to be made and what was told come out of Drain.
+package user
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/agenda"
+	"shalestage.example/shalestage/internal/emulator/work"
+)
+
+// Times of the protocol.
+const (
+	submitWait = 5 * unit.Second
+	pollWait   = 2 * unit.Second
+	submitFor  = 60 * unit.Second // for which a submission is retried
+	maxRetry   = 30 * unit.Second // of a Retry-After that is followed
+)
+
+// Kind of a call.
+type Kind int
+
+// The three calls.
+const (
+	Submit Kind = iota
+	Poll
+	Cancel
+)
+
+func (k Kind) String() string { return [...]string{"submit", "poll", "cancel"}[k] }
+
+// Effects.
+type (
+	// Call is to be made; its answer goes to Answer, or to Failed.
+	Call struct {
+		Number uint64
+		Kind   Kind
+		ID     string
+		Spec   *ledger.Spec // of a submission
+		Wait   unit.Micros  // for an answer
+	}
+	// Planned says that a job is submitted from now on; CancelAsked that its user
+	// has asked to cancel it.
+	Planned     struct{ Job *Job }
+	CancelAsked struct{ ID string }
+	// Told says what a user has heard. Code 0: no answer in time.
+	Told struct {
+		Kind Kind
+		ID   string
+		Answer
+	}
+)
+
+// Answer is a controller's answer.
+type Answer struct {
+	Code       int
+	Status     ledger.Status
+	RetryAfter unit.Micros
+}
+
+// Job is a job and how its user goes about it.
+type Job struct {
+	*work.Job
+	Awaits      []*Job
+	At          unit.Micros // of the first attempt to submit
+	CancelAfter unit.Micros // from then on; 0: never
+	Surge       bool        // submitted on account of a fault
+
+	Accepted  bool
+	AcceptedA unit.Micros // when the user was told
+	GaveUp    bool
+	Final     ledger.Status // as told; "" so far
+	Over      unit.Micros   // when that was
+	first     unit.Micros
+	cancels   bool
+}
+
+// Options say how users behave beyond what the protocol fixes.
+type Options struct {
+	PollEvery   unit.Micros // about; 5 s by default
+	LateRetries float64     // share of accepted submissions that are sent again later
+	Strangers   float64     // share of polls that are followed by one for a job that nobody submitted
+}
+
+type step struct {
+	job    *Job
+	kind   Kind
+	number uint64 // of the call whose wait is over; 0: a call is due
+	late   bool   // a submission repeated although it was accepted
+}
+
+type call struct {
+	job  *Job
+	kind Kind
+	id   string
+}
+
+// Crowd is all users.
+type Crowd struct {
+	opt   Options
+	rng   *rand.Rand
+	plans agenda.Agenda[step]
+	open  map[uint64]call
+	next  uint64
+	jobs  []*Job
+	left  int // jobs whose users are not through
+	storm float64
+	out   []any
+}
+
+// New returns a crowd without jobs.
+func New(opt Options, rng *rand.Rand) *Crowd {
+	if opt.PollEvery == 0 {
+		opt.PollEvery = 5 * unit.Second
+	}
+	return &Crowd{opt: opt, rng: rng, open: map[uint64]call{}, storm: 1}
+}
+
+// Add plans a job.
+func (c *Crowd) Add(j *Job) {
+	c.jobs = append(c.jobs, j)
+	c.left++
+	c.plans.Add(j.At, step{job: j, kind: Submit})
+}
+
+// Jobs returns all jobs in the order in which they were added.
+func (c *Crowd) Jobs() []*Job { return c.jobs }
+
+// Left returns how many jobs are neither over, as far as their users were told,
+// nor given up. Services that nobody cancels do not count.
+func (c *Crowd) Left() int { return c.left }
+
+// Storm makes users ask n times as often from now on.
+func (c *Crowd) Storm(n float64) { c.storm = max(n, 1) }
+
+// Next returns when Advance is next of use.
+func (c *Crowd) Next() unit.Micros { return c.plans.Next() }
+
+// Advance lets time pass.
+func (c *Crowd) Advance(now unit.Micros) {
+	for {
+		at, s, ok := c.plans.Due(now)
+		if !ok {
+			return
+		}
+		if s.number != 0 {
+			if _, waits := c.open[s.number]; waits {
+				c.Failed(at, s.number)
+			}
+			continue
+		}
+		c.due(at, s)
+	}
+}
+
+func (c *Crowd) due(now unit.Micros, s step) {
+	j := s.job
+	switch s.kind {
+	case Submit:
+		if j.first == 0 {
+			for _, a := range j.Awaits {
+				if a.GaveUp {
+					c.giveUp(j)
+					return
+				}
+				if !a.Accepted {
+					c.plans.Add(now+unit.Second/50, s)
+					return
+				}
+			}
+			c.begin(now, j)
+		}
+		if !s.late && j.Accepted {
+			return
+		}
+	case Cancel:
+		if j.GaveUp || j.Final != "" && j.cancels {
+			return
+		}
+		if !j.cancels {
+			j.cancels = true
+			c.out = append(c.out, CancelAsked{j.ID})
+		}
+	case Poll:
+		if c.rng.Float64() < c.opt.Strangers {
+			c.call(now, nil, Poll, fmt.Sprintf("wk-9%05d%04d", c.rng.IntN(100_000), c.rng.IntN(10_000)))
+		}
+	}
+	c.call(now, j, s.kind, j.ID)
+}
+
+// begin is a job's first attempt. What it awaits is known by now.
+func (c *Crowd) begin(now unit.Micros, j *Job) {
+	j.first = max(now, 1)
+	spec := *j.Spec
+	for _, a := range j.Awaits {
+		spec.Awaits = append(spec.Awaits, a.ID)
+	}
+	j.Spec = &spec
+	c.out = append(c.out, Planned{j})
+	if j.CancelAfter > 0 {
+		c.plans.Add(now+j.CancelAfter, step{job: j, kind: Cancel})
+	}
+	if j.Spec.Service && j.CancelAfter == 0 {
+		c.left--
+	}
+}
+
+func (c *Crowd) call(now unit.Micros, j *Job, k Kind, id string) {
+	c.next++
+	c.open[c.next] = call{j, k, id}
+	e := Call{Number: c.next, Kind: k, ID: id, Wait: submitWait}
+	if k == Poll {
+		e.Wait = pollWait
+	}
+	if k == Submit {
+		e.Spec = j.Spec
+	}
+	c.plans.Add(now+e.Wait, step{number: c.next})
+	c.out = append(c.out, e)
+}
+
+// Failed says that a call got no answer.
+func (c *Crowd) Failed(now unit.Micros, number uint64) { c.Answer(now, number, Answer{}) }
+
+// Answer takes the answer to a call; one that comes too late is nobody's.
+func (c *Crowd) Answer(now unit.Micros, number uint64, a Answer) {
+	o, ok := c.open[number]
+	if !ok {
+		return
+	}
+	delete(c.open, number)
+	c.out = append(c.out, Told{o.kind, o.id, a})
+	if o.job == nil {
+		return
+	}
+	switch o.kind {
+	case Submit:
+		c.submitted(now, o.job, a)
+	case Cancel:
+		if a.Code == http.StatusOK {
+			c.heard(now, o.job, a.Status)
+			return
+		}
+		c.plans.Add(now+c.pause(a), step{job: o.job, kind: Cancel})
+	case Poll:
+		if a.Code == http.StatusOK {
+			c.heard(now, o.job, a.Status)
+		}
+		c.pollLater(now, o.job)
+	}
+}
+
+func (c *Crowd) submitted(now unit.Micros, j *Job, a Answer) {
+	switch a.Code {
+	case http.StatusOK, http.StatusCreated:
+		if !j.Accepted {
+			j.Accepted, j.AcceptedA = true, now
+			c.pollLater(now, j)
+			if c.rng.Float64() < c.opt.LateRetries {
+				c.plans.Add(now+unit.Micros(c.rng.Int64N(int64(80*unit.Second))), step{job: j, kind: Submit, late: true})
+			}
+		}
+		c.heard(now, j, a.Status)
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		if !j.Accepted {
+			c.giveUp(j)
+		}
+	default:
+		if p := c.pause(a); j.Accepted || now+p-j.first > submitFor {
+			if !j.Accepted {
+				c.giveUp(j)
+			}
+		} else {
+			c.plans.Add(now+p, step{job: j, kind: Submit})
+		}
+	}
+}
+
+func (c *Crowd) giveUp(j *Job) {
+	if j.GaveUp || j.Final != "" {
+		return
+	}
+	j.GaveUp = true
+	if !j.Spec.Service || j.CancelAfter > 0 || j.first == 0 {
+		c.left--
+	}
+}
+
+// pause is how long a user waits before the next try.
+func (c *Crowd) pause(a Answer) unit.Micros {
+	return max(unit.Second+unit.Micros(c.rng.Int64N(int64(unit.Second))), min(a.RetryAfter, maxRetry))
+}
+
+// pollLater polls again after some seconds, and now and then once all is over.
+func (c *Crowd) pollLater(now unit.Micros, j *Job) {
+	every := float64(c.opt.PollEvery) * (0.6 + 0.8*c.rng.Float64()) / c.storm
+	if j.Final != "" {
+		if c.rng.Float64() > 0.2 && c.storm == 1 {
+			return
+		}
+		every *= 3
+	}
+	c.plans.Add(now+unit.Micros(every), step{job: j, kind: Poll})
+}
+
+func (c *Crowd) heard(now unit.Micros, j *Job, s ledger.Status) {
+	if s.Final() && j.Final == "" {
+		j.Final, j.Over = s, now
+		if !j.GaveUp && (!j.Spec.Service || j.CancelAfter > 0) {
+			c.left--
+		}
+	}
+}
+
+// Drain returns the effects since the last call.
+func (c *Crowd) Drain() []any {
+	out := c.out
+	c.out = nil
+	return out
+}
--- /dev/null
+++ b/internal/launch/role.go
@@ -0,0 +1,315 @@
+package launch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/host"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/work"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// maxControl bounds a request to a control address.
+const maxControl = 1 << 20
+
+// Role runs one of the emulator's processes until it fails or its standard input
+// ends, which is when the process that has launched it does.
+func Role(role, planFile string, log *slog.Logger) error {
+	p, err := ReadPlan(planFile)
+	if err != nil {
+		return err
+	}
+	s, err := scenario.Load(p.Scenario)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		cancel(nil)
+	}()
+	control := chi.NewRouter()
+	control.Get("/alive", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	switch role {
+	case RoleState:
+		err = runState(ctx, cancel, p, s, control, log)
+	case RoleCloud:
+		err = runCloud(ctx, cancel, p, s, control, log)
+	case RoleBalance:
+		err = runBalancer(ctx, cancel, p, s, control, log)
+	default:
+		err = fmt.Errorf("there is no role %q", role)
+	}
+	if err != nil {
+		return err
+	}
+	if err := serve(p.Roles[role], func(l net.Listener) error { return http.Serve(l, control) }, cancel); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// serve listens at an address and serves there until the process ends.
+func serve(addr string, f func(net.Listener) error, failed context.CancelCauseFunc) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	go func() { failed(f(l)) }()
+	return nil
+}
+
+// faults takes faults by command.
+func faults(control chi.Router, do func(f scenario.Fault) error) {
+	control.Post("/fault", func(w http.ResponseWriter, r *http.Request) {
+		var f scenario.Fault
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl)).Decode(&f); err != nil {
+			http.Error(w, "malformed", http.StatusBadRequest)
+			return
+		}
+		if err := do(f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func runState(ctx context.Context, cancel context.CancelCauseFunc, p *Plan, s *scenario.Scenario, control chi.Router, log *slog.Logger) error {
+	var disk *host.Disk
+	if p.Data != "" {
+		var err error
+		if disk, err = host.OpenDisk(p.Data); err != nil {
+			return err
+		}
+	}
+	st, err := host.NewState(s.State.KV(), seconds(s.State.LatencyMS/1000), disk, rand.New(rand.NewPCG(p.Seed, 11)), log, func(err error) {
+		// What could not be stored is answered to nobody.
+		cancel(fmt.Errorf("the state service cannot store its data: %w", err))
+	})
+	if err != nil {
+		return err
+	}
+	go st.Run(ctx)
+	for n, a := range p.State {
+		if err := serve(a.Real, func(l net.Listener) error { return st.Serve(l, n) }, cancel); err != nil {
+			return err
+		}
+	}
+	faults(control, func(f scenario.Fault) error {
+		for_ := unit.Seconds(f.ForS)
+		var lost int
+		st.Do(func(now unit.Micros, m *kv.Service) {
+			switch f.Kind {
+			case scenario.StateOutage:
+				m.Down(now, now+for_)
+			case scenario.StateRefuse:
+				m.Refuse(f.Node, now+for_)
+			case scenario.StateLimits:
+				m.SetLimits(s.State.Fallen(f).KV())
+			case scenario.StateLose:
+				lost = m.Lose(now, prefixOf(f), max(f.Count, 1))
+			}
+		})
+		switch f.Kind {
+		case scenario.StateSlow:
+			st.Slow(seconds(f.DelayMS / 1000))
+			time.AfterFunc(seconds(f.ForS), func() { st.Slow(0) })
+		case scenario.StateLate:
+			st.Misfortune(seconds(f.ForS), 0)
+		case scenario.StateUnanswered:
+			st.Misfortune(0, seconds(f.ForS))
+		case scenario.StateLose:
+			if lost == 0 {
+				return errors.New("there is no such write to lose")
+			}
+		}
+		return nil
+	})
+	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
+		var keys int
+		var rev uint64
+		st.Do(func(_ unit.Micros, m *kv.Service) { keys, rev = m.Len(), m.Rev() })
+		_ = json.NewEncoder(w).Encode(map[string]uint64{"keys": uint64(keys), "revision": rev, "requests": st.Answers()})
+	})
+	return nil
+}
+
+// prefixOf is the prefix of the keys whose writes a fault loses.
+func prefixOf(f scenario.Fault) string {
+	if f.Prefix == "" {
+		return "shalestage/job/"
+	}
+	return f.Prefix
+}
+
+// Figures are what the cloud's process tells of itself.
+type Figures struct {
+	Machines int     `json:"machines"` // up
+	Rented   int     `json:"rented"`   // ever
+	Running  int     `json:"running"`  // tasks
+	Money    float64 `json:"money"`
+}
+
+func runCloud(ctx context.Context, cancel context.CancelCauseFunc, p *Plan, s *scenario.Scenario, control chi.Router, log *slog.Logger) error {
+	cfg := s.Site()
+	cfg.Cloud.First = p.First
+	st := site.New(cfg, rand.New(rand.NewPCG(p.Seed, 12)))
+	var facts host.Facts = newFactWriter(os.Stdout)
+	if p.Data != "" {
+		book, err := openBook(filepath.Join(p.Data, bookFile))
+		if err != nil {
+			return err
+		}
+		for _, j := range book.jobs {
+			st.Book[j.ID] = j
+		}
+		facts = book.keep(facts)
+	}
+	// Workers reach a controller by a link of their zone.
+	c := host.NewCloud(ctx, st, p.Workers, hostOf(p.Front), seconds(s.Cloud.LatencyMS/1000), facts, log)
+	go c.Run()
+	for _, a := range p.Cloud {
+		if err := serve(a.Real, c.Serve, cancel); err != nil {
+			return err
+		}
+	}
+	control.Put("/jobs", func(w http.ResponseWriter, r *http.Request) {
+		var u upload
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl)).Decode(&u); err != nil || u.Spec == nil {
+			http.Error(w, "malformed", http.StatusBadRequest)
+			return
+		}
+		j := u.job()
+		if b, ok := facts.(*keeper); ok {
+			if err := b.add(u); err != nil {
+				http.Error(w, err.Error(), http.StatusInsufficientStorage)
+				return
+			}
+		}
+		c.Upload(j)
+	})
+	faults(control, func(f scenario.Fault) (err error) {
+		c.Do(func(now unit.Micros, st *site.Site) { err = SiteFault(now, st, s, f) })
+		if f.Kind == scenario.SpotRate {
+			time.AfterFunc(seconds(f.ForS), func() {
+				c.Do(func(now unit.Micros, st *site.Site) { st.Cloud.SetSpotRate(now, s.Cloud.SpotPerHour) })
+			})
+		}
+		return err
+	})
+	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
+		var f Figures
+		c.Do(func(now unit.Micros, st *site.Site) {
+			f = Figures{st.Workers(), st.Cloud.Rented(), st.Running(), st.Cloud.Spent(now)}
+		})
+		_ = json.NewEncoder(w).Encode(f)
+	})
+	return nil
+}
+
+// SiteFault does a fault of the cloud or of its machines. Rates are put back by the caller.
+func SiteFault(now unit.Micros, st *site.Site, s *scenario.Scenario, f scenario.Fault) error {
+	until := now + unit.Seconds(f.ForS)
+	match := func(m *rental.Machine) bool {
+		return (f.Type == "" || f.Type == m.Type) && (f.Zone == "" || f.Zone == m.Zone) && (f.Kind != scenario.SpotWave || m.Spot)
+	}
+	pick := func() []*rental.Machine {
+		if f.Share > 0 {
+			all := st.Pick(1<<30, match)
+			return all[:int(float64(len(all))*f.Share+0.5)]
+		}
+		return st.Pick(max(f.Count, 1), match)
+	}
+	switch f.Kind {
+	case scenario.CloudDown:
+		st.Cloud.Down(until)
+	case scenario.NoCapacity:
+		st.Cloud.RefuseCapacity(f.Type, f.Zone, until)
+	case scenario.MachineStop:
+		for _, m := range pick() {
+			st.Kill(now, m)
+		}
+	case scenario.MachineHang:
+		for _, m := range pick() {
+			st.Hang(now, m, until)
+		}
+	case scenario.MachineSick:
+		for _, m := range pick() {
+			st.Spoil(now, m, machine.Fault{Speed: m.Speed, Sick: true})
+		}
+	case scenario.MachineSlow:
+		for _, m := range pick() {
+			st.Spoil(now, m, machine.Fault{Speed: m.Speed / f.Times, Sick: m.Sick})
+		}
+	case scenario.SpotWave:
+		notice := f.NoticeS
+		if notice == 0 {
+			notice = s.Cloud.NoticeS
+		}
+		for _, m := range pick() {
+			st.Take(now, m, unit.Seconds(notice), s.Cloud.Silent)
+		}
+	case scenario.SpotRate:
+		st.Cloud.SetSpotRate(now, f.PerHour)
+	default:
+		return fmt.Errorf("%s is no fault of the cloud", f.Kind)
+	}
+	return nil
+}
+
+func hostOf(addr string) string {
+	h, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "127.0.0.1"
+	}
+	return h
+}
+
+func runBalancer(ctx context.Context, cancel context.CancelCauseFunc, p *Plan, s *scenario.Scenario, control chi.Router, log *slog.Logger) error {
+	var nodes []string
+	for _, n := range s.Nodes() {
+		nodes = append(nodes, p.Listen[n].Link)
+	}
+	f := host.NewFront(ctx, nodes, rand.New(rand.NewPCG(p.Seed, 13)), log)
+	go f.Run()
+	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]int{"healthy": f.Healthy()})
+	})
+	return serve(p.Front, f.Serve, cancel)
+}
+
+// upload is a job's description as its user uploads it: what it does, and how
+// long its tasks really run.
+type upload struct {
+	ID     string      `json:"id"`
+	Spec   *workSpec   `json:"spec"`
+	Run    unit.Micros `json:"run"` // µs
+	Vary   float64     `json:"vary,omitempty"`
+	Broken bool        `json:"broken,omitempty"`
+}
+
+func (u upload) job() *work.Job {
+	return &work.Job{ID: u.ID, Spec: u.Spec, Run: u.Run, Vary: u.Vary, Broken: u.Broken}
+}
--- /dev/null
+++ b/internal/scenario/build.go
@@ -0,0 +1,154 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+
+	"shalestage.example/shalestage/internal/config"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/check"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/user"
+	"shalestage.example/shalestage/internal/emulator/work"
+)
+
+// MaxDrift is by how much steady clocks run off, as a share.
+const MaxDrift = 0.0005
+
+// KV returns the limits in the state service's terms.
+func (l Limits) KV() kv.Limits {
+	return kv.Limits{Rate: l.RPS, WriteRate: l.WriteRPS, ValueBytes: int(l.ValueKB * 1024), TxnOps: l.TxnOps}
+}
+
+// Fallen returns the limits after a fault that lowers some of them.
+func (s State) Fallen(f Fault) Limits {
+	return Limits{RPS: cmp.Or(f.RPS, s.Next.RPS, s.RPS), WriteRPS: cmp.Or(f.WriteRPS, s.Next.WriteRPS, s.WriteRPS),
+		ValueKB: cmp.Or(f.ValueKB, s.Next.ValueKB, s.ValueKB), TxnOps: cmp.Or(f.TxnOps, s.Next.TxnOps, s.TxnOps)}
+}
+
+// Site returns the cloud and its machines.
+func (s *Scenario) Site() site.Config {
+	c := site.Config{ReportEvery: unit.Seconds(s.Workers.ReportS), Lease: unit.Seconds(s.Workers.LeaseS), Nodes: s.Nodes(), MaxDrift: MaxDrift,
+		Cloud: rental.Config{Capacity: map[rental.Pool]int{}, Rate: s.Cloud.RPS, ListLag: unit.Seconds(s.Cloud.ListLagS),
+			SpotRate: s.Cloud.SpotPerHour, Notice: unit.Seconds(s.Cloud.NoticeS), Silent: s.Cloud.Silent,
+			SickShare: s.Cloud.SickShare, SlowShare: s.Cloud.SlowShare}}
+	for _, t := range s.Types {
+		rt := rental.Type{Name: t.Name, CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB, CacheGB: t.CacheGB, FetchGBs: t.FetchGBs,
+			Price: t.Price, SpotPrice: t.SpotPrice, Boot: unit.Seconds(t.BootS), BootFail: t.BootFail}
+		for _, z := range s.Controllers.Zones {
+			for _, p := range s.Capacity {
+				if p.Type == t.Name && p.Zone == z && p.Count+p.Spot > 0 {
+					rt.Zones = append(rt.Zones, z)
+					c.Cloud.Capacity[rental.Pool{Type: t.Name, Zone: z}] += p.Count
+					c.Cloud.Capacity[rental.Pool{Type: t.Name, Zone: z, Spot: true}] += p.Spot
+					break
+				}
+			}
+		}
+		c.Cloud.Types = append(c.Cloud.Types, rt)
+	}
+	return c
+}
+
+// Nodes returns the controllers' names.
+func (s *Scenario) Nodes() []string {
+	var out []string
+	for i := range s.Controllers.Count {
+		out = append(out, NodeName(i))
+	}
+	return out
+}
+
+// Check returns what the rules are measured by.
+func (s *Scenario) Check() check.Config {
+	c := check.Config{CancelIn: unit.Seconds(s.Workers.CancelS)}
+	for _, t := range s.Teams {
+		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: pack.Vec{unit.MilliDown(t.CPUsMax), unit.MilliDown(t.GPUsMax)}})
+	}
+	return c
+}
+
+// Addrs is where a deployment listens. State and Cloud differ for each
+// controller, so that one alone can be cut off; so do its peers' addresses.
+type Addrs struct {
+	Listen, Internal string
+	State, Cloud     string
+	Peers            map[string]string // by name
+}
+
+// Settings returns a controller's settings.
+func (s *Scenario) Settings(i int, a Addrs) *config.Settings {
+	n := s.Controllers
+	out := &config.Settings{Node: NodeName(i), Zone: n.Zones[i%len(n.Zones)], Listen: a.Listen, PeerListen: a.Internal,
+		Services: config.Services{Cloud: a.Cloud, State: a.State}, Tuning: config.DefaultTuning(),
+		Deployment: config.Deployment{Size: n.Count, Zones: n.Zones,
+			Workers:    config.Workers{ReportS: s.Workers.ReportS, LeaseS: s.Workers.LeaseS, CancelS: s.Workers.CancelS},
+			State:      config.State{Limits: config.Limits(s.State.Limits), Next: config.Limits(s.State.Next)},
+			Cloud:      config.Cloud{RPS: s.Cloud.RPS, ListLagS: s.Cloud.ListLagS},
+			Quota:      config.Quota{CPU: n.CPU, RAMMB: n.MemoryMB, FDLimit: n.Sockets},
+			ClockErrMs: n.ClockErrorMS}}
+	out.Tuning.LeaseS, out.Tuning.BlockSize = n.LeaseS, n.BlockMachines
+	for k := range n.Count {
+		if k != i {
+			name := NodeName(k)
+			out.Peers = append(out.Peers, config.Peer{Node: name, Zone: n.Zones[k%len(n.Zones)], Addr: a.Peers[name]})
+		}
+	}
+	for _, t := range s.Teams {
+		out.Deployment.Teams = append(out.Deployment.Teams, config.Team(t))
+	}
+	for _, o := range s.Objectives {
+		out.Deployment.Objectives = append(out.Deployment.Objectives, config.Objective(o))
+	}
+	return out
+}
+
+// Work returns what is true of a job.
+func (j Job) Work(id string, spec *ledger.Spec) *work.Job {
+	return &work.Job{ID: id, Spec: spec, Run: unit.Seconds(j.RunS), Vary: j.Vary, Broken: j.Broken}
+}
+
+// Plan returns the file's jobs as their users go about them, in the order in
+// which they come, with ids counted from first. Jobs of an entry with a count
+// come at drawn times, and await the first of each entry that they name.
+func (s *Scenario) Plan(first int, rng *rand.Rand) []*user.Job {
+	byName := map[string]*user.Job{}
+	var out []*user.Job
+	add := func(j Job, at unit.Micros) *user.Job {
+		u := &user.Job{Job: j.Work(fmt.Sprintf("wk-%06d", first+len(out)), j.Spec()),
+			At: at, CancelAfter: unit.Seconds(j.CancelAfterS)}
+		for _, a := range j.Awaits {
+			u.Awaits = append(u.Awaits, byName[a])
+		}
+		out = append(out, u)
+		return u
+	}
+	for _, j := range s.Jobs {
+		at := unit.Seconds(j.AtS)
+		for k := range max(j.Count, 1) {
+			u := add(j, at)
+			if k == 0 {
+				byName[j.Name] = u
+			}
+			at += unit.Seconds(s.gap(j, at, rng))
+		}
+	}
+	return out
+}
+
+// gap draws the time until the next job of an entry; surges shorten it.
+func (s *Scenario) gap(j Job, at unit.Micros, rng *rand.Rand) float64 {
+	g := j.EveryS * rng.ExpFloat64()
+	for _, f := range s.Faults {
+		t := at.Seconds()
+		if f.Kind == Surge && (f.Class == "" || f.Class == j.Class || f.Class == j.Name) && t >= f.AtS && t < f.AtS+f.ForS {
+			g /= f.Times
+		}
+	}
+	return g
+}
--- /dev/null
+++ b/internal/scenario/fault.go
@@ -0,0 +1,200 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is something that goes wrong, at a time or by command.
+type Fault struct {
+	AtS       float64  `toml:"at_s" json:"at_s,omitempty"`
+	Kind      string   `toml:"kind" json:"kind"`
+	ForS      float64  `toml:"for_s" json:"for_s,omitempty"`         // how long it lasts
+	Node      string   `toml:"node" json:"node,omitempty"`           // "node-1", "holder", "leader", "any" or "all"
+	Count     int      `toml:"count" json:"count,omitempty"`         // of machines, or how many writes are lost
+	Share     float64  `toml:"share" json:"share,omitempty"`         // of the machines that match, in place of Count
+	Type      string   `toml:"type" json:"type,omitempty"`           // of machines; empty: any
+	Zone      string   `toml:"zone" json:"zone,omitempty"`           // of machines; empty: any
+	Between   []string `toml:"between" json:"between,omitempty"`     // two parties of a cut, see Parties
+	Direction string   `toml:"direction" json:"direction,omitempty"` // "both" (default), "there" or "back"
+	Mode      string   `toml:"mode" json:"mode,omitempty"`           // of a cut: "hold" (default), "drop" or "reset"
+	EveryS    float64  `toml:"every_s" json:"every_s,omitempty"`     // between several, or between packets that trickle
+	Times     float64  `toml:"times" json:"times,omitempty"`         // a factor
+	Class     string   `toml:"class" json:"class,omitempty"`         // of jobs; empty: any
+	PerHour   float64  `toml:"per_hour" json:"per_hour,omitempty"`   // a rate
+	NoticeS   float64  `toml:"notice_s" json:"notice_s,omitempty"`   // of a wave of takings
+	DelayMS   float64  `toml:"delay_ms" json:"delay_ms,omitempty"`   // of slow answers
+	RPS       float64  `toml:"rps" json:"rps,omitempty"`             // limits that fall
+	WriteRPS  float64  `toml:"write_rps" json:"write_rps,omitempty"`
+	ValueKB   float64  `toml:"value_kb" json:"value_kb,omitempty"`
+	TxnOps    int      `toml:"txn_ops" json:"txn_ops,omitempty"`
+	Prefix    string   `toml:"prefix" json:"prefix,omitempty"` // of the key whose write is lost
+}
+
+// KindHelp describes a kind of fault for users; needs are the fields without
+// which it makes no sense.
+type KindHelp struct {
+	Kind  string
+	Needs []string
+	About string
+}
+
+// Kinds of faults.
+const (
+	ControllerCrash  = "controller_crash"
+	ControllerRoll   = "controller_roll"
+	ControllerFreeze = "controller_freeze"
+	ControllerSlow   = "controller_slow"
+	ClockJump        = "clock_jump"
+	Cut              = "cut"
+	StateOutage      = "state_outage"
+	StateRefuse      = "state_refuse"
+	StateSlow        = "state_slow"
+	StateLimits      = "state_limits"
+	StateLate        = "state_late"
+	StateUnanswered  = "state_unanswered"
+	StateLose        = "state_lose"
+	CloudDown        = "cloud_down"
+	NoCapacity       = "no_capacity"
+	MachineStop      = "machine_stop"
+	MachineHang      = "machine_hang"
+	MachineSick      = "machine_sick"
+	MachineSlow      = "machine_slow"
+	SpotWave         = "spot_wave"
+	SpotRate         = "spot_rate"
+	ZoneApart        = "zone_apart"
+	Surge            = "surge"
+	PollStorm        = "poll_storm"
+)
+
+// Kinds lists all kinds of faults.
+var Kinds = []KindHelp{
+	{ControllerCrash, nil, "a controller's process ends and comes back"},
+	{ControllerRoll, []string{"every_s"}, "all controllers are restarted one after the other"},
+	{ControllerFreeze, []string{"for_s"}, "a controller stands still while its clocks run on"},
+	{ControllerSlow, []string{"for_s", "times"}, "a controller computes several times slower"},
+	{ClockJump, nil, "a controller's time of day jumps within its bound"},
+	{Cut, []string{"for_s", "between"}, "two parties do not reach each other, in one direction or both; what was sent is held back and delivered later, dropped, or connections are reset"},
+	{StateOutage, []string{"for_s"}, "the state service answers 503 to all"},
+	{StateRefuse, []string{"for_s"}, "the state service answers 503 to one controller"},
+	{StateSlow, []string{"for_s", "delay_ms"}, "the state service answers slowly"},
+	{StateLimits, nil, "the state service lowers its limits, for good"},
+	{StateLate, []string{"for_s"}, "transactions are applied late, and answered by nobody"},
+	{StateUnanswered, []string{"for_s"}, "transactions are applied, and their answers lost"},
+	{StateLose, nil, "the state service loses the last writes that it has answered"},
+	{CloudDown, []string{"for_s"}, "the cloud's interface is out of order"},
+	{NoCapacity, []string{"for_s"}, "the cloud has no machines of a type or in a zone"},
+	{MachineStop, nil, "machines stop with all that is on them"},
+	{MachineHang, []string{"for_s"}, "machines stand still and go on"},
+	{MachineSick, nil, "machines fail every task that they start"},
+	{MachineSlow, []string{"times"}, "machines run their tasks slower"},
+	{SpotWave, []string{"share"}, "spot machines are taken back in a wave"},
+	{SpotRate, []string{"per_hour", "for_s"}, "spot machines are taken back more often"},
+	{ZoneApart, []string{"zone", "for_s"}, "a zone is cut off from the others and from all services"},
+	{Surge, []string{"times", "for_s"}, "jobs of a class come several times as often"},
+	{PollStorm, []string{"times", "for_s"}, "users ask about their jobs many times as often"},
+}
+
+// Parties that a cut can be between, beside controllers by name, "holder",
+// "leader" and "any".
+const (
+	PartyState   = "state"
+	PartyCloud   = "cloud"
+	PartyWorkers = "workers"
+	PartyPeers   = "peers" // all other controllers
+	PartyUsers   = "users"
+)
+
+func (f Fault) String() string {
+	var b strings.Builder
+	b.WriteString(f.Kind)
+	put := func(name string, v any, set bool) {
+		if set {
+			fmt.Fprintf(&b, " %s=%v", name, v)
+		}
+	}
+	put("node", f.Node, f.Node != "")
+	put("between", strings.Join(f.Between, ","), len(f.Between) > 0)
+	put("direction", f.Direction, f.Direction != "")
+	put("mode", f.Mode, f.Mode != "")
+	put("for_s", f.ForS, f.ForS != 0)
+	put("count", f.Count, f.Count != 0)
+	put("share", f.Share, f.Share != 0)
+	put("type", f.Type, f.Type != "")
+	put("zone", f.Zone, f.Zone != "")
+	put("times", f.Times, f.Times != 0)
+	put("every_s", f.EveryS, f.EveryS != 0)
+	put("delay_ms", f.DelayMS, f.DelayMS != 0)
+	return b.String()
+}
+
+// Check reports why a fault cannot be done in a deployment of n controllers; the
+// field that is wrong comes first.
+func (f Fault) Check(n int) (field string, err error) {
+	i := slices.IndexFunc(Kinds, func(k KindHelp) bool { return k.Kind == f.Kind })
+	if i < 0 {
+		return "kind", fmt.Errorf("there is no kind %q", f.Kind)
+	}
+	set := map[string]bool{"for_s": f.ForS > 0, "every_s": f.EveryS > 0, "times": f.Times > 0, "between": len(f.Between) > 0,
+		"share": f.Share > 0, "per_hour": f.PerHour > 0, "zone": f.Zone != "", "delay_ms": f.DelayMS > 0}
+	for _, need := range Kinds[i].Needs {
+		if !set[need] {
+			return need, fmt.Errorf("missing, %s needs it", f.Kind)
+		}
+	}
+	for _, v := range []struct {
+		field     string
+		v, lo, hi float64
+	}{{"at_s", f.AtS, 0, 1e6}, {"for_s", f.ForS, 0, 1e6}, {"count", float64(f.Count), 0, 1e6}, {"share", f.Share, 0, 1}, {"every_s", f.EveryS, 0, 1e6},
+		{"times", f.Times, 0, 1e4}, {"per_hour", f.PerHour, 0, 1e6}, {"notice_s", f.NoticeS, 0, 3600}, {"delay_ms", f.DelayMS, 0, 60_000},
+		{"rps", f.RPS, 0, 1e6}, {"write_rps", f.WriteRPS, 0, 1e6}, {"value_kb", f.ValueKB, 0, 1e6}, {"txn_ops", float64(f.TxnOps), 0, 1e6}} {
+		if !(v.v >= v.lo && v.v <= v.hi) {
+			return v.field, fmt.Errorf("want %g to %g, got %g", v.lo, v.hi, v.v)
+		}
+	}
+	if !knownNode(f.Node, n) && f.Node != "" && f.Node != "all" {
+		return "node", fmt.Errorf("want node-0 to node-%d, holder, leader, any or all, got %q", n-1, f.Node)
+	}
+	if !slices.Contains([]string{"", "both", "there", "back"}, f.Direction) {
+		return "direction", fmt.Errorf("want both, there or back, got %q", f.Direction)
+	}
+	if !slices.Contains([]string{"", "hold", "drop", "reset"}, f.Mode) {
+		return "mode", fmt.Errorf("want hold, drop or reset, got %q", f.Mode)
+	}
+	if f.Kind == Cut {
+		if len(f.Between) != 2 || !knownNode(f.Between[0], n) {
+			return "between", fmt.Errorf("want a controller and another party, got %v", f.Between)
+		}
+		if b := f.Between[1]; !knownNode(b, n) && !slices.Contains([]string{PartyState, PartyCloud, PartyWorkers, PartyPeers, PartyUsers}, b) {
+			return "between", fmt.Errorf("there is no party %q", b)
+		}
+	}
+	return "", nil
+}
+
+func knownNode(name string, n int) bool {
+	if slices.Contains([]string{"holder", "leader", "any"}, name) {
+		return true
+	}
+	for i := range n {
+		if name == NodeName(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// NodeName returns the name of a controller.
+func NodeName(i int) string { return fmt.Sprintf("node-%d", i) }
+
+func (c *checker) faults(s *Scenario) {
+	for i, f := range s.Faults {
+		if field, err := f.Check(s.Controllers.Count); err != nil {
+			c.fail(fmt.Sprintf("fault[%d].%s", i, field), "%v", err)
+		}
+		if f.Zone != "" && !slices.Contains(s.Controllers.Zones, f.Zone) {
+			c.fail(fmt.Sprintf("fault[%d].zone", i), "%q is none of controllers.zones", f.Zone)
+		}
+	}
+}
