up goes on when one of its processes is killed, and with the jobs of an earlier run

Need: a killed state service ended the run although its data was on disk; jobs of an earlier run were polled by nobody, so that they counted as lost; a cloud that came back gave names a second time.

Change: killed processes are started again, a cloud's machines count as gone with it and names go on rising; users of earlier jobs poll until they are over.

--- a/cmd/shalestage/fault.go
+++ b/cmd/shalestage/fault.go
@@ -36,7 +36,7 @@
 		t := newTable(os.Stdout, "kind", "needs", "what happens")
 		t.SetColumnConfigs(wrapped(3, 70))
 		for _, k := range scenario.Kinds {
-			t.AppendRow([]any{k.Kind, strings.Join(k.Needs, ", "), k.About})
+			t.AppendRow([]any{k.Kind, flags(k.Needs), k.About})
 		}
 		t.Render()
 		return nil
@@ -60,3 +60,13 @@
 	}
 	return launch.SendFault(control, f)
 }
+
+// flags returns the flags that set a fault's fields.
+func flags(fields []string) string {
+	var out []string
+	for _, f := range fields {
+		f = strings.TrimSuffix(strings.TrimSuffix(f, "_s"), "_ms")
+		out = append(out, "--"+strings.ReplaceAll(f, "_", "-"))
+	}
+	return strings.Join(out, " ")
+}
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -451,6 +451,17 @@
 	}
 }
 
+// Vanished says that all machines are gone at once, with all that was on them.
+func (c *Checker) Vanished(at unit.Micros) {
+	c.Advance(at)
+	c.Note(at, "all machines are gone")
+	clear(c.use)
+	for _, j := range c.jobs {
+		clear(j.on)
+		clear(j.zones)
+	}
+}
+
 // Advance lets time pass: what was cancelled must be gone by its time.
 func (c *Checker) Advance(now unit.Micros) {
 	c.now = max(c.now, now)
--- a/internal/emulator/user/user.go
+++ b/internal/emulator/user/user.go
@@ -125,11 +125,29 @@
 
 // Add plans a job.
 func (c *Crowd) Add(j *Job) {
+	if len(j.Awaits) > 0 {
+		spec := *j.Spec
+		for _, a := range j.Awaits {
+			spec.Awaits = append(spec.Awaits, a.ID)
+		}
+		j.Spec = &spec
+	}
 	c.jobs = append(c.jobs, j)
 	c.left++
 	c.plans.Add(j.At, step{job: j, kind: Submit})
 }
 
+// Adopt takes up a job that was accepted in an earlier time of the same service: its
+// user polls until it is over.
+func (c *Crowd) Adopt(now unit.Micros, j *Job) {
+	j.Accepted, j.AcceptedA, j.At, j.first = true, now, now, max(now, 1)
+	c.jobs = append(c.jobs, j)
+	if !j.Spec.Service {
+		c.left++
+	}
+	c.plans.Add(now+unit.Micros(c.rng.Int64N(int64(c.opt.PollEvery))), step{job: j, kind: Poll})
+}
+
 // Jobs returns all jobs in the order in which they were added.
 func (c *Crowd) Jobs() []*Job { return c.jobs }
 
@@ -199,11 +217,6 @@
 // begin is a job's first attempt. What it awaits is known by now.
 func (c *Crowd) begin(now unit.Micros, j *Job) {
 	j.first = max(now, 1)
-	spec := *j.Spec
-	for _, a := range j.Awaits {
-		spec.Awaits = append(spec.Awaits, a.ID)
-	}
-	j.Spec = &spec
 	c.out = append(c.out, Planned{j})
 	if j.CancelAfter > 0 {
 		c.plans.Add(now+j.CancelAfter, step{job: j, kind: Cancel})
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"slices"
@@ -27,6 +28,7 @@
 	"shalestage.example/shalestage/internal/emulator/host"
 	"shalestage.example/shalestage/internal/emulator/link"
 	"shalestage.example/shalestage/internal/emulator/user"
+	"shalestage.example/shalestage/internal/emulator/work"
 	"shalestage.example/shalestage/internal/scenario"
 )
 
@@ -56,8 +58,8 @@
 	began    time.Time
 	cancel   context.CancelFunc
 	ctx      context.Context
-	earlier  []string // jobs of an earlier run of the same data
-	First    int      // number of the first job of this run
+	earlier  []*work.Job // of an earlier run of the same data
+	First    int         // number of the first job of this run
 	Fatal    chan error
 	rng      *rand.Rand
 	settings map[string]string
@@ -109,8 +111,6 @@
 		if p.Data, err = filepath.Abs(d.opt.Data); err != nil {
 			return err
 		}
-		// Machines' names go on rising from one run of the same data to the next.
-		p.First = int(time.Now().Unix() % 1_000_000_000)
 	}
 	d.openLinks(open)
 	planFile := filepath.Join(d.Dir, "plan.json")
@@ -170,7 +170,7 @@
 	d.First = b.next()
 	at := unit.Micros(time.Now().UnixMicro())
 	for _, j := range b.jobs {
-		d.earlier = append(d.earlier, j.ID)
+		d.earlier = append(d.earlier, j)
 		d.checker.Earlier(at, j.ID, j.Spec, j.Finished)
 	}
 	return nil
@@ -204,15 +204,28 @@
 	d.opened = append(d.opened, open[p.Control])
 }
 
-// gone is told of a process that has ended by itself. An emulator's process that
-// cannot start ends the deployment; a controller that ends is news for the table.
+// gone is told of a process that has ended though nobody wanted it to. It is started
+// again. One that says why it cannot go on, and a state service whose data went with
+// it, end the deployment.
 func (d *Deployment) gone(p *process, err error) {
 	d.note("%s has ended by itself: %v", p.name, err)
-	if slices.Contains([]string{RoleState, RoleCloud, RoleBalance}, p.name) {
-		select {
-		case d.Fatal <- fmt.Errorf("%s has ended: %s", p.name, p.lastLine()):
-		default:
-		}
+	var exit *exec.ExitError
+	if p.name == RoleCloud { // with all that was on its machines
+		d.facts.add(d.now(), d.checker.Vanished)
+	}
+	byItself := err == nil || errors.As(err, &exit) && exit.Exited()
+	switch {
+	case p.name == RoleState && d.opt.Data == "":
+		d.fail(errors.New("the state service has ended, and its data with it; --data keeps it on disk"))
+	case byItself && slices.Contains([]string{RoleState, RoleCloud, RoleBalance}, p.name):
+		d.fail(fmt.Errorf("%s has ended: %s", p.name, p.lastLine()))
+	}
+}
+
+func (d *Deployment) fail(err error) {
+	select {
+	case d.Fatal <- err:
+	default: // it has failed already
 	}
 }
 
@@ -380,6 +393,9 @@
 	crowd := user.New(user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers},
 		rand.New(rand.NewPCG(s.Seed, 14)))
 	jobs := s.Plan(d.First, rand.New(rand.NewPCG(s.Seed, 15)))
+	for _, j := range d.earlier {
+		crowd.Adopt(0, &user.Job{Job: j})
+	}
 	d.users = host.NewUsers(d.ctx, crowd, d.Plan.Front, d.heardUser)
 	for _, j := range jobs {
 		crowd.Add(j)
--- a/internal/launch/plan.go
+++ b/internal/launch/plan.go
@@ -41,7 +41,6 @@
 	Workers  map[string]map[string]string `json:"workers"` // by zone and controller
 	Internal map[string]string            `json:"internal"`
 	Peers    map[string]map[string]string `json:"peers"` // by controller that asks and controller asked
-	First    int                          `json:"first"` // number of the first machine
 }
 
 // Through is an address and that of the link before it.
--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -49,7 +49,7 @@
 	case RoleState:
 		err = runState(ctx, cancel, p, s, control, log)
 	case RoleCloud:
-		err = runCloud(ctx, cancel, p, s, control, log)
+		err = runCloud(ctx, cancel, planFile, p, s, control, log)
 	case RoleBalance:
 		err = runBalancer(ctx, cancel, p, s, control, log)
 	default:
@@ -170,9 +170,13 @@
 	Money    float64 `json:"money"`
 }
 
-func runCloud(ctx context.Context, cancel context.CancelCauseFunc, p *Plan, s *scenario.Scenario, control chi.Router, log *slog.Logger) error {
+func runCloud(ctx context.Context, cancel context.CancelCauseFunc, planFile string, p *Plan, s *scenario.Scenario, control chi.Router, log *slog.Logger) error {
 	cfg := s.Site()
-	cfg.Cloud.First = p.First
+	first, err := firstMachine(filepath.Join(filepath.Dir(planFile), "cloud.started"), p.Data != "")
+	if err != nil {
+		return err
+	}
+	cfg.Cloud.First = first
 	st := site.New(cfg, rand.New(rand.NewPCG(p.Seed, 12)))
 	var facts host.Facts = newFactWriter(os.Stdout)
 	if p.Data != "" {
@@ -227,6 +231,17 @@
 	return nil
 }
 
+// firstMachine returns the number of a cloud's first machine. Names go on rising when
+// the process is started again, and from one run of the same data to the next: the
+// controllers may know machines of an earlier time.
+func firstMachine(mark string, again bool) (int, error) {
+	_, err := os.Stat(mark)
+	if again = again || err == nil; again {
+		return int(time.Now().UnixMilli() % 1_000_000_000_000), nil
+	}
+	return 0, os.WriteFile(mark, nil, 0o644)
+}
+
 func hostOf(addr string) string {
 	h, _, err := net.SplitHostPort(addr)
 	if err != nil {
