Controllers notice a state service that goes back, and write again what they know

A revision below one known when the question was asked, or a transaction that put something and got no higher one, means that the service went back: the copy is taken anew, what is known to be newer is kept and written again under the versions that are there, and a status carries the news to the peers (one optional field). A rewritten grant goes on; terms never fall in memory.

--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -141,6 +141,69 @@
 	}
 }
 
+// TestLostWritesAreWrittenAgain has the state service go back behind what it has
+// answered. The holder notices it by a revision, keeps what it knows, writes it again
+// under the versions that are there now, and neither forgets a job nor takes back an end.
+func TestLostWritesAreWrittenAgain(t *testing.T) {
+	done := ledger.Record{Status: ledger.Done, Tasks: 1}
+	early, late := pending(job()), pending(job())
+	c := holding(t, map[string]any{jobPrefix + "wk-000001": early, machPrefix + "r-1": fleet.Group{Type: "big", Zone: "z", Booting: []string{"n-1"}}})
+	c.OnChanges(c.now, Watch{After: 101}, store.OK, 120, []store.Event{
+		{Key: blockKey(0), Value: store.Value(lead.Block{Term: 1, Node: "a", Seat: 1}), Stamp: 105},
+		{Key: jobPrefix + "wk-000002", Value: store.Value(late), Stamp: 110},
+		{Key: jobPrefix + "wk-000001", Value: store.Value(done), Stamp: 115},
+		{Key: machPrefix + "r-1", Value: store.Value(fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}}), Stamp: 118}}, false)
+	c.Drain()
+	c.OnChanges(c.now, Watch{After: 101, Known: 101}, store.OK, 110, nil, false)
+	if c.recovery.due {
+		t.Fatal("an answer that was under way is taken for a service that went back")
+	}
+	c.OnChanges(c.now, Watch{After: 120, Known: 120}, store.OK, 107, nil, false)
+	lists := false
+	for _, e := range c.Drain() {
+		_, ok := e.(List)
+		lists = lists || ok
+	}
+	if !lists {
+		t.Fatal("a revision below a known one was not noticed")
+	}
+	c.OnList(c.now, store.OK, 108, []store.Event{
+		{Key: jobPrefix + "wk-000001", Value: store.Value(early), Stamp: 1},
+		{Key: machPrefix + "r-1", Value: store.Value(fleet.Group{Type: "big", Zone: "z", Booting: []string{"n-1"}}), Stamp: 2}})
+	if c.jobs["wk-000001"].Active() || c.jobs["wk-000002"] == nil || c.held[0] == nil {
+		t.Fatal("what was lost is forgotten")
+	}
+	written, rev := map[string]uint64{}, uint64(108)
+	for range 100 {
+		c.Tick(c.now+TickEvery, c.wall+TickEvery)
+		for _, e := range c.Drain() {
+			cm, ok := e.(Commit)
+			if !ok {
+				continue
+			}
+			guards := map[string]uint64{}
+			for _, g := range cm.Txn.Guards {
+				guards[g.Key] = g.Stamp
+			}
+			rev++
+			for _, ch := range cm.Txn.Changes {
+				if _, again := written[ch.Key]; !again {
+					written[ch.Key] = guards[ch.Key]
+				}
+			}
+			c.OnCommit(c.now, cm.Lane, cm.Txn, store.OK, rev, nil)
+		}
+	}
+	for key, guard := range map[string]uint64{jobPrefix + "wk-000001": 1, jobPrefix + "wk-000002": 0, machPrefix + "r-1": 2, blockKey(0): 0} {
+		if got, ok := written[key]; !ok || got != guard {
+			t.Errorf("%s: written %v, guarded by version %d, want %d", key, ok, got, guard)
+		}
+	}
+	if bl := c.held[0]; bl == nil || bl.grant != c.blocks[0].stamp {
+		t.Error("the block is not held under the version that it has now")
+	}
+}
+
 // holding returns a controller that holds the first block and has read some
 // records.
 func holding(t *testing.T, values map[string]any) *Core {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,11 +5,13 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -81,6 +83,7 @@
 	// Watch reads changes after a revision (OnChanges). Fresh asks for an answer at once.
 	Watch struct {
 		After uint64
+		Known uint64 // the highest revision that was known when it was sent
 		Wait  unit.Micros
 		Fresh bool
 	}
@@ -178,6 +181,7 @@
 	loadAt unit.Micros
 
 	sync      syncState
+	recovery  recovery
 	seat      seat
 	voters    map[string]*lead.Voter // what is owed with regard to each controller
 	releases  map[string]int         // of the other controllers, as last heard or read
@@ -213,6 +217,7 @@
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
+	c.recovery.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256}
@@ -247,6 +252,7 @@
 	}
 	for id, l := range c.lanes {
 		if t := l.Next(c.now); t != nil {
+			t.Known = c.recovery.seen
 			c.emit(Commit{LaneID(id), t})
 		}
 	}
@@ -279,9 +285,16 @@
 	c.at(now)
 	o = c.heard(o)
 	if o == store.OK {
+		learn := c.replica.Learn
+		if rev < t.Known || rev == t.Known && puts(t) {
+			c.wentBack(t.Known, rev)
+			learn = c.replica.Put
+		} else {
+			c.recovery.seen = max(c.recovery.seen, rev)
+		}
 		for _, ch := range t.Changes {
 			if ch.Value != nil {
-				c.replica.Learn(store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev})
+				learn(store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev})
 			}
 		}
 	}
@@ -291,6 +304,12 @@
 	c.lanes[lane].Finish(now, o, rev, failed)
 }
 
+// puts reports whether a transaction surely makes a new revision: what is removed
+// may have been gone already.
+func puts(t *store.Txn) bool {
+	return slices.ContainsFunc(t.Changes, func(ch store.Change) bool { return ch.Value != nil })
+}
+
 // Keys of the state service.
 const (
 	root        = "shalestage/"
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -142,7 +142,11 @@
 		c.blocks[k] = granted{b, e.Stamp}
 	}
 	if bl := c.held[k]; bl != nil && bl.grant != c.blocks[k].stamp {
-		c.drop(bl)
+		if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seat.id && lead.Token(g.Term, g.Number) == bl.token && !bl.free {
+			bl.grant = g.stamp // the same grant, written again as it was lost
+		} else {
+			c.drop(bl)
+		}
 	}
 	c.take(k)
 	return nil
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -20,7 +20,8 @@
 		Sent     unit.Micros // on the sender's clock
 		Deaf     bool        // no worker has reached the sender for a while
 		Blocks   []BlockStatus
-		Release  int // what the sender understands; 0: less than 0.3 does
+		Release  int         // what the sender understands; 0: less than 0.3 does
+		Back     unit.Micros // when the sender last noticed that the state service went back; 0: never
 	}
 	// BlockStatus tells of a block that the sender holds.
 	BlockStatus struct {
@@ -94,6 +95,7 @@
 	status PeerStatus
 	heard  unit.Micros // 0: never
 	silent bool        // as last logged
+	back   unit.Micros // its mark of the last time that the state service went back
 }
 
 type handedOver struct {
@@ -138,7 +140,7 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release}
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Back: c.recovery.mark}
 		if c.valid(c.now) {
 			s.Seat, s.Sent = c.seat.id, c.now
 		}
@@ -226,6 +228,7 @@
 	case PeerStatus:
 		v.status, v.heard = m, now
 		c.heardRelease(from, m.Release)
+		c.heardBack(from, v, m.Back)
 		if m.Seat != 0 && c.voter(from).Promise(now, m.Seat, c.seatOf(from)) {
 			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent}})
 		}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/unit"
@@ -112,6 +113,33 @@
 	r.Rev = rev
 }
 
+// Recover takes a full listing of a service that went back behind the copy. Every
+// version is as listed, whatever was known; the keys to keep are not applied, as the
+// copy knows better of them.
+func (r *Replica) Recover(rev uint64, items []Event, keep map[string]bool) {
+	old := r.stamps
+	r.stamps = make(map[string]uint64, len(items))
+	for _, e := range items {
+		r.stamps[e.Key] = e.Stamp
+		if old[e.Key] != e.Stamp && !keep[e.Key] {
+			r.apply(e)
+		}
+	}
+	for _, k := range slices.Sorted(maps.Keys(old)) {
+		if _, listed := r.stamps[k]; !listed && !keep[k] {
+			r.apply(Event{Key: k, Stamp: rev})
+		}
+	}
+	r.Rev = rev
+}
+
+// Put takes what a transaction of this node's has stored at a revision, also where
+// the service has given out revisions a second time.
+func (r *Replica) Put(e Event) {
+	r.stamps[e.Key] = e.Stamp
+	r.apply(e)
+}
+
 // Write is one group of changes that go together.
 type Write struct {
 	Guards  []Guard
@@ -126,6 +154,7 @@
 type Txn struct {
 	Guards  []Guard
 	Changes []Change
+	Known   uint64 // the highest revision that was known when it was sent
 	writes  []*Write
 }
 
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -20,6 +21,7 @@
 	loaded    bool
 	loadedAt  unit.Micros
 	listing   bool
+	listKnown uint64 // the highest revision that was known when the listing began
 	watching  bool
 	reading   bool
 	retryAt   unit.Micros
@@ -84,14 +86,14 @@
 		s.want = true
 	}
 	if !s.loaded && !s.listing && c.now >= s.retryAt {
-		s.listing = true
+		s.listing, s.listKnown = true, c.recovery.seen
 		c.emit(List{})
 	}
 	if s.loaded && !s.watching && c.now >= s.retryAt && c.now >= s.nextWatch {
 		s.watching = true
 		// A watch ends with every change, so a third of the budget bounds them.
 		s.nextWatch = c.now + unit.Seconds(3*float64(c.cfg.Size)/c.cfg.StateRate)
-		c.emit(Watch{After: c.replica.Rev, Wait: watchWait})
+		c.emit(Watch{After: c.replica.Rev, Known: c.recovery.seen, Wait: watchWait})
 	}
 }
 
@@ -104,7 +106,7 @@
 	s.current, s.waiting = s.waiting, nil
 	// Half of the request budget is for reads, shared by all controllers.
 	s.nextRead = c.now + unit.Seconds(2*float64(c.cfg.Size)/c.cfg.StateRate)
-	c.emit(Watch{After: c.replica.Rev, Fresh: true})
+	c.emit(Watch{After: c.replica.Rev, Known: c.recovery.seen, Fresh: true})
 }
 
 // OnList takes a full listing that began at rev.
@@ -117,7 +119,20 @@
 		s.retryAt = now + unit.Second/2
 		return
 	}
-	c.replica.Reload(rev, items)
+	if c.recovery.stale { // it may show what was there before the service went back
+		c.recovery.stale = false
+		c.tickSync()
+		return
+	}
+	if c.recovery.due || rev < s.listKnown {
+		if !c.recovery.due {
+			c.wentBack(s.listKnown, rev)
+		}
+		c.reload(rev, items)
+	} else {
+		c.replica.Reload(rev, items)
+		c.recovery.seen = max(c.recovery.seen, rev)
+	}
 	s.loaded, s.loadedAt = true, now
 	c.log.Info("state loaded", "keys", len(items), "revision", rev)
 	c.wantSync(nil)
@@ -137,10 +152,18 @@
 	} else {
 		s.watching = false
 	}
+	// One that was sent before the copy was last taken anew tells nothing of it.
+	if o == store.OK && rev < w.Known && w.Known <= c.recovery.seen {
+		c.wentBack(w.Known, rev)
+		o = store.Unknown
+	}
 	if o == store.OK {
+		c.recovery.seen = max(c.recovery.seen, rev)
 		c.replica.Advance(w.After, rev, events)
 	} else if gone {
 		s.loaded = false
+	} else if c.recovery.due {
+		s.retryAt = now // the copy is taken anew at once
 	} else if !w.Fresh {
 		s.retryAt = now + unit.Second/2
 	} else {
@@ -155,6 +178,9 @@
 // learn takes one change of the copy. Records that cannot be read are logged
 // and skipped: they end no process.
 func (c *Core) learn(e store.Event) {
+	if !isAuthority(e.Key) {
+		c.recovery.memory.Note(e)
+	}
 	var err error
 	switch {
 	case e.Key == leadKey:
@@ -166,9 +192,7 @@
 	case strings.HasPrefix(e.Key, sharePrefix):
 		err = c.learnShare(e)
 	case e.Key == termKey:
-		if e.Value != nil {
-			err = json.Unmarshal(e.Value, &c.term)
-		}
+		err = c.learnTerm(e)
 	case strings.HasPrefix(e.Key, jobPrefix):
 		err = c.learnJob(e.Key[len(jobPrefix):], e)
 	case strings.HasPrefix(e.Key, partPrefix):
@@ -185,6 +209,22 @@
 	}
 }
 
+// learnTerm takes the highest term. It never falls, whatever is stored: tokens that
+// workers have seen must not be given out again.
+func (c *Core) learnTerm(e store.Event) error {
+	var t lead.Term
+	if e.Value == nil {
+		return nil
+	}
+	if err := json.Unmarshal(e.Value, &t); err != nil {
+		return err
+	}
+	if t.Term >= c.term.Term {
+		c.term = t
+	}
+	return nil
+}
+
 func (c *Core) learnJob(id string, e store.Event) error {
 	if e.Value == nil {
 		return nil // job records are never removed
