--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -56,6 +57,8 @@
 	if o.Log != "" {
 		opt.Log = logInto(o.Log)
 	}
+	// A play makes much that is soon garbage, and little that stays.
+	debug.SetGCPercent(400)
 	var list []rehearse.Verdict
 	got := func(v rehearse.Verdict) {
 		list = append(list, v)
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -650,3 +650,17 @@
 		}
 	}
 }
+
+// Kill ends a process with no warning: a role or a controller by name. It comes back.
+func (d *Deployment) Kill(name string) error {
+	p := d.procs[name]
+	if p == nil {
+		return fmt.Errorf("there is no process %q", name)
+	}
+	d.note("%s is killed", name)
+	if name == RoleCloud {
+		d.facts.add(d.now(), d.checker.Vanished)
+	}
+	p.kill()
+	return nil
+}
