Emulator's servers against the controllers' own clients; data on disk at every answer

Found: a transaction that removes what is gone already made a revision of its own, which was not stored; it makes none now.

--- /dev/null
+++ b/internal/emulator/host/host_test.go
@@ -0,0 +1,264 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"shalestage.example/shalestage/internal/cloud"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/emulator/link"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/state"
+)
+
+var limits = kv.Limits{Rate: 1e6, WriteRate: 1e6, ValueBytes: 8 << 10, TxnOps: 12}
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// newState serves a state service until the test ends.
+func newState(t testing.TB, disk *Disk) *State {
+	t.Helper()
+	s, err := NewState(limits, 0, disk, rand.New(rand.NewPCG(1, 1)), quiet, func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+	return s
+}
+
+// listen serves a handler and returns its address.
+func listen(t testing.TB, h http.Handler) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// TestStateOverHTTP has the controllers' own client talk to the emulated service.
+func TestStateOverHTTP(t *testing.T) {
+	s := newState(t, nil)
+	c := state.New(listen(t, s.Handler("node-0")), 1000, 1000, quiet)
+	o, id := c.OpenLease(5 * unit.Second)
+	if o != store.OK || id == 0 {
+		t.Fatalf("lease: %v, %d", o, id)
+	}
+	txn := &store.Txn{Guards: []store.Guard{{Key: "p/a b"}}}
+	if o, _, _ := c.Commit(txn); o != store.TooLarge {
+		t.Errorf("a key with a space: %v", o)
+	}
+	txn = &store.Txn{Guards: []store.Guard{{Key: "p/a"}}, Changes: []store.Change{{Key: "p/a", Value: []byte(`{"x":1}`), Lease: id}, {Key: "p/b/c", Value: []byte("null")}}}
+	o, rev, _ := c.Commit(txn)
+	if o != store.OK || rev != 1 {
+		t.Fatalf("commit: %v at %d", o, rev)
+	}
+	if o, _, failed := c.Commit(txn); o != store.Failed || len(failed) != 1 || failed[0] != "p/a" {
+		t.Errorf("the same again: %v, %v", o, failed)
+	}
+	if o, _, _ := c.Commit(&store.Txn{Changes: []store.Change{{Key: "p/d", Value: []byte("1"), Lease: 99}}}); o != store.Failed {
+		t.Errorf("with a lease that has ended: %v", o)
+	}
+	waits := make(chan []store.Event)
+	go func() {
+		_, _, events, _ := c.Watch("p/", 1, 20*unit.Second)
+		waits <- events
+	}()
+	if o := c.RenewLease(id); o != store.OK {
+		t.Errorf("renewal: %v", o)
+	}
+	c.CloseLease(id)
+	if events := <-waits; len(events) != 1 || events[0].Key != "p/a" || events[0].Value != nil {
+		t.Errorf("the end of a lease: %+v", events)
+	}
+	if o := c.RenewLease(id); o != store.Failed {
+		t.Errorf("renewal of an ended lease: %v", o)
+	}
+	if o, rev, items := c.List("p/"); o != store.OK || rev != 2 || len(items) != 1 || items[0].Key != "p/b/c" {
+		t.Errorf("listing: %v at %d: %+v", o, rev, items)
+	}
+	if _, _, _, gone := c.Watch("p/", 0, 0); gone {
+		t.Error("two changes ago is called too old")
+	}
+	s.Do(func(now unit.Micros, m *kv.Service) { m.Refuse("node-0", now+unit.Second) })
+	if o, _, _ := c.List("p/"); o != store.Refused {
+		t.Errorf("while this client is refused: %v", o)
+	}
+	other := state.New(listen(t, s.Handler("node-1")), 1000, 1000, quiet)
+	if o, _, _ := other.List("p/"); o != store.OK {
+		t.Errorf("another client meanwhile: %v", o)
+	}
+}
+
+// TestNothingAnsweredIsLost copies the data file after each answer, as an end of the
+// process at that moment would leave it: what was answered is in the copy.
+func TestNothingAnsweredIsLost(t *testing.T) {
+	dir := t.TempDir()
+	disk, err := OpenDisk(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	if _, err := OpenDisk(dir); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("opened twice: %v", err)
+	}
+	s := newState(t, disk)
+	c := state.New(listen(t, s.Handler("x")), 1e6, 1e6, quiet)
+	_, lease := c.OpenLease(60 * unit.Second)
+	want := map[string]string{}
+	for i := range 30 {
+		key, value := fmt.Sprintf("k/%d", i%7), fmt.Sprintf(`{"n":%d}`, i)
+		ch := store.Change{Key: key, Value: []byte(value), Lease: lease * uint64(i%2)}
+		if want[key] = value; i%5 == 4 {
+			ch.Value = nil
+			delete(want, key)
+		}
+		o, rev, _ := c.Commit(&store.Txn{Changes: []store.Change{ch}})
+		if o != store.OK {
+			t.Fatalf("commit %d: %v", i, o)
+		}
+		b, err := os.ReadFile(filepath.Join(dir, "state.db"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		then := t.TempDir()
+		if err := os.WriteFile(filepath.Join(then, "state.db"), b, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		d, err := OpenDisk(then)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gotRev, lastLease, items, leases, err := d.Read()
+		if err != nil || gotRev != rev || lastLease != lease || len(leases) != 1 || leases[0].TTL != 60*unit.Second {
+			t.Fatalf("after %d: revision %d, want %d; leases %d, %+v; %v", i, gotRev, rev, lastLease, leases, err)
+		}
+		got := map[string]string{}
+		for _, it := range items {
+			got[it.Key] = string(it.Value)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("after %d: %v, want %v", i, got, want)
+		}
+		if err := d.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestCloudOverHTTP has the controllers' own client talk to the emulated cloud.
+func TestCloudOverHTTP(t *testing.T) {
+	p := rental.Pool{Type: "big", Zone: "z"}
+	st := site.New(site.Config{ReportEvery: unit.Second, Lease: 10 * unit.Second, Cloud: rental.Config{Rate: 1000, Capacity: map[rental.Pool]int{p: 3},
+		Types: []rental.Type{{Name: "big", CPUs: 4, MemoryGB: 8, FetchGBs: 1, Price: 1, Boot: 3600 * unit.Second, Zones: []string{"z"}}}}}, rand.New(rand.NewPCG(1, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := NewCloud(ctx, st, nil, "127.0.0.1", 0, nil, quiet)
+	go c.Run()
+	cl := cloud.New(listen(t, c.Handler()), 1000, quiet)
+	yes := func() bool { return true }
+	if o, types := cl.Types(); o != store.OK || len(types) != 1 || types[0].Name != "big" {
+		t.Fatalf("types: %v, %+v", o, types)
+	}
+	r := scale.Rent{Pool: scale.Pool{Type: "big", Zone: "z"}, Count: 2}
+	_, first := cl.Rent("r-1", r, yes)
+	_, again := cl.Rent("r-1", r, yes)
+	_, rest := cl.Rent("r-2", r, yes)
+	if len(first) != 2 || fmt.Sprint(first) != fmt.Sprint(again) || len(rest) != 1 {
+		t.Errorf("rented %v, the same booking %v, then %v", first, again, rest)
+	}
+	if o, _ := cl.Rent("r-3", r, yes); o != store.Failed {
+		t.Errorf("beyond the capacity: %v", o)
+	}
+	if o, hosts := cl.List(); o != store.OK || len(hosts) != 3 {
+		t.Errorf("list: %v, %+v", o, hosts)
+	} else if _, err := net.ResolveTCPAddr("tcp4", hosts[0].Addr); err != nil || hosts[0].Addr == "" {
+		t.Errorf("address %q", hosts[0].Addr)
+	}
+	if o := cl.Return(first, yes); o != store.OK {
+		t.Errorf("return: %v", o)
+	}
+	if _, hosts := cl.List(); len(hosts) != 1 {
+		t.Errorf("after the return: %+v", hosts)
+	}
+	c.Do(func(now unit.Micros, s *site.Site) { s.Cloud.Down(now + unit.Second) })
+	if o, _ := cl.Rent("r-4", r, yes); o != store.Refused {
+		t.Errorf("while the cloud is down: %v", o)
+	}
+}
+
+// TestLink puts a link into every kind of trouble: held bytes come when it is over,
+// dropped ones never do, a reset is felt at once.
+func TestLink(t *testing.T) {
+	echo := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") }))
+	l := link.New(echo)
+	in, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	defer l.Close()
+	go func() { _ = l.Serve(in) }() // ends with the listener
+	c := &http.Client{Timeout: 20 * time.Second}
+	trouble := func(m link.Mode, d time.Duration) time.Time {
+		u := time.Now().Add(d)
+		l.Set(link.Trouble{Mode: m, Until: u, Every: time.Millisecond}, true, true)
+		return u
+	}
+	for _, m := range []link.Mode{link.Pass, link.Hold, link.Trickle, link.Delay, link.Drop, link.Reset} {
+		over := trouble(m, 300*time.Millisecond)
+		resp, err := c.Get("http://" + in.Addr().String())
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		lost := m == link.Drop || m == link.Reset
+		if lost != (err != nil) {
+			t.Errorf("mode %d: %v", m, err)
+		}
+		if m == link.Hold && time.Now().Before(over) {
+			t.Error("held bytes came before the trouble was over")
+		}
+		c.CloseIdleConnections()
+		trouble(link.Pass, 0)
+	}
+}
+
+// BenchmarkStateReads tells how many reads a second the state service answers.
+func BenchmarkStateReads(b *testing.B) {
+	s := newState(b, nil)
+	s.Do(func(now unit.Micros, m *kv.Service) {
+		m.SetLimits(kv.Limits{Rate: 1e9, WriteRate: 1e9, ValueBytes: 8 << 10, TxnOps: 12})
+		m.Commit(now, "x", kv.Txn{Changes: []kv.Change{{Key: "a/b", Value: json.RawMessage(`{"x":1}`)}}})
+	})
+	addr := listen(b, s.Handler("x"))
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	b.SetParallelism(16)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := c.Get("http://" + addr + "/keys/a/b")
+			if err != nil || resp.StatusCode != http.StatusOK {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body) // so that the connection is used again
+			_ = resp.Body.Close()
+		}
+	})
+}
--- a/internal/emulator/kv/kv.go
+++ b/internal/emulator/kv/kv.go
@@ -371,8 +371,12 @@
 	return len(t.Changes) <= s.limits.TxnOps && len(t.Guards) <= 4*s.limits.TxnOps && size <= MaxTxn
 }
 
-// apply makes changes at one new revision.
+// apply makes changes at one new revision. Where all that is to be removed is gone
+// already, nothing changes.
 func (s *Service) apply(now unit.Micros, changes []Change) {
+	if !slices.ContainsFunc(changes, func(c Change) bool { return c.Value != nil || s.keys.Has(Item{Key: c.Key}) }) {
+		return
+	}
 	s.rev++
 	u := undo{rev: s.rev}
 	for _, c := range changes {
