Property tests of the emulator's cloud, machines, users and balancer

Found: jobs that await one whose cancellation was answered before its submission waited for it forever; users take that answer for an acceptance now.

--- /dev/null
+++ b/internal/emulator/site/site_test.go
@@ -0,0 +1,252 @@
+package site
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/emulator/rental"
+	"shalestage.example/shalestage/internal/emulator/work"
+	_ "shalestage.example/shalestage/internal/fixedseed"
+)
+
+var pools = []rental.Pool{{Type: "big", Zone: "a"}, {Type: "big", Zone: "a", Spot: true}, {Type: "small", Zone: "b"}}
+
+func newSite(seed uint64) *Site {
+	return New(Config{ReportEvery: 3 * unit.Second, Lease: 12 * unit.Second, Nodes: []string{"n0", "n1"}, MaxDrift: 0.0005,
+		Cloud: rental.Config{Rate: 1e6, ListLag: 3 * unit.Second, SpotRate: 60, Notice: 5 * unit.Second, Silent: 0.3, SickShare: 0.1,
+			Capacity: map[rental.Pool]int{pools[0]: 2, pools[1]: 2, pools[2]: 3},
+			Types: []rental.Type{{Name: "big", CPUs: 8, MemoryGB: 32, CacheGB: 3, FetchGBs: 0.5, Price: 3600, SpotPrice: 1200, Boot: 5 * unit.Second, Zones: []string{"a"}},
+				{Name: "small", CPUs: 2, MemoryGB: 8, CacheGB: 3, FetchGBs: 0.5, Price: 900, Boot: 2 * unit.Second, BootFail: 0.1, Zones: []string{"b"}}}}},
+		rand.New(rand.NewPCG(seed, 1)))
+}
+
+// TestSite sends drawn commands, as any controllers might, right or wrong, and checks
+// what must hold whatever they do: room, tokens, leases, capacity, the list, money.
+func TestSite(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(rapid.Uint64().Draw(t, "seed"))
+		for i := range 6 {
+			id := fmt.Sprintf("wk-%06d", i)
+			s.Book[id] = &work.Job{ID: id, Run: unit.Micros(i+1) * 3 * unit.Second, Vary: 0.3, Broken: i == 5,
+				Spec: &ledger.Spec{Tasks: 4, Demand: pack.Vec{int64(i+1) * 1000, 0, 1000}, Image: fmt.Sprint("i", i%3), ImageMB: 1500,
+					Service: i == 4, Checkpoint: unit.Micros(i%2) * unit.Second, Save: unit.Second / 2}}
+		}
+		now := unit.Micros(0)
+		on := map[string]map[ledger.TaskID]bool{} // by machine
+		sent := map[string]Send{}
+		sentAt := map[string]unit.Micros{}
+		tokens := map[string]uint64{}
+		answers := map[string]map[int]bool{} // of reports, by number
+		answered := map[string]unit.Micros{} // when the last answered report was sent
+		upAt := map[string]unit.Micros{}
+		rented := map[string]*rental.Machine{}
+		bookings := map[string][]string{}
+		listed := map[string]bool{}
+		money := 0.0
+		take := func() {
+			for _, e := range s.Drain() {
+				switch e := e.(type) {
+				case Up:
+					upAt[e.Name] = now
+					on[e.Name] = map[ledger.TaskID]bool{}
+				case Gone:
+					if len(on[e.Name]) > 0 {
+						t.Fatalf("%s is gone with %v on it", e.Name, on[e.Name])
+					}
+					delete(sent, e.Name)
+				case Began:
+					if on[e.Name][e.Task] {
+						t.Fatalf("%v begins twice on %s", e.Task, e.Name)
+					}
+					on[e.Name][e.Task] = true
+					var sum pack.Vec
+					for id := range on[e.Name] {
+						sum = sum.Add(s.Book[id.Job].Spec.Demand)
+					}
+					if limit := Capacity(s.types[e.Type]); !sum.Fits(limit) {
+						t.Fatalf("%v run on %s, which has %v", sum, e.Name, limit)
+					}
+				case Ended:
+					if !on[e.Name][e.Task] {
+						t.Fatalf("%v ends on %s and was not there", e.Task, e.Name)
+					}
+					delete(on[e.Name], e.Task)
+					if j := s.Book[e.Task.Job]; e.Completed && (j.Broken || e.Sick || j.Spec.Service) {
+						t.Fatalf("%v completes on %s", e.Task, e.Name)
+					}
+				case Send:
+					if e.Body.Token < tokens[e.Machine] {
+						t.Fatalf("%s reports token %d after %d", e.Machine, e.Body.Token, tokens[e.Machine])
+					}
+					if last, ok := sent[e.Machine]; ok && last.Number >= e.Number {
+						t.Fatalf("report %d after %d", e.Number, last.Number)
+					}
+					sent[e.Machine], sentAt[e.Machine] = e, now
+				}
+			}
+			// A lease that has run out leaves nothing on its machine.
+			for name, tasks := range on {
+				from := max(answered[name], upAt[name])
+				if now > from+12*unit.Second+unit.Second/10 && len(tasks) > 0 {
+					t.Fatalf("%v are on %s, whose last report that was answered was sent at %d", tasks, name, from)
+				}
+			}
+		}
+		commands := rapid.Custom(func(t *rapid.T) fleet.Command {
+			return fleet.Command{Op: rapid.SampledFrom([]fleet.Op{fleet.Start, fleet.Start, fleet.Stop, fleet.Forget}).Draw(t, "op"),
+				ID:      ledger.TaskID{Job: fmt.Sprintf("wk-%06d", rapid.IntRange(0, 6).Draw(t, "job")), Task: rapid.IntRange(0, 4).Draw(t, "task")},
+				Attempt: rapid.Uint64Range(1, 3).Draw(t, "attempt"), Grace: unit.Micros(rapid.IntRange(0, 1).Draw(t, "grace")) * unit.Second}
+		})
+		someone := func(t *rapid.T) string {
+			names := slices.Sorted(maps.Keys(sent))
+			if len(names) == 0 {
+				return ""
+			}
+			return rapid.SampledFrom(names).Draw(t, "machine")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				for until := now + unit.Micros(rapid.Int64Range(0, 4_000_000).Draw(t, "d")); now < until; {
+					now = min(until, max(now, s.Next()))
+					s.Advance(now)
+					take()
+				}
+			},
+			"rent": func(t *rapid.T) {
+				b := fmt.Sprint("r-", rapid.IntRange(0, 20).Draw(t, "booking"))
+				p := rapid.SampledFrom(pools).Draw(t, "pool")
+				names, none, code := s.Cloud.Rent(now, b, p, rapid.IntRange(1, 4).Draw(t, "count"))
+				if old, again := bookings[b]; again && (code != http.StatusOK || !slices.Equal(names, old)) {
+					t.Fatalf("the booking %s is answered %v, before %v", b, names, old)
+				}
+				if code == http.StatusOK {
+					bookings[b] = names
+					for _, n := range names {
+						if m := s.Cloud.Machine(n); m != nil {
+							rented[n] = m
+						}
+					}
+				} else if !none {
+					t.Fatalf("rental refused with %d", code)
+				}
+				have := map[rental.Pool]int{}
+				for _, m := range rented {
+					if m.Gone == unit.Never {
+						have[m.Pool]++
+					}
+				}
+				for p, n := range have {
+					if n > s.cfg.Cloud.Capacity[p] {
+						t.Fatalf("%d machines of %v", n, p)
+					}
+				}
+			},
+			"return": func(t *rapid.T) {
+				if n := someone(t); n != "" {
+					s.Cloud.Return(now, []string{n, "n-none"})
+					s.Advance(now)
+					take()
+				}
+			},
+			"fault": func(t *rapid.T) {
+				if ms := s.Pick(1, nil); len(ms) > 0 {
+					switch rapid.IntRange(0, 2).Draw(t, "fault") {
+					case 0:
+						s.Kill(now, ms[0])
+					case 1:
+						s.Hang(now, ms[0], now+unit.Micros(rapid.Int64Range(0, 20_000_000).Draw(t, "for")))
+					case 2:
+						s.Spoil(now, ms[0], machine.Fault{Speed: 0.2, Sick: ms[0].Sick})
+					}
+					take()
+				}
+			},
+			"answer": func(t *rapid.T) {
+				name := someone(t)
+				if name == "" {
+					return
+				}
+				e := sent[name]
+				w := s.Worker(name)
+				if w == nil || w.Hangs(now) {
+					return
+				}
+				a := machine.Answer{Code: rapid.SampledFrom([]int{200, 200, 200, 421, 503}).Draw(t, "code"), Node: "n1",
+					Token: rapid.Uint64Range(0, 5).Draw(t, "token"), Commands: rapid.SliceOfN(commands, 0, 5).Draw(t, "commands")}
+				session := w.Session()
+				first := !answers[name][e.Number]
+				if answers[name] == nil {
+					answers[name] = map[int]bool{}
+				}
+				answers[name][e.Number] = true
+				counts := first && a.Code == 200 && a.Token >= max(tokens[name], e.Body.Token) && e.Body.Session == session && now < sentAt[name]+machine.AnswerWithin
+				s.Answer(now, name, e.Number, a)
+				if counts {
+					tokens[name] = a.Token
+					answered[name] = max(answered[name], sentAt[name])
+				}
+				take()
+			},
+			"direct": func(t *rapid.T) {
+				name := someone(t)
+				if name == "" || s.Worker(name) == nil {
+					return
+				}
+				token, session := rapid.Uint64Range(0, 5).Draw(t, "token"), s.Worker(name).Session()
+				r, _, taken, found := s.Direct(now, name, token, session, rapid.SliceOfN(commands, 0, 3).Draw(t, "commands"))
+				take() // a report that was due went first
+				if found {
+					if taken != (token >= tokens[name]) && taken != (token >= r.Token) {
+						t.Fatalf("token %d taken: %v; the highest seen is %d", token, taken, r.Token)
+					}
+					tokens[name] = max(tokens[name], r.Token)
+				}
+				take()
+			},
+			"": func(t *rapid.T) {
+				list, _, code := s.Cloud.List(now, "", rental.MaxPage)
+				if code != http.StatusOK {
+					t.Fatalf("list: %d", code)
+				}
+				shown := map[string]bool{}
+				for i, l := range list {
+					shown[l.Name], listed[l.Name] = true, true
+					if i > 0 && list[i-1].Name >= l.Name {
+						t.Fatal("the list is not in the order of names")
+					}
+				}
+				for n := range listed {
+					if m := rented[n]; m != nil && m.Gone == unit.Never && !shown[n] {
+						t.Fatalf("%s was listed once, is not gone, and is not listed", n)
+					}
+				}
+				if spent := s.Cloud.Spent(now); spent < money-1e-6 {
+					t.Fatalf("%g were spent, %g before", spent, money)
+				} else {
+					money = spent
+				}
+			},
+		})
+	})
+}
+
+// TestLeastCharge rents a machine for a second: it costs a minute.
+func TestLeastCharge(t *testing.T) {
+	s := newSite(1)
+	names, _, _ := s.Cloud.Rent(0, "r", pools[0], 1)
+	s.Cloud.Return(unit.Second, names)
+	if got := s.Cloud.Spent(unit.Second); got != 60 {
+		t.Errorf("a machine of 1 a second costs %g after a second", got)
+	}
+}
--- a/internal/emulator/user/user.go
+++ b/internal/emulator/user/user.go
@@ -259,6 +259,10 @@
 		c.submitted(now, o.job, a)
 	case Cancel:
 		if a.Code == http.StatusOK {
+			// It was accepted, though no answer to its submission has come.
+			if !o.job.Accepted && !o.job.GaveUp {
+				o.job.Accepted, o.job.AcceptedA = true, now
+			}
 			c.heard(now, o.job, a.Status)
 			return
 		}
--- /dev/null
+++ b/internal/emulator/user/user_test.go
@@ -0,0 +1,132 @@
+package user
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/balance"
+	"shalestage.example/shalestage/internal/emulator/work"
+	_ "shalestage.example/shalestage/internal/fixedseed"
+)
+
+// TestUsersDoAsWritten gives users drawn answers, or none: they retry after a second
+// or more, or as long as they are told up to 30 s, for a minute in all; they submit a
+// job only once those that it awaits are accepted; they wait 5 s, or 2 s for a poll.
+func TestUsersDoAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Options{}, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		var jobs []*Job
+		for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
+			j := &Job{Job: &work.Job{ID: []string{"wk-000000", "wk-000001", "wk-000002", "wk-000003"}[i], Spec: &ledger.Spec{Tasks: 1}}}
+			if i > 0 && rapid.Bool().Draw(t, "awaits") {
+				j.Awaits = jobs[:1]
+			}
+			if rapid.Bool().Draw(t, "cancels") {
+				j.CancelAfter = 20 * unit.Second
+			}
+			c.Add(j)
+			jobs = append(jobs, j)
+		}
+		tried := map[string]unit.Micros{} // when the last answer to a submission was
+		pause := map[string]unit.Micros{} // that it asked for
+		began := map[string]unit.Micros{} // the first submission
+		accepted := map[string]bool{}
+		known := map[string]bool{} // by the answer to a request to cancel
+		for now := unit.Micros(0); now < 200*unit.Second; now = max(now+1, min(c.Next(), 200*unit.Second)) {
+			c.Advance(now)
+			for _, e := range c.Drain() {
+				call, ok := e.(Call)
+				if !ok {
+					continue
+				}
+				if want := map[Kind]unit.Micros{Submit: 5 * unit.Second, Cancel: 5 * unit.Second, Poll: 2 * unit.Second}[call.Kind]; call.Wait != want {
+					t.Fatalf("%v waits %d", call.Kind, call.Wait)
+				}
+				a := Answer{Code: rapid.SampledFrom([]int{0, 503, 429, 500, 201}).Draw(t, "code"), Status: ledger.Pending,
+					RetryAfter: unit.Micros(rapid.IntRange(0, 40).Draw(t, "after")) * unit.Second}
+				if call.Kind == Submit {
+					if at, again := tried[call.ID]; again && (accepted[call.ID] || now-at < max(unit.Second, min(pause[call.ID], 30*unit.Second))) {
+						t.Fatalf("%s is submitted again %d after an answer; accepted: %v", call.ID, now-at, accepted[call.ID])
+					}
+					if _, again := began[call.ID]; !again {
+						began[call.ID] = now
+					}
+					if now-began[call.ID] > 60*unit.Second {
+						t.Fatalf("%s is submitted after %d", call.ID, now-began[call.ID])
+					}
+					for _, n := range call.Spec.Awaits {
+						if !accepted[n] && !known[n] {
+							t.Fatalf("%s is submitted before %s is accepted", call.ID, n)
+						}
+					}
+					tried[call.ID], pause[call.ID] = now, a.RetryAfter
+					accepted[call.ID] = a.Code == http.StatusCreated
+				} else if a.Code == http.StatusCreated {
+					a.Code = http.StatusOK
+					if call.Kind == Cancel {
+						a.Status, known[call.ID] = ledger.Cancelled, true
+					}
+				}
+				c.Answer(now, call.Number, a)
+				c.Answer(now, call.Number, Answer{Code: 422}) // a second answer is nobody's
+			}
+		}
+		for _, j := range jobs {
+			if j.Accepted == j.GaveUp {
+				t.Fatalf("%s: accepted %v, given up %v", j.ID, j.Accepted, j.GaveUp)
+			}
+		}
+	})
+}
+
+// TestBalancer follows one node through its health: one success for a node that has
+// never been healthy, two failures or three of six to remove it, a pause that doubles.
+func TestBalancer(t *testing.T) {
+	b := balance.New(2, 0, rand.New(rand.NewPCG(1, 1)))
+	probe := func(at float64, ok ...bool) {
+		for i, o := range ok {
+			b.Probed(unit.Seconds(at+float64(i)), 0, o)
+		}
+	}
+	healthy := func(want bool, when string) {
+		t.Helper()
+		if b.Healthy(0) != want {
+			t.Errorf("%s: healthy %v", when, !want)
+		}
+	}
+	healthy(false, "at first")
+	probe(1, true)
+	healthy(true, "after one success")
+	probe(2, false)
+	healthy(true, "after one failure")
+	probe(3, false)
+	healthy(false, "after two")
+	probe(3.5, true, true)
+	healthy(false, "before the pause is over")
+	probe(6.1, true)
+	healthy(true, "after two successes and the pause")
+	probe(8, false, true, false, true, false)
+	healthy(false, "after three failures of six")
+	probe(13, true, true, true, true, true)
+	healthy(false, "the second pause is twice as long")
+	probe(18.1, true)
+	healthy(true, "after it")
+	b.Probed(unit.Seconds(1), 1, true)
+	if got := b.Choose(unit.Seconds(19), []int{0}); got != 1 {
+		t.Errorf("chosen: %d, though 0 was tried", got)
+	}
+	for range 3 {
+		b.Failed(unit.Seconds(20), 1)
+	}
+	if got := b.Choose(unit.Seconds(21), []int{0}); got != -1 {
+		t.Errorf("chosen: %d, though it has failed three times", got)
+	}
+	if got := b.Choose(unit.Seconds(23.1), []int{0}); got != 1 {
+		t.Errorf("chosen: %d after the pause", got)
+	}
+}
