--- a/cmd/shalestage/fault.go
+++ b/cmd/shalestage/fault.go
@@ -17,7 +17,7 @@
 	Node      string        `help:"Controller: its name, holder, leader, any or all."`
 	Between   []string      `help:"Two parties of a cut: a controller, then state, cloud, workers, peers, users or a controller."`
 	Direction string        `help:"Of a cut, as seen from the controller: both, there or back."`
-	Mode      string        `help:"Of a cut: hold, drop or reset."`
+	Mode      string        `help:"Of a cut: hold, drop, reset, delay or trickle."`
 	Count     int           `help:"How many machines, or lost writes."`
 	Share     float64       `help:"Which share of the machines."`
 	Type      string        `help:"Machine type."`
@@ -25,7 +25,7 @@
 	Every     time.Duration `help:"Time between several."`
 	Times     float64       `help:"A factor."`
 	PerHour   float64       `help:"A rate an hour."`
-	Delay     time.Duration `help:"Of slow answers."`
+	Delay     time.Duration `help:"Of slow answers, of pieces that are delayed, of each byte that trickles."`
 	Prefix    string        `help:"Of the keys whose writes are lost."`
 	Control   string        `placeholder:"IP:PORT" help:"Control address; by default that of the deployment that \"up\" has started from this directory."`
 }
--- a/cmd/shalestage/up.go
+++ b/cmd/shalestage/up.go
@@ -147,6 +147,9 @@
 	s.bar.SetMessageLength(60)
 	s.bar.SetTrackerLength(30)
 	s.bar.Style().Visibility.ETA = false
+	s.bar.Style().Options.PercentFormat = "%3.0f%%"
+	s.bar.Style().Options.TimeInProgressPrecision = time.Second
+	s.bar.Style().Options.TimeDonePrecision = time.Second
 	s.t = &progress.Tracker{Message: "starting", Total: int64(jobs)}
 	s.bar.AppendTracker(s.t)
 	go s.bar.Render()
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -100,7 +100,7 @@
 }
 
 func (w *World) cut(f scenario.Fault) {
-	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode}
+	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode, unit.Micros(f.DelayMS * 1000)}
 	for _, a := range w.nodesOf(f.Between[0]) {
 		for _, b := range w.parties(a, f.Between[1]) {
 			if f.Direction != "back" {
@@ -141,7 +141,7 @@
 
 // apart cuts a zone's machines and controllers off from those of the others.
 func (w *World) apart(f scenario.Fault) {
-	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode}
+	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode, unit.Micros(f.DelayMS * 1000)}
 	both := func(a, b string) {
 		w.net.cut(a, b, t)
 		w.net.cut(b, a, t)
@@ -236,7 +236,10 @@
 func cutTo(party string) func(f *scenario.Fault, rng *rand.Rand) {
 	return func(f *scenario.Fault, rng *rand.Rand) {
 		f.Kind, f.Between = scenario.Cut, []string{someNode(rng), party}
-		f.Mode, f.Direction = pick(rng, "hold", "drop", "reset"), pick(rng, "both", "both", "there", "back")
+		if f.Mode, f.DelayMS = pick(rng, "hold", "drop", "reset", "delay", "trickle"), span(rng, 1, 8); f.Mode == "delay" {
+			f.DelayMS *= 100
+		}
+		f.Direction = pick(rng, "both", "both", "there", "back")
 	}
 }
 
--- a/internal/emulator/sim/net.go
+++ b/internal/emulator/sim/net.go
@@ -10,7 +10,16 @@
 // trouble is what happens to messages on a way.
 type trouble struct {
 	until unit.Micros
-	mode  string // "hold" (or ""), "drop" or "reset"
+	mode  string      // "hold" (or ""), "drop", "reset", "delay" or "trickle"
+	delay unit.Micros // of a message, or of each byte that trickles
+}
+
+// messageBytes is about how long a message is that trickles.
+const messageBytes = 400
+
+// lost reports whether nothing comes through for now.
+func (t trouble) lost(now unit.Micros) bool {
+	return now < t.until && t.mode != "delay" && t.mode != "trickle"
 }
 
 // network carries messages between parties: controllers by name, "state",
@@ -43,6 +52,12 @@
 			return dropped
 		case "reset":
 			return refused
+		case "delay":
+			w.after(t.delay+w.span(0.0003, 0.002), f)
+			return carried
+		case "trickle":
+			w.after(min(t.delay*messageBytes, t.until-w.now)+w.span(0.0003, 0.002), f)
+			return carried
 		}
 		w.after(t.until-w.now+unit.Second/1000, f)
 		return carried
@@ -58,7 +73,7 @@
 // open reports whether a new connection from one party to another comes about.
 func (n *network) open(from, to string) outcome {
 	for _, d := range []way{{from, to}, {to, from}} {
-		if t := n.ways[d]; n.w.now < t.until {
+		if t := n.ways[d]; t.lost(n.w.now) {
 			if t.mode == "reset" {
 				return refused
 			}
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -591,14 +591,14 @@
 	}
 }
 
-var modes = map[string]link.Mode{"": link.Hold, "hold": link.Hold, "drop": link.Drop, "reset": link.Reset}
+var modes = map[string]link.Mode{"": link.Hold, "hold": link.Hold, "drop": link.Drop, "reset": link.Reset, "delay": link.Delay, "trickle": link.Trickle}
 
 func (d *Deployment) cut(f scenario.Fault) error {
 	a := d.find(f.Between[0])
 	if a == "" {
 		return errors.New("there is no such controller now")
 	}
-	t := link.Trouble{Mode: modes[f.Mode], Until: time.Now().Add(seconds(f.ForS))}
+	t := link.Trouble{Mode: modes[f.Mode], Until: time.Now().Add(seconds(f.ForS)), Every: seconds(f.DelayMS / 1000)}
 	// there is the way from the controller to the other party.
 	there, back := f.Direction != "back", f.Direction != "there"
 	out := func(to string) {
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -18,13 +18,13 @@
 	Zone      string   `toml:"zone" json:"zone,omitempty"`           // of machines; empty: any
 	Between   []string `toml:"between" json:"between,omitempty"`     // two parties of a cut, see Parties
 	Direction string   `toml:"direction" json:"direction,omitempty"` // "both" (default), "there" or "back"
-	Mode      string   `toml:"mode" json:"mode,omitempty"`           // of a cut: "hold" (default), "drop" or "reset"
+	Mode      string   `toml:"mode" json:"mode,omitempty"`           // of a cut: "hold" (default), "drop", "reset", "delay" or "trickle"
 	EveryS    float64  `toml:"every_s" json:"every_s,omitempty"`     // between several, or between packets that trickle
 	Times     float64  `toml:"times" json:"times,omitempty"`         // a factor
 	Class     string   `toml:"class" json:"class,omitempty"`         // of jobs; empty: any
 	PerHour   float64  `toml:"per_hour" json:"per_hour,omitempty"`   // a rate
 	NoticeS   float64  `toml:"notice_s" json:"notice_s,omitempty"`   // of a wave of takings
-	DelayMS   float64  `toml:"delay_ms" json:"delay_ms,omitempty"`   // of slow answers
+	DelayMS   float64  `toml:"delay_ms" json:"delay_ms,omitempty"`   // of slow answers, of pieces that are delayed, of each byte that trickles
 	RPS       float64  `toml:"rps" json:"rps,omitempty"`             // limits that fall
 	WriteRPS  float64  `toml:"write_rps" json:"write_rps,omitempty"`
 	ValueKB   float64  `toml:"value_kb" json:"value_kb,omitempty"`
@@ -75,7 +75,7 @@
 	{ControllerFreeze, []string{"for_s"}, "a controller stands still while its clocks run on"},
 	{ControllerSlow, []string{"for_s", "times"}, "a controller computes several times slower"},
 	{ClockJump, nil, "a controller's time of day jumps within its bound"},
-	{Cut, []string{"for_s", "between"}, "two parties do not reach each other, in one direction or both; what was sent is held back and delivered later, dropped, or connections are reset"},
+	{Cut, []string{"for_s", "between"}, "two parties do not reach each other, in one direction or both; what is sent is held back and delivered later, dropped, reset, delayed, or trickles a byte at a time"},
 	{StateOutage, []string{"for_s"}, "the state service answers 503 to all"},
 	{StateRefuse, []string{"for_s"}, "the state service answers 503 to one controller"},
 	{StateSlow, []string{"for_s", "delay_ms"}, "the state service answers slowly"},
@@ -159,8 +159,11 @@
 	if !slices.Contains([]string{"", "both", "there", "back"}, f.Direction) {
 		return "direction", fmt.Errorf("want both, there or back, got %q", f.Direction)
 	}
-	if !slices.Contains([]string{"", "hold", "drop", "reset"}, f.Mode) {
-		return "mode", fmt.Errorf("want hold, drop or reset, got %q", f.Mode)
+	if !slices.Contains([]string{"", "hold", "drop", "reset", "delay", "trickle"}, f.Mode) {
+		return "mode", fmt.Errorf("want hold, drop, reset, delay or trickle, got %q", f.Mode)
+	}
+	if (f.Mode == "delay" || f.Mode == "trickle") && f.DelayMS == 0 {
+		return "delay_ms", fmt.Errorf("missing, the mode %s needs it", f.Mode)
 	}
 	if f.Kind == Cut {
 		if len(f.Between) != 2 || !knownNode(f.Between[0], n) {
