--- a/cmd/shalestage/up.go
+++ b/cmd/shalestage/up.go
@@ -87,7 +87,7 @@
 			interrupted = true
 		case err := <-d.Fatal:
 			show.stop()
-			return err
+			return unusable(err)
 		case <-time.After(500 * time.Millisecond):
 		}
 		pr := d.Progress()
@@ -100,7 +100,7 @@
 		select {
 		case <-ctx.Done():
 		case err := <-d.Fatal:
-			return err
+			return unusable(err)
 		}
 	}
 	broken, starts := d.Finish(over && !o.Keep)
--- a/internal/launch/plan.go
+++ b/internal/launch/plan.go
@@ -5,10 +5,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -49,6 +52,12 @@
 	Link string `json:"link"`
 }
 
+// Ports of processes.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
 // newPlan reserves addresses on a host for every process of a deployment. The
 // listeners of links, and that of the control address, are returned open.
 func newPlan(s *scenario.Scenario, host, front string) (*Plan, map[string]net.Listener, error) {
@@ -64,7 +73,7 @@
 		}
 		return l
 	}
-	free := func(addr string) string {
+	reserve := func(addr string) string {
 		l := listen(addr)
 		if l == nil {
 			return ""
@@ -72,6 +81,18 @@
 		taken = append(taken, l)
 		return l.Addr().String()
 	}
+	// A process listens only some time after its port was chosen, and again when it
+	// comes back: its port is below those that systems give to connections.
+	free := func() string {
+		for range 1000 {
+			if l, err := net.Listen("tcp4", net.JoinHostPort(host, strconv.Itoa(firstPort+rand.IntN(ports)))); err == nil {
+				taken = append(taken, l)
+				return l.Addr().String()
+			}
+		}
+		failed = errors.New("no free port")
+		return ""
+	}
 	any := net.JoinHostPort(host, "0")
 	link := func() string {
 		l := listen(any)
@@ -82,18 +103,19 @@
 		return l.Addr().String()
 	}
 	if front == "" {
-		front = any
+		p.Front = free()
+	} else {
+		p.Front = reserve(front)
 	}
-	p.Front = free(front)
 	p.Control = link()
 	for _, r := range []string{RoleState, RoleCloud, RoleBalance} {
-		p.Roles[r] = free(any)
+		p.Roles[r] = free()
 	}
 	for _, n := range s.Nodes() {
-		p.State[n] = Through{free(any), link()}
-		p.Cloud[n] = Through{free(any), link()}
-		p.Listen[n] = Through{free(any), link()}
-		p.Internal[n] = free(any)
+		p.State[n] = Through{free(), link()}
+		p.Cloud[n] = Through{free(), link()}
+		p.Listen[n] = Through{free(), link()}
+		p.Internal[n] = free()
 	}
 	for _, z := range s.Controllers.Zones {
 		p.Workers[z] = map[string]string{}
