Both ends of the interfaces against each other; the emulator's figures for Prometheus

Need: what the emulator writes and reads of submissions, reports and orders was tested only by running it; its figures were JSON alone.

Change: drawn submissions, reports and orders are written by one end and read by the other; the neighbours' decoders have a fuzz test. /metrics at the control addresses.

--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/host"
@@ -145,11 +147,14 @@
 		}
 		return nil
 	})
-	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
-		var keys int
-		var rev uint64
-		st.Do(func(_ unit.Micros, m *kv.Service) { keys, rev = m.Len(), m.Rev() })
-		_ = json.NewEncoder(w).Encode(map[string]uint64{"keys": uint64(keys), "revision": rev, "requests": st.Answers()})
+	figures(control, func() any {
+		var f StateFigures
+		st.Do(func(_ unit.Micros, m *kv.Service) { f = StateFigures{m.Len(), m.Rev(), st.Answers()} })
+		return f
+	}, map[string]func(f any) float64{
+		"state_keys":           func(f any) float64 { return float64(f.(StateFigures).Keys) },
+		"state_revision":       func(f any) float64 { return float64(f.(StateFigures).Revision) },
+		"state_requests_total": func(f any) float64 { return float64(f.(StateFigures).Requests) },
 	})
 	return nil
 }
@@ -162,6 +167,31 @@
 	return f.Prefix
 }
 
+// StateFigures are what the state service's process tells of itself.
+type StateFigures struct {
+	Keys     int    `json:"keys"`
+	Revision uint64 `json:"revision"`
+	Requests uint64 `json:"requests"` // answered
+}
+
+// FrontFigures are what the load balancer's process tells of itself.
+type FrontFigures struct {
+	Healthy int `json:"healthy"` // controllers
+}
+
+// figures serves what a process tells of itself: as JSON, and as Prometheus reads it.
+func figures(control chi.Router, read func() any, gauges map[string]func(f any) float64) {
+	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(read()) // the client may be gone
+	})
+	r := prometheus.NewRegistry()
+	for name, f := range gauges {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "emulator", Name: name, Help: "See docs/emulator.md."},
+			func() float64 { return f(read()) }))
+	}
+	control.Method(http.MethodGet, "/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 1}))
+}
+
 // Figures are what the cloud's process tells of itself.
 type Figures struct {
 	Machines int     `json:"machines"` // up
@@ -221,12 +251,17 @@
 		}
 		return err
 	})
-	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
+	figures(control, func() any {
 		var f Figures
 		c.Do(func(now unit.Micros, st *site.Site) {
 			f = Figures{st.Workers(), st.Cloud.Rented(), st.Running(), st.Cloud.Spent(now)}
 		})
-		_ = json.NewEncoder(w).Encode(f)
+		return f
+	}, map[string]func(f any) float64{
+		"cloud_machines_up":           func(f any) float64 { return float64(f.(Figures).Machines) },
+		"cloud_machines_rented_total": func(f any) float64 { return float64(f.(Figures).Rented) },
+		"cloud_tasks_running":         func(f any) float64 { return float64(f.(Figures).Running) },
+		"cloud_money_total":           func(f any) float64 { return f.(Figures).Money },
 	})
 	return nil
 }
@@ -257,8 +292,8 @@
 	}
 	f := host.NewFront(ctx, nodes, rand.New(rand.NewPCG(p.Seed, 13)), log)
 	go f.Run()
-	control.Get("/figures", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]int{"healthy": f.Healthy()})
+	figures(control, func() any { return FrontFigures{f.Healthy()} }, map[string]func(f any) float64{
+		"balancer_healthy": func(f any) float64 { return float64(f.(FrontFigures).Healthy) },
 	})
 	return serve(p.Front, f.Serve, cancel)
 }
--- /dev/null
+++ b/internal/wire/neighbours_test.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// TestBothEnds writes drawn submissions, reports and orders as one end does, and
+// reads them as the other: they say the same.
+func TestBothEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := func(name string) int64 { return rapid.Int64Range(0, 1e6).Draw(t, name) }
+		micros := func(name string) unit.Micros { return unit.Micros(amount(name)) }
+		s := &ledger.Spec{Class: "c", Team: "t", Image: "i", Service: rapid.Bool().Draw(t, "service"), Priority: ledger.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
+			Tasks: rapid.IntRange(1, ledger.MaxTasks).Draw(t, "tasks"), Demand: pack.Vec{amount("cpus"), amount("gpus"), amount("memory")}, ImageMB: amount("image"),
+			AnyType: true, OneZone: rapid.Bool().Draw(t, "one"), Spread: rapid.Bool().Draw(t, "spread"), Spot: rapid.Bool().Draw(t, "spot"),
+			Estimate: micros("estimate"), Checkpoint: micros("checkpoint"), Save: micros("save"), Deadline: micros("deadline")}
+		if rapid.Bool().Draw(t, "bound") {
+			s.AnyType, s.Types, s.Zone, s.Awaits = false, []string{"a", "b"}, "z", []string{"wk-000001", "wk-000002"}
+		}
+		b, err := EncodeSubmission("wk-000009", s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		id, got, err := DecodeSubmission(b)
+		if err != nil || id != "wk-000009" || fmt.Sprintf("%+v", got) != fmt.Sprintf("%+v", s) {
+			t.Fatalf("%s: %+v, want %+v; %v", b, got, s, err)
+		}
+
+		task := rapid.Custom(func(t *rapid.T) fleet.Task {
+			x := fleet.Task{ID: ledger.TaskID{Job: "wk-000003", Task: rapid.IntRange(0, 9).Draw(t, "n")}, Attempt: rapid.Uint64().Draw(t, "attempt"),
+				State: fleet.State(rapid.IntRange(0, 3).Draw(t, "state"))}
+			if x.State == fleet.Exited {
+				x.Cause = fleet.Cause(rapid.IntRange(1, 6).Draw(t, "cause"))
+			}
+			return x
+		})
+		r := &fleet.Report{Machine: "n-1", Addr: "127.0.0.1:1", Type: "a", Zone: "z", Session: rapid.Uint64().Draw(t, "session"), Seq: 3, Token: rapid.Uint64().Draw(t, "token"),
+			Notice: rapid.SampledFrom([]unit.Micros{0, 5, unit.Never}).Draw(t, "notice"), Tasks: rapid.SliceOfN(task, 1, 5).Draw(t, "list")}
+		if b, err = json.Marshal(EncodeReport(r, nil)); err != nil {
+			t.Fatal(err)
+		}
+		rep, err := DecodeReport(b)
+		if err != nil || fmt.Sprintf("%+v", rep) != fmt.Sprintf("%+v", r) {
+			t.Fatalf("%s: %+v, want %+v; %v", b, rep, r, err)
+		}
+
+		var want []fleet.Command
+		o := Orders{Token: r.Token, Session: &r.Session}
+		for _, x := range r.Tasks {
+			c := fleet.Command{Op: rapid.SampledFrom([]fleet.Op{fleet.Start, fleet.Stop, fleet.Forget}).Draw(t, "op"), ID: x.ID, Attempt: x.Attempt}
+			if c.Op == fleet.Stop {
+				c.Grace = micros("grace")
+			}
+			want = append(want, c)
+			o.Commands = append(o.Commands, EncodeCommand(c))
+		}
+		if b, err = json.Marshal(o); err != nil {
+			t.Fatal(err)
+		}
+		back, err := DecodeOrders(b)
+		if err != nil || *back.Token != r.Token || *back.Session != r.Session || fmt.Sprint(back.Commands) != fmt.Sprint(want) {
+			t.Fatalf("%s: %+v, want %v; %v", b, back, want, err)
+		}
+	})
+}
+
+// FuzzNeighbours reads anything as the other ends do: it is refused or makes sense.
+func FuzzNeighbours(f *testing.F) {
+	f.Add([]byte(`{"baton":41,"calls":[{"call_kind":"run","cue":"wk-000412/4","take":2},{"call_kind":"stop","cue":"wk-000377/1","take":1,"bow_s":10}]}`))
+	f.Add([]byte(`{"stage_manager":"n"}`))
+	f.Add([]byte(`{"name_id":"wk-000412","status":"aborted","done":1,"running":0}`))
+	f.Add([]byte(`{"error":"busy"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if o, err := DecodeOrders(b); err == nil {
+			for _, c := range o.Commands {
+				if !ledger.ValidID(c.ID.Job) || c.Grace < 0 {
+					t.Errorf("command %+v", c)
+				}
+			}
+		}
+		if _, s, err := DecodeJobStatus(b); err == nil && s == "" {
+			t.Error("no status")
+		}
+		ProblemText(b)
+	})
+}
