Read once more: one way to tell the checker, to sum up a play, to cut a zone off

Cause: what simulated and real plays have in common was written twice: handing users' facts to the checker, counting jobs and waits, expectations (real plays left out max_money), which parties a cut-off zone loses, the default prefix of lost writes, how a connection is reset, and two loops that wait for a deployment. Besides, fields and methods that nothing read, and a check in core/recover.go that could not hold.

Change: user.Tell and user.Summary, Expect.Missed, Scenario.ApartFrom, Fault.LosePrefix, link.Cut and Deployment.await serve both; the rest is removed. Real plays now hold max_money too.

--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -127,11 +127,8 @@
 }
 
 // newer reports whether a value that is known here says more than the listed one
-// (nil: none), and returns what should be stored.
+// (nil: none), and returns what should be stored. Of authority nothing is remembered.
 func (c *Core) newer(known store.Event, listed json.RawMessage) (json.RawMessage, bool) {
-	if isAuthority(known.Key) {
-		return nil, false
-	}
 	if listed == nil {
 		return known.Value, true
 	}
--- a/internal/emulator/agenda/agenda.go
+++ b/internal/emulator/agenda/agenda.go
@@ -58,6 +58,3 @@
 	e := heap.Pop(&a.h).(entry[T])
 	return e.at, e.item, true
 }
-
-// Len returns how many items are planned.
-func (a *Agenda[T]) Len() int { return len(a.h) }
--- a/internal/emulator/host/front.go
+++ b/internal/emulator/host/front.go
@@ -12,6 +12,7 @@
 
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/balance"
+	"shalestage.example/shalestage/internal/emulator/link"
 	"shalestage.example/shalestage/internal/wire"
 )
 
@@ -48,7 +49,7 @@
 		case balance.Reset:
 			f.mu.Lock()
 			for c := range f.conns[e.Node] {
-				reset(c)
+				link.Cut(c)
 			}
 			f.mu.Unlock()
 		}
@@ -97,7 +98,7 @@
 		i := -1
 		f.loop.do(f.ctx, func(now unit.Micros) { i = f.b.Choose(now, tried) })
 		if i < 0 {
-			reset(user)
+			link.Cut(user)
 			return
 		}
 		tried = append(tried, i)
@@ -142,11 +143,3 @@
 	_ = b.Close()
 	<-done
 }
-
-// reset closes a connection so that the other side gets an error.
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // best effort
-	}
-	_ = c.Close()
-}
--- a/internal/emulator/kv/kv.go
+++ b/internal/emulator/kv/kv.go
@@ -237,9 +237,6 @@
 // SetLimits changes the limits from now on; what is stored stays readable.
 func (s *Service) SetLimits(l Limits) { s.limits = l }
 
-// Limits returns the present limits.
-func (s *Service) Limits() Limits { return s.limits }
-
 // Down puts the service out of order until a time. Watches stay open, and no
 // lease ends: after it each has its full time again.
 func (s *Service) Down(now, until unit.Micros) {
--- a/internal/emulator/link/link.go
+++ b/internal/emulator/link/link.go
@@ -68,8 +68,8 @@
 	}
 	if t.Mode == Reset {
 		for p := range l.conns {
-			reset(p.a)
-			reset(p.b)
+			Cut(p.a)
+			Cut(p.b)
 		}
 	}
 }
@@ -100,8 +100,8 @@
 	defer l.mu.Unlock()
 	l.closed = true
 	for p := range l.conns {
-		reset(p.a)
-		reset(p.b)
+		Cut(p.a)
+		Cut(p.b)
 	}
 }
 
@@ -110,12 +110,12 @@
 	// A connection that is made while the way there is out of order says nothing,
 	// until the trouble is over: what its sender wrote comes through then.
 	if l.wait(true) != nil {
-		reset(a)
+		Cut(a)
 		return
 	}
 	b, err := net.DialTimeout("tcp4", l.to, time.Second)
 	if err != nil {
-		reset(a)
+		Cut(a)
 		return
 	}
 	defer b.Close()
@@ -171,8 +171,8 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			if l.wait(there) != nil {
-				reset(p.a)
-				reset(p.b)
+				Cut(p.a)
+				Cut(p.b)
 				return
 			}
 			if l.write(to, buf[:n], there) != nil {
@@ -206,7 +206,8 @@
 	return nil
 }
 
-func reset(c net.Conn) {
+// Cut closes a connection so that the other side gets an error.
+func Cut(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // best effort
 	}
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -92,7 +92,6 @@
 	book  work.Book
 	rng   *rand.Rand
 	now   unit.Micros
-	born  unit.Micros
 
 	node      int
 	session   uint64
@@ -130,7 +129,7 @@
 
 // New returns a worker that has just begun.
 func New(cfg Config, f Fault, book work.Book, now unit.Micros, rng *rand.Rand) *Worker {
-	w := &Worker{cfg: cfg, fault: f, book: book, rng: rng, now: now, born: now, session: 1, leaseFrom: now, noticeAt: unit.Never,
+	w := &Worker{cfg: cfg, fault: f, book: book, rng: rng, now: now, session: 1, leaseFrom: now, noticeAt: unit.Never,
 		free: cfg.Capacity, tasks: map[ledger.TaskID]*task{}, cached: map[string]int64{}, fetches: map[string]*fetch{},
 		fetched: now, reportAt: now, lastReport: now - changeGap, tokenTold: now - cfg.Lease}
 	if len(cfg.Nodes) > 0 {
@@ -139,12 +138,6 @@
 	return w
 }
 
-// Name returns the machine's name.
-func (w *Worker) Name() string { return w.cfg.Name }
-
-// Config returns what the machine is.
-func (w *Worker) Config() Config { return w.cfg }
-
 // Session returns the present session.
 func (w *Worker) Session() uint64 { return w.session }
 
--- a/internal/emulator/rental/rental.go
+++ b/internal/emulator/rental/rental.go
@@ -196,9 +196,6 @@
 	}
 }
 
-// SpotRate returns the present rate.
-func (s *Service) SpotRate() float64 { return s.cfg.SpotRate }
-
 // admit counts a request and returns 200, or the status that refuses it.
 func (s *Service) admit(now unit.Micros) int {
 	s.Advance(now)
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -76,11 +76,7 @@
 	case scenario.StateUnanswered:
 		w.unanswered = until
 	case scenario.StateLose:
-		prefix := f.Prefix
-		if prefix == "" {
-			prefix = "shalestage/job/"
-		}
-		w.State.Lose(w.now, prefix, max(f.Count, 1))
+		w.State.Lose(w.now, f.LosePrefix(), max(f.Count, 1))
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
@@ -121,7 +117,7 @@
 		return []string{name}
 	case scenario.PartyWorkers:
 		for _, z := range w.S.Controllers.Zones {
-			out = append(out, "zone "+z)
+			out = append(out, scenario.ZoneParty(z))
 		}
 	case scenario.PartyPeers:
 		for _, n := range w.Nodes {
@@ -142,22 +138,9 @@
 // apart cuts a zone's machines and controllers off from those of the others.
 func (w *World) apart(f scenario.Fault) {
 	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode, unit.Micros(f.DelayMS * 1000)}
-	both := func(a, b string) {
-		w.net.cut(a, b, t)
-		w.net.cut(b, a, t)
-	}
-	for _, n := range w.Nodes {
-		inside := n.zone == f.Zone
-		for _, z := range w.S.Controllers.Zones {
-			if (z == f.Zone) != inside {
-				both(n.Name, "zone "+z)
-			}
-		}
-		for _, o := range w.Nodes {
-			if o != n && (o.zone == f.Zone) != inside {
-				both(n.Name, o.Name)
-			}
-		}
+	for _, p := range w.S.ApartFrom(f.Zone) {
+		w.net.cut(p[0], p[1], t)
+		w.net.cut(p[1], p[0], t)
 	}
 }
 
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -97,15 +97,6 @@
 // wall is the time of day.
 func (n *Node) wall() unit.Micros { return n.w.now + 1_000_000*second + n.off }
 
-// Alive reports whether the process runs.
-func (n *Node) Alive() bool { return n.life != 0 }
-
-// Core returns the controller's core, for looking at it.
-func (n *Node) Core() *core.Core { return n.core }
-
-// Local returns the controller's steady clock.
-func (n *Node) Local() unit.Micros { return n.local() }
-
 // Crash ends the process; it comes back.
 func (n *Node) Crash() {
 	if n.life == 0 {
@@ -551,7 +542,7 @@
 	w := n.w
 	zone := ""
 	if m := w.Site.Cloud.Machine(e.Machine); m != nil {
-		zone = "zone " + m.Zone
+		zone = scenario.ZoneParty(m.Zone)
 	}
 	done := func(o store.Outcome, r *fleet.Report) {
 		n.back(life, func() { n.core.OnContact(n.local(), e, o, r) })
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -75,7 +75,6 @@
 		until, delay unit.Micros
 	}
 	late, unanswered unit.Micros // until when transactions are
-	steps            int
 }
 
 // New returns a world in which nothing has happened yet.
@@ -114,9 +113,6 @@
 	w.Crowd.Add(j)
 }
 
-// Now returns the present time.
-func (w *World) Now() unit.Micros { return w.now }
-
 func (w *World) after(d unit.Micros, f func()) { w.plans.Add(w.now+max(d, 0), f) }
 
 // span draws a time between a and b seconds.
@@ -132,7 +128,6 @@
 			break
 		}
 		w.now = max(w.now, next)
-		w.steps++
 		if w.State.Next() <= w.now {
 			w.State.Advance(w.now)
 			w.takeState()
@@ -196,7 +191,7 @@
 	if w.opt.Break.Report != nil {
 		w.opt.Break.Report(e.Body)
 	}
-	zone := "zone " + e.Body.Zone
+	zone := scenario.ZoneParty(e.Body.Zone)
 	failed := func() {
 		w.Site.Answer(w.now, e.Machine, e.Number, machine.Answer{})
 		w.takeSite()
@@ -248,22 +243,10 @@
 // takeCrowd carries out what users do.
 func (w *World) takeCrowd() {
 	for _, e := range w.Crowd.Drain() {
-		switch e := e.(type) {
-		case user.Call:
-			w.call(e, nil)
-		case user.Planned:
-			w.Check.Planned(w.now, e.Job.ID, e.Job.Spec)
-		case user.CancelAsked:
-			w.Check.CancelAsked(w.now, e.ID)
-		case user.Told:
-			switch e.Kind {
-			case user.Submit:
-				w.Check.Submitted(w.now, e.Took, e.ID, e.Code, e.Status)
-			case user.Poll:
-				w.Check.Polled(w.now, e.Took, e.ID, e.Code, e.Status)
-			case user.Cancel:
-				w.Check.Cancelled(w.now, e.Took, e.ID, e.Code, e.Status)
-			}
+		if call, ok := e.(user.Call); ok {
+			w.call(call, nil)
+		} else {
+			user.Tell(w.Check, w.now, e)
 		}
 	}
 }
@@ -397,17 +380,16 @@
 
 // Result is how a play went.
 type Result struct {
-	Broken   []check.Break
-	Digest   string
-	Starts   int
-	Jobs     int
-	Accepted int
-	Over     int
-	Rented   int
-	Money    float64
-	MaxWait  unit.Micros // from a submission to the answer that the job is over
-	Missed   []string    // expectations that are no rules
-	Faults   []scenario.Fault
+	Broken  []check.Break
+	Digest  string
+	Starts  int
+	Jobs    int
+	Over    int
+	Rented  int
+	Money   float64
+	MaxWait unit.Micros // from a submission to the answer that the job is over
+	Missed  []string    // expectations that are no rules
+	Faults  []scenario.Fault
 }
 
 // Play plays the whole scenario.
@@ -415,24 +397,9 @@
 	w.Run(unit.Seconds(w.S.DurationS))
 	w.Check.Finish(w.now, w.S.Expect.AllOver)
 	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
-	for _, j := range w.Crowd.Jobs() {
-		r.Jobs++
-		if j.Accepted {
-			r.Accepted++
-		}
-		if j.Final != "" {
-			r.Over++
-			r.MaxWait = max(r.MaxWait, j.Over-j.At)
-		} else if j.Accepted && !j.Spec.Service {
-			r.MaxWait = max(r.MaxWait, w.now-j.At)
-		}
-	}
-	if m := w.S.Expect.MaxWaitS; m > 0 && r.MaxWait > unit.Seconds(m) {
-		r.Missed = append(r.Missed, fmt.Sprintf("max_wait_s: a job took %.1f s, %g are expected at most", r.MaxWait.Seconds(), m))
-	}
-	if m := w.S.Expect.MaxMoney; m > 0 && r.Money > m {
-		r.Missed = append(r.Missed, fmt.Sprintf("max_money: %.3f were spent, %g are expected at most", r.Money, m))
-	}
+	r.Jobs = len(w.Crowd.Jobs())
+	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
+	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money)
 	return r
 }
 
--- a/internal/emulator/user/user.go
+++ b/internal/emulator/user/user.go
@@ -70,15 +70,13 @@
 	Awaits      []*Job
 	At          unit.Micros // of the first attempt to submit
 	CancelAfter unit.Micros // from then on; 0: never
-	Surge       bool        // submitted on account of a fault
-
-	Accepted  bool
-	AcceptedA unit.Micros // when the user was told
-	GaveUp    bool
-	Final     ledger.Status // as told; "" so far
-	Over      unit.Micros   // when that was
-	first     unit.Micros
-	cancels   bool
+
+	Accepted bool
+	GaveUp   bool
+	Final    ledger.Status // as told; "" so far
+	Over     unit.Micros   // when that was
+	first    unit.Micros
+	cancels  bool
 }
 
 // Options say how users behave beyond what the protocol fixes.
@@ -140,7 +138,7 @@
 // Adopt takes up a job that was accepted in an earlier time of the same service: its
 // user polls until it is over.
 func (c *Crowd) Adopt(now unit.Micros, j *Job) {
-	j.Accepted, j.AcceptedA, j.At, j.first = true, now, now, max(now, 1)
+	j.Accepted, j.At, j.first = true, now, max(now, 1)
 	c.jobs = append(c.jobs, j)
 	if !j.Spec.Service {
 		c.left++
@@ -261,7 +259,7 @@
 		if a.Code == http.StatusOK {
 			// It was accepted, though no answer to its submission has come.
 			if !o.job.Accepted && !o.job.GaveUp {
-				o.job.Accepted, o.job.AcceptedA = true, now
+				o.job.Accepted = true
 			}
 			c.heard(now, o.job, a.Status)
 			return
@@ -279,7 +277,7 @@
 	switch a.Code {
 	case http.StatusOK, http.StatusCreated:
 		if !j.Accepted {
-			j.Accepted, j.AcceptedA = true, now
+			j.Accepted = true
 			c.pollLater(now, j)
 			if c.rng.Float64() < c.opt.LateRetries {
 				c.plans.Add(now+unit.Micros(c.rng.Int64N(int64(80*unit.Second))), step{job: j, kind: Submit, late: true})
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -46,23 +46,21 @@
 	Plan *Plan
 	Dir  string
 
-	s        *scenario.Scenario
-	opt      Options
-	procs    map[string]*process
-	links    map[string]*link.Link // by their name: from, a dash and an arrow, to
-	opened   []net.Listener
-	users    *host.Users
-	facts    merger
-	mu       sync.Mutex // of the checker
-	checker  *check.Checker
-	began    time.Time
-	cancel   context.CancelFunc
-	ctx      context.Context
-	earlier  []*work.Job // of an earlier run of the same data
-	First    int         // number of the first job of this run
-	Fatal    chan error
-	rng      *rand.Rand
-	settings map[string]string
+	s       *scenario.Scenario
+	opt     Options
+	procs   map[string]*process
+	links   map[string]*link.Link // by their name: from, a dash and an arrow, to
+	opened  []net.Listener
+	users   *host.Users
+	facts   merger
+	mu      sync.Mutex // of the checker
+	checker *check.Checker
+	cancel  context.CancelFunc
+	ctx     context.Context
+	earlier []*work.Job // of an earlier run of the same data
+	First   int         // number of the first job of this run
+	Fatal   chan error
+	rng     *rand.Rand
 }
 
 // linkName names the link by which one party reaches another.
@@ -86,7 +84,7 @@
 		return nil, err
 	}
 	d := &Deployment{Dir: opt.Dir, s: s, opt: opt, procs: map[string]*process{}, links: map[string]*link.Link{}, checker: check.New(s.Check()),
-		began: time.Now(), Fatal: make(chan error, 8), rng: rand.New(rand.NewPCG(s.Seed, 21)), settings: map[string]string{}}
+		Fatal: make(chan error, 8), rng: rand.New(rand.NewPCG(s.Seed, 21))}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	if err := d.start(); err != nil {
 		d.Stop()
@@ -190,7 +188,7 @@
 		add(linkName(n, scenario.PartyCloud), p.Cloud[n].Link, p.Cloud[n].Real)
 		add(linkName(scenario.PartyUsers, n), p.Listen[n].Link, p.Listen[n].Real)
 		for z, nodes := range p.Workers {
-			add(linkName("zone "+z, n), nodes[n], p.Listen[n].Real)
+			add(linkName(scenario.ZoneParty(z), n), nodes[n], p.Listen[n].Real)
 		}
 		for o, at := range p.Peers[n] {
 			add(linkName(n, o), at, p.Internal[o])
@@ -250,26 +248,7 @@
 }
 
 func (d *Deployment) heardUser(e any) {
-	d.facts.add(d.now(), func(at unit.Micros) { Tell(d.checker, at, e) })
-}
-
-// Tell hands what a user did or was told to a checker.
-func Tell(c *check.Checker, at unit.Micros, e any) {
-	switch e := e.(type) {
-	case user.Planned:
-		c.Planned(at, e.Job.ID, e.Job.Spec)
-	case user.CancelAsked:
-		c.CancelAsked(at, e.ID)
-	case user.Told:
-		switch e.Kind {
-		case user.Submit:
-			c.Submitted(at, e.Took, e.ID, e.Code, e.Status)
-		case user.Poll:
-			c.Polled(at, e.Took, e.ID, e.Code, e.Status)
-		case user.Cancel:
-			c.Cancelled(at, e.Took, e.ID, e.Code, e.Status)
-		}
-	}
+	d.facts.add(d.now(), func(at unit.Micros) { user.Tell(d.checker, at, e) })
 }
 
 // checkUpTo hands the checker what must have come by now.
@@ -281,42 +260,42 @@
 
 var controlClient = &http.Client{Timeout: 10 * time.Second}
 
-// alive waits until a process answers at its control address.
-func (d *Deployment) alive(role string) error {
-	for until := time.Now().Add(15 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		resp, err := controlClient.Get("http://" + d.Plan.Roles[role] + "/alive")
-		if err == nil {
-			_ = resp.Body.Close() // of no interest
-			return nil
-		}
+// await waits until something is so. It fails when the deployment does, or, with what
+// late says, after a time.
+func (d *Deployment) await(within time.Duration, so func() bool, late func() error) error {
+	for until := time.Now().Add(within); !so(); time.Sleep(20 * time.Millisecond) {
 		select {
 		case err := <-d.Fatal:
 			return err
 		default:
 		}
 		if time.Now().After(until) {
-			return fmt.Errorf("%s does not answer: %s", role, d.procs[role].lastLine())
+			return late()
 		}
 	}
+	return nil
 }
 
-// WaitServing waits until the balancer finds a healthy controller that leads and
-// one that holds the machines.
-func (d *Deployment) WaitServing(within time.Duration) error {
-	for until := time.Now().Add(within); ; time.Sleep(50 * time.Millisecond) {
-		var f struct{ Healthy int }
-		if err := d.figures(RoleBalance, &f); err == nil && f.Healthy == len(d.s.Nodes()) && d.find("holder") != "" {
-			return nil
-		}
-		select {
-		case err := <-d.Fatal:
-			return err
-		default:
-		}
-		if time.Now().After(until) {
-			return fmt.Errorf("the controllers do not serve after %v; logs are in %s", within, d.Dir)
+// alive waits until a process answers at its control address.
+func (d *Deployment) alive(role string) error {
+	return d.await(15*time.Second, func() bool {
+		resp, err := controlClient.Get("http://" + d.Plan.Roles[role] + "/alive")
+		if err == nil {
+			_ = resp.Body.Close() // of no interest
 		}
-	}
+		return err == nil
+	}, func() error { return fmt.Errorf("%s does not answer: %s", role, d.procs[role].lastLine()) })
+}
+
+// WaitServing waits until the balancer finds every controller healthy and one holds
+// the machines.
+func (d *Deployment) WaitServing(within time.Duration) error {
+	return d.await(within, func() bool {
+		var f FrontFigures
+		return d.figures(RoleBalance, &f) == nil && f.Healthy == len(d.s.Nodes()) && d.find("holder") != ""
+	}, func() error {
+		return fmt.Errorf("the controllers do not serve after %v; logs are in %s", within, d.Dir)
+	})
 }
 
 func (d *Deployment) figures(role string, into any) error {
@@ -618,7 +597,7 @@
 		in(b)
 	case scenario.PartyWorkers:
 		for _, z := range d.s.Controllers.Zones {
-			in("zone " + z)
+			in(scenario.ZoneParty(z))
 		}
 	case scenario.PartyPeers:
 		for _, n := range d.s.Nodes() {
@@ -635,17 +614,10 @@
 // apart cuts a zone's machines and controllers off from those of the others.
 func (d *Deployment) apart(f scenario.Fault) {
 	t := link.Trouble{Mode: modes[f.Mode], Until: time.Now().Add(seconds(f.ForS))}
-	zones := d.s.Controllers.Zones
-	for i, n := range d.s.Nodes() {
-		inside := zones[i%len(zones)] == f.Zone
-		for _, z := range zones {
-			if (z == f.Zone) != inside {
-				d.links[linkName("zone "+z, n)].Set(t, true, true)
-			}
-		}
-		for k, o := range d.s.Nodes() {
-			if o != n && (zones[k%len(zones)] == f.Zone) != inside {
-				d.links[linkName(n, o)].Set(t, true, true)
+	for _, p := range d.s.ApartFrom(f.Zone) {
+		for _, name := range []string{linkName(p[0], p[1]), linkName(p[1], p[0])} {
+			if l := d.links[name]; l != nil {
+				l.Set(t, true, true)
 			}
 		}
 	}
--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -129,7 +129,7 @@
 			case scenario.StateLimits:
 				m.SetLimits(s.State.Fallen(f).KV())
 			case scenario.StateLose:
-				lost = m.Lose(now, prefixOf(f), max(f.Count, 1))
+				lost = m.Lose(now, f.LosePrefix(), max(f.Count, 1))
 			}
 		})
 		switch f.Kind {
@@ -159,14 +159,6 @@
 	return nil
 }
 
-// prefixOf is the prefix of the keys whose writes a fault loses.
-func prefixOf(f scenario.Fault) string {
-	if f.Prefix == "" {
-		return "shalestage/job/"
-	}
-	return f.Prefix
-}
-
 // StateFigures are what the state service's process tells of itself.
 type StateFigures struct {
 	Keys     int    `json:"keys"`
--- a/internal/rehearse/real.go
+++ b/internal/rehearse/real.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/user"
 	"shalestage.example/shalestage/internal/launch"
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -47,18 +48,11 @@
 		return v, fmt.Errorf("the cloud tells no figures: %w", err)
 	}
 	v.Money = figures.Money
-	for _, j := range jobs {
-		v.Jobs++
-		if j.Final != "" {
-			v.Over++
-			v.Wait = max(v.Wait, (j.Over - j.At).Seconds())
-		} else if j.Accepted && !j.Spec.Service {
-			v.Wait = max(v.Wait, s.DurationS-j.At.Seconds())
-		}
-	}
-	if m := s.Expect.MaxWaitS; m > 0 && unit.Seconds(v.Wait) > unit.Seconds(m) {
-		v.Missed = append(v.Missed, fmt.Sprintf("max_wait_s: a job took %.1f s, %g are expected at most", v.Wait, m))
-	}
+	var longest unit.Micros
+	v.Jobs = len(jobs)
+	v.Over, longest = user.Summary(jobs, unit.Seconds(s.DurationS))
+	v.Wait = longest.Seconds()
+	v.Missed = s.Expect.Missed(longest, v.Money)
 	v.Kept = len(v.Broken) == 0 && len(v.Missed) == 0
 	v.Took = time.Since(began).Seconds()
 	return v, nil
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -203,3 +203,14 @@
 	}
 	return nil
 }
+
+// Missed says which expectations were not met, beside the rules.
+func (e Expect) Missed(longest unit.Micros, money float64) (out []string) {
+	if e.MaxWaitS > 0 && longest > unit.Seconds(e.MaxWaitS) {
+		out = append(out, fmt.Sprintf("max_wait_s: a job took %.1f s, %g are expected at most", longest.Seconds(), e.MaxWaitS))
+	}
+	if e.MaxMoney > 0 && money > e.MaxMoney {
+		out = append(out, fmt.Sprintf("max_money: %.3f were spent, %g are expected at most", money, e.MaxMoney))
+	}
+	return out
+}
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -188,6 +189,34 @@
 	return false
 }
 
+// ZoneParty names the machines of a zone.
+func ZoneParty(zone string) string { return "zone " + zone }
+
+// ApartFrom returns the pairs of parties that do not reach each other when a zone is
+// cut off from the others: controllers, and controllers and machines.
+func (s *Scenario) ApartFrom(zone string) [][2]string {
+	var out [][2]string
+	zones := s.Controllers.Zones
+	zoneOf := func(i int) string { return zones[i%len(zones)] }
+	for i, n := range s.Nodes() {
+		inside := zoneOf(i) == zone
+		for _, z := range zones {
+			if (z == zone) != inside {
+				out = append(out, [2]string{n, ZoneParty(z)})
+			}
+		}
+		for k := range i {
+			if (zoneOf(k) == zone) != inside {
+				out = append(out, [2]string{n, NodeName(k)})
+			}
+		}
+	}
+	return out
+}
+
+// LosePrefix is the prefix of the keys whose writes are lost: jobs, unless said otherwise.
+func (f Fault) LosePrefix() string { return cmp.Or(f.Prefix, "shalestage/job/") }
+
 // NodeName returns the name of a controller.
 func NodeName(i int) string { return fmt.Sprintf("node-%d", i) }
 
