--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -121,11 +121,13 @@
 	WorthS       float64 `json:"worth_s"`         // work that must wait for each slot of a machine to be worth renting
 	BlockSize    float64 `json:"block_machines"`  // machines that one block carries; 0: by the processor share and the sockets
 	RoundShare   float64 `json:"round_share"`     // share of a job's time that renting counts on for tasks one after the other
+	KeepDone     float64 `json:"keep_done"`       // jobs that are over and are kept in memory before the oldest are packed; 0: all
+	PackSettleS  float64 `json:"pack_settle_s"`   // for how long all controllers must have run a release that reads packed jobs
 }
 
 // DefaultTuning returns the knobs' defaults.
 func DefaultTuning() Tuning {
-	return Tuning{Fairness: 0.25, EpsilonScale: 3, ImagePenalty: 0.5, LeaseS: 2, SpareShare: 0, IdleS: 5, DemandS: 15, WorthS: 20, RoundShare: 0.5}
+	return Tuning{Fairness: 0.25, EpsilonScale: 3, ImagePenalty: 0.5, LeaseS: 2, SpareShare: 0, IdleS: 5, DemandS: 15, WorthS: 20, RoundShare: 0.5, KeepDone: 8192, PackSettleS: 600}
 }
 
 // Load reads and checks a settings file.
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -23,6 +23,7 @@
 		Pack:          pack.Params{Fairness: t.Fairness, EpsilonScale: t.EpsilonScale, ImagePenalty: t.ImagePenalty},
 		Scale:         scale.Params{Spare: t.SpareShare, Memory: unit.Seconds(t.DemandS), Worth: unit.Seconds(t.WorthS), IdleReturn: unit.Seconds(t.IdleS)},
 		BlockMachines: s.BlockMachines(), RoundShare: t.RoundShare,
+		KeepDone: int(t.KeepDone), PackSettle: unit.Seconds(t.PackSettleS),
 		Log: log,
 	}
 	for _, p := range s.Peers {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,7 +58,12 @@
 	// BlockMachines is the number of machines beyond which several blocks share the work.
 	BlockMachines int
 	RoundShare    float64 // share of a job's time that renting counts on for tasks one after the other
-	Log           *slog.Logger
+	// KeepDone is how many jobs that are over are kept in memory before the oldest are
+	// packed (0: all), and PackSettle for how long every controller must have run a
+	// release that can read packed ones before the first is.
+	KeepDone   int
+	PackSettle unit.Micros
+	Log        *slog.Logger
 }
 
 // ReqID names a request that waits for an answer.
@@ -78,8 +83,8 @@
 		// RetryAfter tells a user when to come back; 0: not said.
 		RetryAfter unit.Micros
 	}
-	// List reads all keys (OnList).
-	List struct{}
+	// List reads a page of all keys, those after a key (OnList).
+	List struct{ After string }
 	// Watch reads changes after a revision (OnChanges). Fresh asks for an answer at once.
 	Watch struct {
 		After uint64
@@ -139,14 +144,15 @@
 	Problem struct{ Text string }
 )
 
-// LaneID tells the two transaction lanes apart.
+// LaneID tells the transaction lanes apart.
 type LaneID int
 
-// Lanes: users' changes and those of the leader and holders do not wait for
-// each other.
+// Lanes: users' changes, those of the leader and holders, and the packing of old jobs
+// do not wait for each other.
 const (
 	UserLane LaneID = iota
 	LeaderLane
+	PackLane // what nobody waits for
 	lanes
 )
 
@@ -161,7 +167,7 @@
 	replica *store.Replica
 	lanes   [lanes]*store.Lane
 
-	jobs   map[string]*ledger.Job
+	jobs   map[string]*ledger.Job       // those that are not packed
 	active map[string]*ledger.Job       // those that are not final
 	graph  ledger.Graph                 // which of them wait for which
 	parts  map[string]map[string]string // descriptions stored in parts: their texts until they are read, by job and key
@@ -180,6 +186,7 @@
 	load   []load                 // unfinished work of each block
 	loadAt unit.Micros
 
+	old       oldJobs
 	sync      syncState
 	recovery  recovery
 	seat      seat
@@ -217,12 +224,14 @@
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
 	c.replica = store.NewReplica(c.learn)
+	c.old = newOldJobs()
 	c.recovery.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256}
 	}
 	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
+	c.lanes[PackLane].MaxQueue = 1
 	c.setRates()
 	return c
 }
@@ -257,6 +266,7 @@
 		}
 	}
 	c.pumpSync()
+	c.pumpOld()
 }
 
 // at moves time on; time never goes back.
@@ -273,6 +283,7 @@
 	c.tickSeat()
 	c.tickLead()
 	c.tickTypes()
+	c.tickOld()
 	for _, k := range sortedBlocks(c.held) {
 		if bl := c.held[k]; bl != nil {
 			c.tickBlock(bl)
@@ -312,17 +323,17 @@
 
 // Keys of the state service.
 const (
-	root        = "shalestage/"
-	jobPrefix   = root + "job/"
-	partPrefix  = root + "part/"     // JOB/SUM/N, of a description that does not fit one value; listed after the jobs
-	donePrefix  = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
-	machPrefix  = root + "machine/"
-	typePrefix  = root + "type/"
-	seatPrefix  = root + "seat/"
-	blockPrefix = root + "block/"
-	sharePrefix = root + "share/"
-	leadKey     = root + "leader"
-	termKey     = root + "term"
+	root         = "shalestage/"
+	jobPrefix    = root + "job/"
+	partPrefix   = root + "part/"     // JOB/SUM/N, of a description that does not fit one value; listed after the jobs
+	donePrefix   = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
+	machPrefix   = root + "machine/"
+	typePrefix   = root + "type/"
+	seatPrefix   = root + "seat/"
+	blockPrefix  = root + "block/"
+	sharePrefix  = root + "share/"
+	leadKeyFirst = root + "leader"
+	termKey      = root + "term"
 )
 
 // Root is the prefix of every key that the service uses.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -77,17 +77,17 @@
 	}
 	c.claiming = true
 	term := c.term.Term + 1
-	me := c.cfg.Node
+	me, key := c.cfg.Node, c.leadKey()
 	c.lanes[LeaderLane].Add(&store.Write{
-		Guards: []store.Guard{{Key: leadKey, Stamp: c.replica.Stamp(leadKey)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)},
+		Guards: []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)},
 			{Key: seatPrefix + me, Stamp: c.seat.id}},
 		Changes: []store.Change{
-			{Key: leadKey, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
+			{Key: key, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
 			{Key: termKey, Value: store.Value(lead.Term{Term: term, Node: me})},
 		},
 		Done: func(o store.Outcome, rev uint64) {
 			c.claiming = false
-			if o == store.OK && c.seat.id != 0 {
+			if o == store.OK && c.seat.id != 0 && key == c.leadKey() {
 				c.leader = &leader{term: term, stamp: rev, claims: map[int]claimed{}, moveAt: c.now + moveEvery}
 				c.log.Info("leading", "term", term)
 			}
@@ -104,6 +104,8 @@
 	if l := c.leader; l != nil && c.claim.Term != l.term {
 		c.log.Warn("no longer leading", "term", l.term)
 		c.leader = nil
+	} else if l != nil {
+		l.stamp = e.Stamp
 	}
 	return err
 }
@@ -181,7 +183,7 @@
 func (l *leader) write(c *Core, guards []store.Guard, changes ...store.Change) {
 	l.writing = true
 	c.lanes[LeaderLane].Add(&store.Write{
-		Guards:  append(guards, store.Guard{Key: leadKey, Stamp: l.stamp}),
+		Guards:  append(guards, store.Guard{Key: c.leadKey(), Stamp: l.stamp}),
 		Changes: changes,
 		Done: func(o store.Outcome, _ uint64) {
 			l.writing = false
@@ -291,7 +293,7 @@
 	names := c.everyone()
 	for i := range names {
 		n := names[(i+k)%len(names)]
-		if c.seatOf(n) == 0 {
+		if c.seatOf(n) == 0 || c.tooOld(n) {
 			continue
 		}
 		cost := 2 * count[n]
--- a/internal/core/ledger/graph.go
+++ b/internal/core/ledger/graph.go
@@ -34,6 +34,7 @@
 // nothing.
 type Graph struct {
 	after map[string][]*Job // jobs that await the named one
+	named map[string]int    // unfinished jobs whose descriptions name it, done or not
 }
 
 // Link takes in an unfinished job that was just learnt. The jobs that it awaits
@@ -41,7 +42,12 @@
 // an awaited one that is cancelled, if any is.
 func (g *Graph) Link(j *Job, jobs map[string]*Job, now unit.Micros) (cancelled string) {
 	j.Since = j.Record.Submitted
-	for _, id := range j.Spec().Awaits {
+	j.awaits = j.Spec().Awaits
+	if g.named == nil {
+		g.named = map[string]int{}
+	}
+	for _, id := range j.awaits {
+		g.named[id]++
 		switch a := jobs[id]; {
 		case a == nil || a.Active():
 			if g.after == nil {
@@ -78,6 +84,7 @@
 func (g *Graph) Over(j *Job, now unit.Micros) (ready, cancelled []*Job) {
 	for queue := []*Job{j}; len(queue) > 0; queue = queue[1:] {
 		o := queue[0]
+		g.unname(o)
 		for _, d := range g.after[o.ID] {
 			switch {
 			case !d.Active():
@@ -151,6 +158,20 @@
 	}
 }
 
+// Named reports whether any unfinished job's description names the job: whoever
+// learns that description has to learn how the job ended.
+func (g *Graph) Named(id string) bool { return g.named[id] > 0 }
+
+// unname notes that a job is over: nobody asks any more what it awaited.
+func (g *Graph) unname(j *Job) {
+	for _, id := range j.awaits {
+		if g.named[id]--; g.named[id] <= 0 {
+			delete(g.named, id)
+		}
+	}
+	j.awaits = nil
+}
+
 // Awaited reports whether any job waits for the named one.
 func (g *Graph) Awaited(id string) bool { return len(g.after[id]) > 0 }
 
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -258,6 +258,8 @@
 	Awaiting int         // awaited jobs that are not stored as done; none of its tasks may start before
 	Since    unit.Micros // time of day from which its times count, but for the deadline
 	Through  string      // the awaited job whose cancellation cancelled this one
+	awaits   []string    // as the graph counts them, until it is over
+	Packed   bool        // its record has left the state service's listing: kept only while tasks of it may run
 	Aims     Aims        // its own and those of the jobs that need it
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -80,6 +80,7 @@
 		if p, ok := j.Place(id.Task); ok && p.Machine == m.Name && p.Attempt == a.Number {
 			before := j.Ready()
 			j.Release(id.Task)
+			c.unplaced(j)
 			bl.newWork = bl.newWork || j.Ready() > before
 		}
 	}
--- /dev/null
+++ b/internal/core/oldjobs.go
@@ -0,0 +1,432 @@
+package core
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Jobs that are over leave memory once there are many: the leader packs their answers
+// into buckets of package past, which controllers look up when they are asked.
+
+// oldJobs is what a controller keeps for that.
+type oldJobs struct {
+	past    *past.Past
+	packer  *past.Packer
+	mixedAt unit.Micros // another controller was last not known to run this release
+	markAt  unit.Micros // the mark is not written before
+	doubts  []string    // jobs of which it is not sure that the service still has them
+	asked   int         // of those, being looked up
+	leads   map[string]store.Event
+}
+
+// Effects of lookups.
+type (
+	// ReadKey reads one bucket (OnKey).
+	ReadKey struct {
+		past.Read
+		Known uint64 // the highest revision that was known when it was sent
+	}
+	// ScanKeys reads some buckets (OnScan).
+	ScanKeys struct{ past.Scan }
+)
+
+const (
+	// pastKey holds the mark that jobs are packed.
+	pastKey = root + "past"
+	// leadKeyPast holds the leader's claim once that is there. The key of before then
+	// says, for good, that another leads: a controller of an older release that is
+	// started afterwards never leads, holds nothing and learns no machine types from
+	// anybody, so that it is never ready and accepts nothing. It would not find what
+	// is packed.
+	leadKeyPast = root + "lead"
+	kindPrefix  = root + "kind/" // machine types since then
+	keptOut     = "release-4"    // the name in that claim
+
+	// markEvery is the least time between two marks, each of which fails the
+	// submissions under way; they are tried again at once.
+	markEvery = 30 * unit.Second
+	// calmAfter is how long after a refusal for rates nothing is packed.
+	calmAfter = 30 * unit.Second
+	// PackShare is the part of the state service's changes that packing takes at
+	// most, and PackShareMost that when twice as much is kept as should be.
+	PackShare     = 0.1
+	PackShareMost = 0.25
+	// lookShare is the part of a controller's reads that lookups take, and as much
+	// again is for filling the filter after a start.
+	lookShare = 1.0 / 6
+	// doubtsAtOnce bounds the lookups under way after the state service went back.
+	doubtsAtOnce = 16
+)
+
+func newOldJobs() oldJobs {
+	p := past.New()
+	return oldJobs{past: p, packer: past.NewPacker(p), leads: map[string]store.Event{}}
+}
+
+// leadKey is where the leader's claim is stored.
+func (c *Core) leadKey() string {
+	if c.old.past.On() {
+		return leadKeyPast
+	}
+	return leadKeyFirst
+}
+
+// typeKey is where a machine type is stored.
+func (c *Core) typeKey(name string) string {
+	if c.old.past.On() {
+		return kindPrefix + name
+	}
+	return typePrefix + name
+}
+
+// learnLead takes a claim, if it is at the key that counts.
+func (c *Core) learnLead(e store.Event) error {
+	c.old.leads[e.Key] = e
+	if e.Key != c.leadKey() {
+		return nil
+	}
+	return c.learnClaim(e)
+}
+
+// learnMark takes the mark. From the first one on the lead is at another key.
+func (c *Core) learnMark(e store.Event) error {
+	was := c.old.past.On()
+	if err := c.old.past.LearnMark(e.Value, e.Stamp); err != nil {
+		return err
+	}
+	if now := c.old.past.On(); now && !was {
+		c.log.Info("jobs that are over are packed from now on")
+		if e, ok := c.old.leads[leadKeyPast]; ok {
+			return c.learnClaim(e)
+		}
+	}
+	return nil
+}
+
+// tooOld reports whether a controller runs a release that cannot read what is packed.
+func (c *Core) tooOld(node string) bool {
+	return c.old.past.On() && node != c.cfg.Node && c.releases[node] < release
+}
+
+// over notes that a job is over, so that it is packed some day.
+func (c *Core) over(j *ledger.Job) { c.old.packer.Over(c.now, j.ID) }
+
+// packed takes in that the record of a job is not there any more.
+func (c *Core) packed(j *ledger.Job) {
+	if j.Active() || j.Through != "" {
+		return // not packed: nobody removes these
+	}
+	c.old.past.Packed(j.ID)
+	c.old.past.Remember(j.ID, answerOf(j))
+	c.old.packer.Gone(j.ID)
+	if j.Placed() > 0 {
+		j.Packed = true // its tasks count until their machines report them gone
+		return
+	}
+	delete(c.jobs, j.ID)
+}
+
+// unplaced drops a packed job once nothing of it may be running any more.
+func (c *Core) unplaced(j *ledger.Job) {
+	if j.Packed && j.Placed() == 0 {
+		delete(c.jobs, j.ID)
+	}
+}
+
+func answerOf(j *ledger.Job) past.Answer {
+	return past.Answer{Status: j.Record.Status, Tasks: j.Record.Tasks, Ended: j.Record.Ended / unit.Second * unit.Second}
+}
+
+// Packable says what is to be packed of a job that is over. One that an unfinished
+// job awaits stays, as whoever learns of that one has to learn how it ended; so does
+// one of which something is left to clean up.
+func (c *Core) Packable(id string, cut uint64) (past.Job, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return past.Job{}, false
+	}
+	out := past.Job{Answer: answerOf(j), Key: jobPrefix + id, Stamp: j.Stamp}
+	if j.Active() || j.Through != "" || j.Stamp >= cut || j.Placed() > 0 || c.graph.Named(id) || len(c.parts[id]) > 0 || c.untidy[id] {
+		return out, false
+	}
+	// A cancelled job's finished tasks are still stored.
+	for _, name := range c.layout.Names(j.Record.Tasks) {
+		if k := progressKey(id, name); c.replica.Stamp(k) != 0 {
+			out.Clear = append(out.Clear, k)
+		}
+	}
+	return out, true
+}
+
+// packAge is how long a job must be over: by then its machines have long reported
+// what they ran of it, or lost their leases.
+func (c *Core) packAge() unit.Micros { return 2*c.leaseBound() + c.cfg.CancelIn }
+
+// tickOld does what is due for jobs that are over.
+func (c *Core) tickOld() {
+	o := &c.old
+	for _, n := range c.peers.names {
+		if c.releases[n] < release {
+			o.mixedAt = c.now
+		}
+	}
+	c.settleDoubts()
+	if !c.sync.loaded || c.stateAge() > heartbeat+unit.Second/2 || c.recovery.due {
+		return
+	}
+	rate := c.cfg.StateRate / float64(c.cfg.Size) * lookShare
+	if s := o.past.NextScan(c.now, unit.Seconds(1/rate)); s != nil {
+		c.emit(ScanKeys{*s})
+	}
+	l := c.leader
+	if l == nil || c.cfg.KeepDone == 0 || c.now < o.limitedFor(c) || c.lanes[LeaderLane].Len() > 0 || c.lanes[UserLane].Len() > 0 {
+		return // packing takes only what nobody else needs
+	}
+	if l.writing || c.now >= o.markAt && c.keepOut(l) {
+		return
+	}
+	_, stamp := o.past.Mark()
+	if stamp == 0 || c.replica.Rev < stamp || o.packer.Len() <= c.cfg.KeepDone-c.cfg.KeepDone/4 || c.lanes[PackLane].Len() > 0 {
+		return
+	}
+	share := PackShare
+	if o.packer.Len() > 2*c.cfg.KeepDone {
+		share = PackShareMost
+	}
+	c.lanes[PackLane].Rate = c.cfg.WriteRate * share
+	lim := past.Limits{Value: past.Limit(c.cfg.ValueMax), Ops: c.cfg.TxnOps, Size: c.lanes[PackLane].MaxBytes}
+	o.packer.Step(c.now, c.packAge(), c, lim, func(w *store.Write) bool {
+		if c.leader != l {
+			return false
+		}
+		w.Guards = append(w.Guards, store.Guard{Key: c.leadKey(), Stamp: l.stamp})
+		return c.lanes[PackLane].Add(w)
+	})
+}
+
+func (o *oldJobs) limitedFor(c *Core) unit.Micros {
+	if c.sync.limitedAt == 0 {
+		return 0
+	}
+	return c.sync.limitedAt + calmAfter
+}
+
+// keepOut writes the mark when it is due, and what keeps older releases out. It
+// reports whether there was anything to write.
+func (c *Core) keepOut(l *leader) bool {
+	o := &c.old
+	mark, stamp := o.past.Mark()
+	if !o.past.On() {
+		if o.packer.Len() <= c.cfg.KeepDone || c.now-o.mixedAt < c.cfg.PackSettle {
+			return false
+		}
+		for _, name := range sortedKeys(c.types) {
+			if key := kindPrefix + name; c.replica.Stamp(key) == 0 {
+				l.write(c, []store.Guard{{Key: key}}, store.Change{Key: key, Value: store.Value(c.types[name])})
+				return true
+			}
+		}
+		mark = past.Mark{Release: release, Cut: c.replica.Rev + 1}
+		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.replica.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
+			store.Change{Key: pastKey, Value: store.Value(mark)},
+			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
+			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})})
+		o.markAt = c.now + unit.Second
+		return true
+	}
+	o.markAt = c.now + unit.Second/2
+	if e := o.leads[leadKeyFirst]; e.Value == nil || !strings.Contains(string(e.Value), keptOut) {
+		l.write(c, []store.Guard{{Key: leadKeyFirst, Stamp: c.replica.Stamp(leadKeyFirst)}},
+			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})})
+		o.markAt = c.now
+		return true
+	}
+	for _, name := range sortedKeys(c.types) {
+		if key := typePrefix + name; c.replica.Stamp(key) != 0 {
+			l.write(c, []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}}, store.Change{Key: key})
+			o.markAt = c.now
+			return true
+		}
+	}
+	if stamp != 0 && o.packer.Len() <= c.cfg.KeepDone {
+		return false
+	}
+	// A new cut lets further jobs be packed.
+	mark.Release, mark.Cut, mark.Jobs = release, max(mark.Cut, c.replica.Rev+1), mark.Jobs+o.packer.Done
+	o.packer.Done = 0
+	o.markAt = c.now + markEvery
+	l.write(c, []store.Guard{{Key: pastKey, Stamp: stamp}}, store.Change{Key: pastKey, Value: store.Value(mark)})
+	return true
+}
+
+// pumpOld sends the reads that are due.
+func (c *Core) pumpOld() {
+	for _, r := range c.old.past.Next(c.now, c.cfg.StateRate/float64(c.cfg.Size)*lookShare) {
+		c.emit(ReadKey{r, c.recovery.seen})
+	}
+}
+
+// OnKey takes a bucket that was read; a nil value: it is not stored. rev is the
+// service's revision where it told one, else 0.
+func (c *Core) OnKey(now unit.Micros, r ReadKey, o store.Outcome, value []byte, stamp, rev uint64) {
+	c.at(now)
+	o = c.heard(o)
+	if rev > 0 && rev < r.Known && r.Known <= c.recovery.seen {
+		c.wentBack(r.Known, rev)
+		o = store.Unknown
+	}
+	if err := c.old.past.OnRead(now, r.Read, o, value, stamp); err != nil {
+		c.log.Error("unusable record", "key", r.Key, "err", err)
+	}
+}
+
+// OnScan takes some buckets.
+func (c *Core) OnScan(now unit.Micros, s ScanKeys, o store.Outcome, items []store.Event, more bool) {
+	c.at(now)
+	o = c.heard(o)
+	for _, key := range c.old.past.OnScan(now, s.Scan, o, items, more) {
+		c.log.Error("unusable record", "key", key)
+	}
+	if whole, n := c.old.past.Whole(); whole && !more && o == store.OK {
+		c.log.Info("packed jobs are known", "jobs", n)
+	}
+}
+
+// answerOld tells how a packed job ended.
+func (c *Core) answerOld(req ReqID, id string, a past.Answer, counts bool) {
+	out := JobAnswer{ID: id, Status: a.Status, Counts: counts}
+	if a.Status == ledger.Done {
+		out.Done = a.Tasks
+	}
+	c.reply(req, http.StatusOK, out)
+}
+
+// findOld answers a poll or a cancellation of a job whose record is not there, as of
+// a read that began after the request came.
+func (c *Core) findOld(req ReqID, id string, counts bool) {
+	c.old.past.Find(id, false, func(v past.Verdict, a past.Answer) {
+		switch v {
+		case past.Found:
+			c.answerOld(req, id, a, counts)
+		case past.Absent:
+			c.reply(req, http.StatusNotFound, Problem{"no such job"})
+		default:
+			c.unavailable(req, "too many requests for old jobs")
+		}
+	})
+}
+
+// lookUp finds out of a submission's own id, and of the jobs that it awaits, which
+// are those of packed jobs. From then on the answers are at hand, or their absence
+// is proven for whoever guards the mark of that time.
+func (c *Core) lookUp(n newJob, then func(n newJob, ok bool)) {
+	_, n.mark = c.old.past.Mark()
+	if !c.old.past.On() {
+		then(n, true)
+		return
+	}
+	if c.replica.Rev < n.mark { // the copy may lack what was accepted before the mark
+		c.wantSync(func(ok bool) {
+			if !ok {
+				then(n, false)
+				return
+			}
+			c.lookUp(n, then)
+		})
+		return
+	}
+	ids := []string{n.id}
+	if n.spec != nil {
+		ids = append(ids, n.spec.Awaits...)
+	}
+	n.absent = map[string]bool{}
+	left, all := 1, true
+	ended := func() {
+		if left--; left == 0 {
+			then(n, all)
+		}
+	}
+	for _, id := range ids {
+		if c.jobs[id] != nil {
+			continue
+		}
+		left++
+		c.old.past.Find(id, true, func(v past.Verdict, _ past.Answer) {
+			all = all && v != past.Unknown
+			if v == past.Absent {
+				n.absent[id] = true
+			}
+			ended()
+		})
+	}
+	ended()
+}
+
+// settleAwaits takes out of a description the awaited jobs that are over for so long
+// that they may be packed at any moment: those that are done need not be waited for.
+// cancelled reports that one was cancelled, and the job with it.
+func (c *Core) settleAwaits(s *ledger.Spec) (spec *ledger.Spec, cancelled, ok bool) {
+	mark, _ := c.old.past.Mark()
+	if len(s.Awaits) == 0 || !c.old.past.On() {
+		return s, false, true
+	}
+	out := *s
+	out.Awaits = nil
+	for _, id := range s.Awaits {
+		var a past.Answer
+		j := c.jobs[id]
+		switch {
+		case j == nil:
+			if a, ok = c.old.past.Known(id); !ok {
+				return nil, false, false
+			}
+		case !j.Active() && j.Through == "" && j.Stamp < mark.Cut:
+			a = answerOf(j)
+		default:
+			out.Awaits = append(out.Awaits, id)
+			continue
+		}
+		cancelled = cancelled || a.Status == ledger.Cancelled
+	}
+	return &out, cancelled, true
+}
+
+// doubt looks at what is remembered of packed jobs after the state service went back:
+// what it has lost of them is written again.
+func (c *Core) doubt() {
+	c.old.past.Lost()
+	c.old.doubts = c.old.past.Remembered()
+}
+
+func (c *Core) settleDoubts() {
+	o := &c.old
+	for len(o.doubts) > 0 && o.asked < doubtsAtOnce && c.sync.loaded && !c.recovery.due {
+		id := o.doubts[0]
+		o.doubts = o.doubts[1:]
+		a, known := o.past.Known(id)
+		if c.jobs[id] != nil || !known {
+			continue
+		}
+		o.asked++
+		o.past.Bucket(id, func(b *past.Bucket, _ uint64) {
+			o.asked--
+			if b == nil {
+				o.doubts = append(o.doubts, id)
+				return
+			}
+			if _, stored := b.Find(id); stored || c.jobs[id] != nil || slices.Contains(o.doubts, id) {
+				return
+			}
+			c.log.Warn("written again", "job", id)
+			rec := ledger.Record{Status: a.Status, Tasks: a.Tasks, Ended: a.Ended}
+			c.writeAgain(store.Event{Key: jobPrefix + id, Value: rec.Encode()})
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/past/past.go
@@ -0,0 +1,411 @@
+// Package past holds the answers of jobs that are over and have left the
+// controllers' memory. They are packed into buckets, by a hash of the job's id, under
+// keys of their own in the state service: looked up when somebody asks, never listed
+// nor watched. The package decides what to read, what an id's absence proves, and
+// what to pack; it does no input or output itself.
+//
+// A job is packed by one transaction that writes its bucket and removes its record.
+// So whoever has seen that the record is not there, and then finds no answer in the
+// bucket, knows that the job had not been accepted when it saw that.
+//
+// Who accepts a job guards the version of the mark. Every job that is packed was over
+// at a revision below the mark's cut, and the mark was written after that: a late
+// acceptance of a packed job's id fails, as the mark has changed since it was sent.
+package past
+
+import (
+	"cmp"
+	"encoding/json"
+	"math/bits"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Mark is the record that says that jobs are packed, and which may be. Only
+// controllers that can read buckets serve once it is there.
+type Mark struct {
+	Release int    `json:"release"` // the least that controllers must run
+	Cut     uint64 `json:"cut"`     // jobs whose end was stored at a lower revision may be packed
+	Jobs    int    `json:"jobs"`    // packed so far, about
+}
+
+// Verdict is what is known of an id.
+type Verdict int
+
+// Verdicts.
+const (
+	Unknown Verdict = iota // could not be read, or there is too much to read: ask again
+	Found
+	Absent // not packed, as of the read
+)
+
+const (
+	cacheJobs   = 1 << 13
+	filterBytes = 8 << 20
+	maxHints    = 1 << 18
+	// maxWaiting bounds the reads that wait, for submissions and for all else.
+	maxWaiting = 64
+	// maxFollow bounds the buckets that are read for one answer. One read is the
+	// rule, and a hint that is out of date costs another.
+	maxFollow = 2*MaxBits + 2
+)
+
+// Read is a read of one key that is due; its answer goes to OnRead.
+type Read struct{ Key string }
+
+// Scan is a read of some buckets, those after a key; its answer goes to OnScan.
+type Scan struct {
+	After string
+	Page  int
+	began uint64
+}
+
+// scanPage is how many buckets are read at once.
+const scanPage = 64
+
+// Past is what a controller knows of packed jobs. It is owned by one goroutine.
+type Past struct {
+	mark  Mark
+	stamp uint64 // version of the mark; 0: it is not stored
+	on    bool   // there has been one: a mark that is lost takes no packed job with it
+	cache *simplelru.LRU[string, Answer]
+	hints []uint8 // depths of buckets as last seen, by number
+	deep  int     // the largest of them
+
+	filter   *filter
+	whole    bool // the filter holds every packed id
+	scanning bool
+	scanned  string // the last key of the scan
+	round    uint64 // tells scans apart
+	scanAt   unit.Micros
+
+	reads   map[string]*read
+	urgent  []string // keys to be read: for submissions, and for all else
+	patient []string
+	under   int // reads under way
+	credit  float64
+	last    unit.Micros
+	hold    unit.Micros // nothing is read before
+	Shed    uint64      // lookups that were refused
+	Looked  uint64      // buckets that were read for somebody
+}
+
+// read is a bucket that is being read, or is to be.
+type read struct {
+	sent    bool
+	waiting []*lookup
+}
+
+// lookup is one who waits for an answer.
+type lookup struct {
+	id     string
+	urgent bool
+	steps  int
+	done   func(Verdict, Answer)
+	bucket func(b *Bucket, stamp uint64) // instead: wants the whole bucket; nil: unknown
+}
+
+// New returns what a controller knows when it starts.
+func New() *Past {
+	cache, err := simplelru.NewLRU[string, Answer](cacheJobs, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
+	return &Past{cache: cache, filter: newFilter(filterBytes), reads: map[string]*read{}}
+}
+
+// LearnMark takes the mark as it is stored; nil: there is none.
+func (p *Past) LearnMark(value json.RawMessage, stamp uint64) error {
+	if value == nil {
+		p.stamp = 0
+		return nil
+	}
+	var m Mark
+	if err := json.Unmarshal(value, &m); err != nil {
+		return err
+	}
+	if !p.on {
+		p.on = true
+		p.Lost() // whatever was packed before this node knew of it is to be read
+	}
+	p.mark, p.stamp = m, stamp
+	return nil
+}
+
+// Mark returns the mark and its version, which is 0 where there is none.
+func (p *Past) Mark() (Mark, uint64) { return p.mark, p.stamp }
+
+// On reports whether anything may be packed.
+func (p *Past) On() bool { return p.on }
+
+// Lost notes that packed jobs may have been missed: the copy was taken anew.
+func (p *Past) Lost() {
+	p.whole, p.scanning, p.scanned = false, false, ""
+	p.round++
+	p.filter = newFilter(filterBytes)
+}
+
+// Packed notes that a job's record has been removed.
+func (p *Past) Packed(id string) { p.filter.add(id) }
+
+// Remember keeps an answer at hand.
+func (p *Past) Remember(id string, a Answer) { p.cache.Add(id, a) }
+
+// Remembered returns the jobs whose answers are at hand, those of one bucket together.
+func (p *Past) Remembered() []string {
+	ids := p.cache.Keys()
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(bits.Reverse64(hash(a)), bits.Reverse64(hash(b))) })
+	return ids
+}
+
+// Known returns an answer that is at hand.
+func (p *Past) Known(id string) (Answer, bool) { return p.cache.Get(id) }
+
+// Never reports whether an id is surely not that of a packed job, as of the copy that
+// the rest of the controller goes by.
+func (p *Past) Never(id string) bool { return !p.on || p.whole && !p.filter.has(id) }
+
+// Whole reports whether the filter is complete, and how many ids it holds.
+func (p *Past) Whole() (bool, int) { return p.whole, p.filter.count }
+
+// Find looks a job's answer up. done is told before Find returns where that is
+// known, or where too much waits. Submissions are urgent.
+func (p *Past) Find(id string, urgent bool, done func(Verdict, Answer)) {
+	if a, ok := p.cache.Get(id); ok {
+		done(Found, a)
+		return
+	}
+	if p.Never(id) {
+		done(Absent, Answer{})
+		return
+	}
+	p.look(&lookup{id: id, urgent: urgent, done: done})
+}
+
+// Bucket reads the bucket for an id: nil where that is not known, and a stamp of 0
+// where it is not stored yet.
+func (p *Past) Bucket(id string, got func(b *Bucket, stamp uint64)) {
+	p.look(&lookup{id: id, bucket: got})
+}
+
+func (l *lookup) fail() {
+	if l.bucket != nil {
+		l.bucket(nil, 0)
+		return
+	}
+	l.done(Unknown, Answer{})
+}
+
+// look has the bucket read in which an id most likely is.
+func (p *Past) look(l *lookup) { p.lookAt(l, p.guess(hash(l.id))) }
+
+// guess follows the hints to the bucket for a hash.
+func (p *Past) guess(h uint64) uint32 {
+	for depth := p.deep; depth > 0; depth-- {
+		n := at(h, depth)
+		if int(n) >= len(p.hints) { // deeper than what hints are kept for
+			continue
+		}
+		if d := int(p.hints[n]); d > 0 && at(h, d) == n {
+			return n
+		}
+	}
+	return 0
+}
+
+// hint notes a bucket's depth.
+func (p *Past) hint(n uint32, depth int) {
+	p.deep = max(p.deep, depth)
+	if n >= maxHints || depth == 0 {
+		return
+	}
+	for int(n) >= len(p.hints) {
+		p.hints = append(p.hints, make([]uint8, max(64, len(p.hints)))...)
+	}
+	p.hints[n] = uint8(depth)
+}
+
+func (p *Past) lookAt(l *lookup, n uint32) {
+	l.steps++
+	key := Key(n)
+	r := p.reads[key]
+	queue := &p.patient
+	if l.urgent {
+		queue = &p.urgent
+	}
+	// A read that has been sent may have been answered before now: it proves nothing
+	// to one who asks now.
+	if r != nil && !r.sent {
+		r.waiting = append(r.waiting, l)
+		if l.urgent && !slices.Contains(p.urgent, key) {
+			p.patient = slices.DeleteFunc(p.patient, func(k string) bool { return k == key })
+			p.urgent = append(p.urgent, key)
+		}
+		return
+	}
+	if len(*queue) >= maxWaiting || l.steps > maxFollow || r != nil {
+		if r != nil && len(r.waiting) < maxWaiting && l.steps <= maxFollow {
+			r.waiting = append(r.waiting, l.again())
+			return
+		}
+		p.Shed++
+		l.fail()
+		return
+	}
+	p.reads[key] = &read{waiting: []*lookup{l}}
+	*queue = append(*queue, key)
+}
+
+// again is one who waits for a read to end so that the bucket can be read once more.
+func (l *lookup) again() *lookup {
+	return &lookup{id: l.id, urgent: l.urgent, steps: -l.steps, done: l.done, bucket: l.bucket}
+}
+
+// Next returns the reads that are due, at most rate a second.
+func (p *Past) Next(now unit.Micros, rate float64) []Read {
+	p.credit = min(p.credit+rate*(now-p.last).Seconds(), max(2, rate/2))
+	p.last = now
+	if now < p.hold {
+		return nil
+	}
+	var out []Read
+	for p.credit >= 1 && p.under < 8 && len(p.urgent)+len(p.patient) > 0 {
+		queue := &p.urgent
+		if len(*queue) == 0 {
+			queue = &p.patient
+		}
+		key := (*queue)[0]
+		*queue = (*queue)[1:]
+		p.reads[key].sent = true
+		p.credit--
+		p.under++
+		p.Looked++
+		out = append(out, Read{key})
+	}
+	return out
+}
+
+// OnRead takes the answer to a read: the value, nil where the key does not exist.
+func (p *Past) OnRead(now unit.Micros, r Read, o store.Outcome, value json.RawMessage, stamp uint64) error {
+	w := p.reads[r.Key]
+	if w == nil || !w.sent {
+		return nil
+	}
+	delete(p.reads, r.Key)
+	p.under--
+	if o != store.OK && o != store.Failed {
+		p.hold = now + unit.Second/4
+		for _, l := range w.waiting {
+			l.fail()
+		}
+		return nil
+	}
+	n, err := ParseKey(r.Key)
+	var b *Bucket
+	if err == nil && value != nil {
+		if b, err = Decode(r.Key, value); err == nil {
+			p.hint(n, b.Bits)
+		}
+	}
+	for _, l := range w.waiting {
+		switch {
+		case l.steps < 0: // asked after the read was sent: only what is there counts
+			l.steps = -l.steps
+			if b != nil && l.done != nil {
+				if a, ok := b.Find(l.id); ok {
+					p.Remember(l.id, a)
+					l.done(Found, a)
+					continue
+				}
+			}
+			p.lookAt(l, n)
+		case err != nil:
+			l.fail()
+		case b == nil && n == 0:
+			p.tell(l, &Bucket{Jobs: map[uint64]Answer{}}, 0)
+		case b == nil: // not split off yet: it is in the one that this is split off
+			if int(n) < len(p.hints) {
+				p.hints[n] = 0
+			}
+			p.lookAt(l, parent(n))
+		case !b.Covers(l.id): // split since
+			p.lookAt(l, at(hash(l.id), b.Bits))
+		default:
+			p.tell(l, b, stamp)
+		}
+	}
+	return err
+}
+
+// parent returns the bucket that another was split off.
+func parent(n uint32) uint32 {
+	for bit := uint32(1) << (MaxBits - 1); bit > 0; bit >>= 1 {
+		if n&bit != 0 {
+			return n &^ bit
+		}
+	}
+	return 0
+}
+
+func (p *Past) tell(l *lookup, b *Bucket, stamp uint64) {
+	if l.bucket != nil {
+		l.bucket(b, stamp)
+		return
+	}
+	a, ok := b.Find(l.id)
+	if !ok {
+		l.done(Absent, Answer{})
+		return
+	}
+	p.Remember(l.id, a)
+	l.done(Found, a)
+}
+
+// NextScan returns the read of buckets that is due, if any: until every packed id is
+// in the filter. every is the time between two such reads.
+func (p *Past) NextScan(now unit.Micros, every unit.Micros) *Scan {
+	if !p.on || p.whole || p.scanning || now < p.scanAt {
+		return nil
+	}
+	p.scanning, p.scanAt = true, now+every
+	return &Scan{After: p.scanned, Page: scanPage, began: p.round}
+}
+
+// OnScan takes the answer to a scan. What is split off a bucket meanwhile comes
+// after it in the order of the keys, and what is packed meanwhile is told to Packed:
+// nothing is missed. It returns the keys that cannot be read, of which nothing is
+// known: the filter proves nothing while there are any.
+func (p *Past) OnScan(now unit.Micros, s Scan, o store.Outcome, items []store.Event, more bool) (bad []string) {
+	if s.began != p.round {
+		return nil
+	}
+	p.scanning = false
+	if o != store.OK {
+		p.scanAt = now + unit.Second/2
+		return nil
+	}
+	for _, it := range items {
+		b, err := Decode(it.Key, it.Value)
+		if err != nil {
+			bad = append(bad, it.Key)
+			continue
+		}
+		p.hint(b.N, b.Bits)
+		for n := range b.Jobs {
+			p.filter.add(idOf(n))
+		}
+		p.scanned = it.Key
+	}
+	switch {
+	case len(bad) > 0:
+		p.Lost()
+		p.scanAt = now + 60*unit.Second
+	case !more || len(items) == 0:
+		p.whole = true
+	}
+	return bad
+}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -176,7 +176,7 @@
 	best, age := "", stateFresh
 	for _, n := range c.peers.names {
 		v := c.peers.views[n]
-		if c.alive(v) && v.status.StateAge < age {
+		if c.alive(v) && v.status.StateAge < age && !c.tooOld(n) {
 			best, age = n, v.status.StateAge
 		}
 	}
@@ -204,7 +204,7 @@
 // serve to a controller that it does, or tells the user to come back.
 func (c *Core) handOver(req ReqID, kind AskKind, job string, spec *ledger.Spec, bad string) {
 	to := c.served()
-	if spec != nil && len(spec.Awaits) > 0 && c.releases[to] < release {
+	if spec != nil && len(spec.Awaits) > 0 && c.releases[to] < releaseAwaits {
 		to = "" // it would start the job at once
 	}
 	if _, foreign := c.peers.foreign[req]; foreign || to == "" || len(c.peers.asks) >= maxAsks {
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -31,12 +31,14 @@
 // another: what awaits it may start, or is cancelled too.
 func (c *Core) jobFinal(j *ledger.Job) {
 	delete(c.active, j.ID)
+	c.over(j)
 	if len(c.parts[j.ID]) > 0 {
 		c.untidy[j.ID] = true
 	}
 	ready, cancelled := c.graph.Over(j, c.wall)
 	for _, d := range cancelled {
 		delete(c.active, d.ID)
+		c.over(d)
 		c.cancelled(d)
 	}
 	for _, d := range ready {
@@ -60,7 +62,7 @@
 			return
 		}
 		delete(c.untidy, id)
-		if j := c.jobs[id]; j.Through != "" {
+		if j := c.jobs[id]; j != nil && j.Through != "" {
 			room -= c.tidyRecord(bl, j)
 		} else {
 			room -= c.tidyParts(bl, id, room)
@@ -232,13 +234,16 @@
 
 // release numbers tell what a controller understands. It is stored with its seat
 // and told with its status; those before it told none.
-const release = 3
+const (
+	release       = 4
+	releaseAwaits = 3 // understands jobs that await others
+)
 
 // older returns a controller that is known to run a release before this one. It
 // would take a job that awaits others for one that may start.
 func (c *Core) older() string {
 	for _, n := range c.peers.names {
-		if r, known := c.releases[n]; known && r < release {
+		if r, known := c.releases[n]; known && r < releaseAwaits {
 			return n
 		}
 	}
@@ -258,9 +263,10 @@
 
 // missing says why a job cannot wait for those that it awaits, or "": one is not
 // known, or never ends.
-func (c *Core) missing(s *ledger.Spec) string {
+func (c *Core) missing(s *ledger.Spec, absent map[string]bool) string {
 	for _, id := range s.Awaits {
 		switch j := c.jobs[id]; {
+		case j == nil && c.old.past.On() && !absent[id]: // packed, or to be looked up again
 		case j == nil:
 			return "awaits " + id + ", which was never accepted"
 		case j.Active() && j.Spec().Service:
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -8,6 +8,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -35,7 +36,9 @@
 
 // isAuthority reports whether a key says who may act: it is never written again by
 // others than its owner.
-func isAuthority(key string) bool { return key == leadKey || strings.HasPrefix(key, seatPrefix) }
+func isAuthority(key string) bool {
+	return key == leadKeyFirst || key == leadKeyPast || strings.HasPrefix(key, seatPrefix)
+}
 
 // wentBack notes that the state service is behind what it has answered.
 func (c *Core) wentBack(known, got uint64) {
@@ -61,7 +64,7 @@
 func (c *Core) recoverCopy() {
 	c.recovery.due = true
 	c.recovery.stale = c.sync.listing
-	c.sync.loaded = false
+	c.sync.loaded, c.sync.page = false, ""
 	c.sync.retryAt = c.now
 }
 
@@ -82,6 +85,7 @@
 		}
 	}
 	c.replica.Recover(rev, items, keep)
+	c.doubt()
 	for _, e := range again {
 		c.log.Warn("written again", "key", e.Key, "listed_version", e.Stamp)
 		c.writeAgain(e)
@@ -145,6 +149,9 @@
 		a, err1 := lead.DecodeBlock(known.Value)
 		b, err2 := lead.DecodeBlock(listed)
 		return known.Value, err1 == nil && (err2 != nil || laterGrant(a, b))
+	case known.Key == pastKey:
+		var a, b past.Mark
+		return known.Value, json.Unmarshal(known.Value, &a) == nil && (json.Unmarshal(listed, &b) != nil || a.Cut > b.Cut)
 	case known.Key == termKey:
 		var a, b lead.Term
 		return known.Value, json.Unmarshal(known.Value, &a) == nil && (json.Unmarshal(listed, &b) != nil || a.Term > b.Term)
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -131,7 +131,7 @@
 		return
 	}
 	for _, t := range types {
-		key := typePrefix + t.Name
+		key := c.typeKey(t.Name)
 		old := c.types[t.Name]
 		c.setType(t)
 		if l := c.leader; l != nil && (old == nil || c.replica.Stamp(key) == 0) {
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -168,6 +168,14 @@
 			j.Clear()
 		}
 	}
+	for _, m := range bl.machines { // what runs there of jobs that are over is the next holder's to count
+		for id := range m.Tasks {
+			if j := c.jobs[id.Job]; j != nil && !j.Active() {
+				j.Release(id.Task)
+				c.unplaced(j)
+			}
+		}
+	}
 	c.setRates()
 }
 
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -57,6 +57,15 @@
 	Rev    uint64
 	stamps map[string]uint64
 	apply  func(Event)
+	taking *taking // a listing that is being taken
+}
+
+// taking is a listing of which the pages come one after the other, while changes go
+// on to be learnt.
+type taking struct {
+	rev     uint64
+	listed  map[string]bool
+	removed map[string]uint64 // learnt since it began: older pages may still show them
 }
 
 // NewReplica returns an empty copy that hands every news to apply, once and in order per key.
@@ -72,6 +81,9 @@
 	if e.Stamp <= r.stamps[e.Key] {
 		return
 	}
+	if t := r.taking; t != nil && e.Value == nil {
+		t.removed[e.Key] = e.Stamp
+	}
 	if e.Value == nil {
 		if _, ok := r.stamps[e.Key]; !ok {
 			return
@@ -96,28 +108,52 @@
 	r.Rev = max(r.Rev, rev)
 }
 
-// Reload takes a full listing that began at rev: keys it lacks are gone unless
-// the copy knows that they were written later.
-func (r *Replica) Reload(rev uint64, items []Event) {
-	listed := make(map[string]bool, len(items))
+// Begin begins to take a full listing, of which the first page was read at rev. From
+// then on watches go on from there, while further pages come.
+func (r *Replica) Begin(rev uint64) {
+	r.taking = &taking{rev: rev, listed: map[string]bool{}, removed: map[string]uint64{}}
+	r.Rev = rev
+}
+
+// Page takes a part of the listing.
+func (r *Replica) Page(items []Event) {
+	t := r.taking
+	if t == nil {
+		return
+	}
 	for _, e := range items {
-		listed[e.Key] = true
-		r.Learn(e)
+		t.listed[e.Key] = true
+		if e.Stamp > t.removed[e.Key] {
+			r.Learn(e)
+		}
 	}
+}
+
+// End ends the listing: keys that it lacks are gone unless the copy knows that they
+// were written later.
+func (r *Replica) End() {
+	t := r.taking
+	if t == nil {
+		return
+	}
+	r.taking = nil
 	for k, s := range r.stamps {
-		if !listed[k] && s <= rev {
+		if !t.listed[k] && s <= t.rev {
 			delete(r.stamps, k)
-			r.apply(Event{Key: k, Stamp: rev})
+			r.apply(Event{Key: k, Stamp: t.rev})
 		}
 	}
-	r.Rev = rev
 }
 
+// Keys returns how many keys the copy holds.
+func (r *Replica) Keys() int { return len(r.stamps) }
+
 // Recover takes a full listing of a service that went back behind the copy. Every
 // version is as listed, whatever was known; the keys to keep are not applied, as the
 // copy knows better of them.
 func (r *Replica) Recover(rev uint64, items []Event, keep map[string]bool) {
 	old := r.stamps
+	r.taking = nil
 	r.stamps = make(map[string]uint64, len(items))
 	for _, e := range items {
 		r.stamps[e.Key] = e.Stamp
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -21,7 +21,11 @@
 	loaded    bool
 	loadedAt  unit.Micros
 	listing   bool
-	listKnown uint64 // the highest revision that was known when the listing began
+	listKnown uint64        // the highest revision that was known when the listing began
+	page      string        // the last key that it has shown; "": it has not begun
+	pageRev   uint64        // revision at which it began
+	pages     []store.Event // what it has shown, where the service went back
+	limitedAt unit.Micros   // the state service last refused something as too much; 0: never
 	watching  bool
 	reading   bool
 	retryAt   unit.Micros
@@ -36,6 +40,8 @@
 
 const (
 	watchWait = 5 * unit.Second
+	// ListPage is how many keys are listed at once.
+	ListPage  = 500
 	maxWaiter = 2000
 )
 
@@ -62,6 +68,7 @@
 	case store.OK, store.Failed, store.TooLarge:
 		c.sync.lastOK, c.sync.everOK = c.now, true
 	case store.Limited:
+		c.sync.limitedAt = c.now
 		c.useNextRates()
 		return store.Refused
 	}
@@ -86,10 +93,15 @@
 		s.want = true
 	}
 	if !s.loaded && !s.listing && c.now >= s.retryAt {
-		s.listing, s.listKnown = true, c.recovery.seen
-		c.emit(List{})
+		if s.page == "" {
+			s.listKnown, s.pages = c.recovery.seen, nil
+		}
+		s.listing = true
+		c.emit(List{After: s.page})
 	}
-	if s.loaded && !s.watching && c.now >= s.retryAt && c.now >= s.nextWatch {
+	// Changes are followed while the listing goes on: the service keeps only some,
+	// and one that is longer than that would never end.
+	if (s.loaded || s.page != "" && !c.recovery.due) && !s.watching && c.now >= s.retryAt && c.now >= s.nextWatch {
 		s.watching = true
 		// A watch ends with every change, so a third of the budget bounds them.
 		s.nextWatch = c.now + unit.Seconds(3*float64(c.cfg.Size)/c.cfg.StateRate)
@@ -109,8 +121,9 @@
 	c.emit(Watch{After: c.replica.Rev, Known: c.recovery.seen, Fresh: true})
 }
 
-// OnList takes a full listing that began at rev.
-func (c *Core) OnList(now unit.Micros, o store.Outcome, rev uint64, items []store.Event) {
+// OnList takes a page of the listing, read at a revision; more says that there are
+// others. A page that was not served is asked for again.
+func (c *Core) OnList(now unit.Micros, l List, o store.Outcome, rev uint64, items []store.Event, more bool) {
 	c.at(now)
 	o = c.heard(o)
 	s := &c.sync
@@ -119,22 +132,50 @@
 		s.retryAt = now + unit.Second/2
 		return
 	}
+	if l.After != s.page { // the listing has begun anew meanwhile
+		c.tickSync()
+		return
+	}
 	if c.recovery.stale { // it may show what was there before the service went back
 		c.recovery.stale = false
+		s.page = ""
 		c.tickSync()
 		return
 	}
-	if c.recovery.due || rev < s.listKnown {
-		if !c.recovery.due {
+	if s.page == "" {
+		s.pageRev = rev
+		if rev < s.listKnown && !c.recovery.due {
 			c.wentBack(s.listKnown, rev)
+			c.recovery.stale = false
 		}
-		c.reload(rev, items)
+		if !c.recovery.due {
+			c.replica.Begin(rev)
+			c.recovery.seen = max(c.recovery.seen, rev)
+			if s.loadedAt > 0 {
+				c.old.past.Lost()
+			}
+		}
+	}
+	if c.recovery.due {
+		s.pages = append(s.pages, items...)
 	} else {
-		c.replica.Reload(rev, items)
-		c.recovery.seen = max(c.recovery.seen, rev)
+		c.replica.Page(items)
 	}
+	if more && len(items) > 0 {
+		s.page = items[len(items)-1].Key
+		// As fast as half of this node's part of the budget allows.
+		s.retryAt = now + unit.Seconds(2*float64(c.cfg.Size)/c.cfg.StateRate)
+		c.tickSync()
+		return
+	}
+	if c.recovery.due {
+		c.reload(s.pageRev, s.pages)
+	} else {
+		c.replica.End()
+	}
+	s.page, s.pages = "", nil
 	s.loaded, s.loadedAt = true, now
-	c.log.Info("state loaded", "keys", len(items), "revision", rev)
+	c.log.Info("state loaded", "keys", c.replica.Keys(), "revision", s.pageRev)
 	c.wantSync(nil)
 	c.tickSync()
 }
@@ -159,9 +200,14 @@
 	}
 	if o == store.OK {
 		c.recovery.seen = max(c.recovery.seen, rev)
+		for _, e := range events {
+			if id, ok := strings.CutPrefix(e.Key, jobPrefix); ok && e.Value == nil {
+				c.old.past.Packed(id) // also where the copy has never had it
+			}
+		}
 		c.replica.Advance(w.After, rev, events)
 	} else if gone {
-		s.loaded = false
+		s.loaded, s.page = false, ""
 	} else if c.recovery.due {
 		s.retryAt = now // the copy is taken anew at once
 	} else if !w.Fresh {
@@ -183,8 +229,10 @@
 	}
 	var err error
 	switch {
-	case e.Key == leadKey:
-		err = c.learnClaim(e)
+	case e.Key == leadKeyFirst || e.Key == leadKeyPast:
+		err = c.learnLead(e)
+	case e.Key == pastKey:
+		err = c.learnMark(e)
 	case strings.HasPrefix(e.Key, seatPrefix):
 		err = c.learnSeat(e.Key[len(seatPrefix):], e)
 	case strings.HasPrefix(e.Key, blockPrefix):
@@ -201,7 +249,7 @@
 		err = c.learnFinished(e.Key[len(donePrefix):], e)
 	case strings.HasPrefix(e.Key, machPrefix):
 		err = c.learnMachines(e.Key, e)
-	case strings.HasPrefix(e.Key, typePrefix):
+	case strings.HasPrefix(e.Key, typePrefix), strings.HasPrefix(e.Key, kindPrefix):
 		err = c.learnType(e)
 	}
 	if err != nil {
@@ -227,7 +275,10 @@
 
 func (c *Core) learnJob(id string, e store.Event) error {
 	if e.Value == nil {
-		return nil // job records are never removed
+		if j := c.jobs[id]; j != nil {
+			c.packed(j)
+		}
+		return nil
 	}
 	r, err := ledger.DecodeRecord(e.Value)
 	if err != nil {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -14,6 +14,9 @@
 // retryAfter is when a user who could not be served should come back.
 const retryAfter = 1 * unit.Second
 
+// maxTries bounds how often a submission is judged again by itself.
+const maxTries = 4
+
 func (c *Core) reply(req ReqID, code int, body any) { c.send(Reply{Req: req, Code: code, Body: body}) }
 
 // unavailable tells a user at once that the request could not be taken.
@@ -46,35 +49,59 @@
 		c.handOver(req, AskSubmit, id, spec, bad)
 		return
 	}
-	if spec != nil && len(c.types) > 0 && c.impossible(spec) == "" {
-		c.accept(req, id, spec)
-		return
-	}
-	// Before a refusal for good, make sure that no other node has accepted it, nor
-	// a job that it awaits.
-	c.wantSync(func(ok bool) {
-		j := c.jobs[id]
+	c.admit(newJob{req: req, id: id, spec: spec, bad: bad}, false)
+}
+
+// admit judges a submission whose id this node does not know. fresh says that the
+// copy is newer than the submission.
+func (c *Core) admit(n newJob, fresh bool) {
+	c.lookUp(n, func(n newJob, ok bool) {
+		j := c.jobs[n.id]
+		old, packed := c.old.past.Known(n.id)
+		why := ""
 		switch {
-		case !ok:
-			c.handOver(req, AskSubmit, id, spec, bad)
+		case j != nil && (fresh || !j.Active()):
+			c.answer(n.req, http.StatusOK, j, false)
+			return
 		case j != nil:
-			c.answer(req, http.StatusOK, j, false)
-		case spec == nil:
-			c.reply(req, http.StatusBadRequest, Problem{bad})
-		case len(c.types) == 0:
-			c.unavailable(req, "machine types are not known yet")
-		default:
-			if why := c.impossible(spec); why != "" {
-				c.reply(req, http.StatusUnprocessableEntity, Problem{why})
+			c.Query(c.now, n.req, n.id)
+			return
+		case packed:
+			c.answerOld(n.req, n.id, old, false)
+			return
+		case !ok:
+			c.handOver(n.req, AskSubmit, n.id, n.spec, n.bad)
+			return
+		case n.spec != nil && len(c.types) > 0:
+			if why = c.impossible(n.spec, n.absent); why == "" {
+				c.accept(n)
 				return
 			}
-			c.accept(req, id, spec)
+		}
+		switch {
+		case !fresh:
+			// Before a refusal for good, make sure that no other node has accepted
+			// it, nor a job that it awaits.
+			c.wantSync(func(ok bool) {
+				if !ok {
+					c.handOver(n.req, AskSubmit, n.id, n.spec, n.bad)
+					return
+				}
+				c.admit(n, true)
+			})
+		case n.spec == nil:
+			c.reply(n.req, http.StatusBadRequest, Problem{n.bad})
+		case len(c.types) == 0:
+			c.unavailable(n.req, "machine types are not known yet")
+		default:
+			c.reply(n.req, http.StatusUnprocessableEntity, Problem{why})
 		}
 	})
 }
 
-// impossible says why a job can never run, or "".
-func (c *Core) impossible(s *ledger.Spec) string {
+// impossible says why a job can never run, or "". absent are ids that are surely not
+// those of packed jobs.
+func (c *Core) impossible(s *ledger.Spec, absent map[string]bool) string {
 	t := c.teams[s.Team]
 	if t == nil {
 		return "unknown team"
@@ -89,7 +116,7 @@
 	if !withinLimit(t.Limit, d) {
 		return "needs more than the team's limit"
 	}
-	return c.missing(s)
+	return c.missing(s, absent)
 }
 
 // withinLimit reports whether use stays within a limit, where 0 means none.
@@ -116,17 +143,26 @@
 
 // accept stores a new job and then answers 201. Where it is not sure that the
 // job is stored the user is told to ask again; asking again does no harm.
-func (c *Core) accept(req ReqID, id string, spec *ledger.Spec) {
+func (c *Core) accept(n newJob) {
 	c.loads()
-	n := newJob{req: req, id: id, spec: spec}
+	spec, cancelled, ok := c.settleAwaits(n.spec)
+	// Nothing is accepted without a proof that it is not packed.
+	if !ok || c.old.past.On() && !n.absent[n.id] {
+		c.unavailable(n.req, "try again")
+		return
+	}
 	n.record = ledger.Record{Status: ledger.Pending, Block: c.lightest(), Tasks: spec.Tasks, Submitted: c.wall, Spec: spec}
+	if cancelled {
+		n.record = ledger.Record{Status: ledger.Cancelled, Tasks: spec.Tasks, Team: spec.Team, Demand: spec.Demand}
+	}
+	n.parts, n.stored = nil, 0
 	if n.value = n.record.Encode(); len(n.value) > c.cfg.ValueMax {
 		n.record, n.parts = n.record.Split(c.cfg.ValueMax)
 		n.value = n.record.Encode()
 	}
 	if old := c.older(); old != "" && (len(n.parts) > 0 || len(spec.Awaits) > 0) {
 		// It would start the job at once, or could not read it.
-		c.unavailable(req, "controller "+old+" still runs an older release")
+		c.unavailable(n.req, "controller "+old+" still runs an older release")
 		return
 	}
 	c.store(n)
@@ -136,7 +172,11 @@
 type newJob struct {
 	req    ReqID
 	id     string
-	spec   *ledger.Spec
+	spec   *ledger.Spec // nil: malformed, as bad says
+	bad    string
+	mark   uint64          // version of the mark when it was looked up
+	absent map[string]bool // ids that are then surely not those of packed jobs
+	tries  int
 	record ledger.Record
 	value  json.RawMessage   // its stored form
 	parts  []json.RawMessage // of its description, where that is stored in parts
@@ -147,7 +187,9 @@
 // any, and then the record, which makes the job visible.
 func (c *Core) store(n newJob) {
 	key := jobPrefix + n.id
-	w := &store.Write{Guards: []store.Guard{{Key: key}}} // also keeps late parts from an accepted job
+	// The first guard also keeps late parts from an accepted job, and the second a late
+	// record from one that was over and packed meanwhile.
+	w := &store.Write{Guards: []store.Guard{{Key: key}, {Key: pastKey, Stamp: n.mark}}}
 	last := n.stored == len(n.parts)
 	if last {
 		w.Changes = []store.Change{{Key: key, Value: n.value}}
@@ -161,13 +203,13 @@
 		case o == store.OK && !last:
 			c.store(n)
 		case o == store.OK:
-			status := ledger.Pending
+			status := n.record.Status
 			if j := c.jobs[n.id]; j != nil && !j.Active() {
 				status = j.Record.Status // it awaits a cancelled one
 			}
 			c.reply(n.req, http.StatusCreated, JobAnswer{ID: n.id, Status: status})
-		case o == store.Failed: // another node, or an earlier try, was first
-			c.Query(c.now, n.req, n.id)
+		case o == store.Failed: // another node, or an earlier try, was first; or the mark is a new one
+			c.again(n)
 		case o == store.TooLarge:
 			c.unavailable(n.req, "the state service takes no value of that size")
 		default:
@@ -179,6 +221,21 @@
 	}
 }
 
+// again judges a submission once more that was not stored for what others stored.
+func (c *Core) again(n newJob) {
+	if n.tries++; n.tries > maxTries {
+		c.unavailable(n.req, "try again")
+		return
+	}
+	c.wantSync(func(ok bool) {
+		if !ok {
+			c.handOver(n.req, AskSubmit, n.id, n.spec, n.bad)
+			return
+		}
+		c.admit(n, true)
+	})
+}
+
 // Query answers a poll. Only a final state may come from the copy as it is:
 // any other must be at least as new as the poll.
 func (c *Core) Query(now unit.Micros, req ReqID, id string) {
@@ -187,6 +244,10 @@
 		c.answer(req, http.StatusOK, j, true)
 		return
 	}
+	if a, ok := c.old.past.Known(id); ok {
+		c.answerOld(req, id, a, true)
+		return
+	}
 	if c.unserved(req) {
 		c.handOver(req, AskQuery, id, nil, "")
 		return
@@ -197,7 +258,7 @@
 		case !ok:
 			c.handOver(req, AskQuery, id, nil, "")
 		case j == nil:
-			c.reply(req, http.StatusNotFound, Problem{"no such job"})
+			c.findOld(req, id, true)
 		default:
 			c.answer(req, http.StatusOK, j, true)
 		}
@@ -218,7 +279,7 @@
 			case !ok:
 				c.handOver(req, AskAbort, id, nil, "")
 			case c.jobs[id] == nil:
-				c.reply(req, http.StatusNotFound, Problem{"no such job"})
+				c.findOld(req, id, false)
 			default:
 				c.Abort(c.now, req, id)
 			}
--- a/internal/emulator/user/user.go
+++ b/internal/emulator/user/user.go
@@ -84,6 +84,7 @@
 	PollEvery   unit.Micros // about; 5 s by default
 	LateRetries float64     // share of accepted submissions that are sent again later
 	Strangers   float64     // share of polls that are followed by one for a job that nobody submitted
+	Revisits    float64     // and by a call for any earlier job
 }
 
 type step struct {
@@ -98,6 +99,7 @@
 	kind Kind
 	id   string
 	sent unit.Micros
+	once bool
 }
 
 // Crowd is all users.
@@ -107,6 +109,7 @@
 	plans agenda.Agenda[step]
 	open  map[uint64]call
 	next  uint64
+	begun []*Job // those that were submitted, as they came
 	jobs  []*Job
 	left  int // jobs whose users are not through
 	storm float64
@@ -210,11 +213,40 @@
 		}
 	}
 	c.call(now, j, s.kind, j.ID)
+	if s.kind == Poll && c.opt.Revisits > 0 && c.rng.Float64() < c.opt.Revisits {
+		c.revisit(now)
+	}
+}
+
+// revisit asks for any job that was submitted before, as one who comes back to it long
+// after does: what became of it, the same submission, or that it be cancelled.
+func (c *Crowd) revisit(now unit.Micros) {
+	j := c.begun[c.rng.IntN(len(c.begun))]
+	switch n := c.rng.IntN(10); {
+	case !j.Accepted || j.GaveUp:
+	case n < 7:
+		c.once(now, j, Poll)
+	case n < 9:
+		c.once(now, j, Submit)
+	case j.Final != "" && !j.cancels:
+		j.cancels = true
+		c.out = append(c.out, CancelAsked{j.ID})
+		c.once(now, j, Cancel)
+	}
+}
+
+// once makes a call whose answer leads to nothing further.
+func (c *Crowd) once(now unit.Micros, j *Job, k Kind) {
+	c.call(now, j, k, j.ID)
+	o := c.open[c.next]
+	o.once = true
+	c.open[c.next] = o
 }
 
 // begin is a job's first attempt. What it awaits is known by now.
 func (c *Crowd) begin(now unit.Micros, j *Job) {
 	j.first = max(now, 1)
+	c.begun = append(c.begun, j)
 	c.out = append(c.out, Planned{j})
 	if j.CancelAfter > 0 {
 		c.plans.Add(now+j.CancelAfter, step{job: j, kind: Cancel})
@@ -226,7 +258,7 @@
 
 func (c *Crowd) call(now unit.Micros, j *Job, k Kind, id string) {
 	c.next++
-	c.open[c.next] = call{j, k, id, now}
+	c.open[c.next] = call{job: j, kind: k, id: id, sent: now}
 	e := Call{Number: c.next, Kind: k, ID: id, Wait: submitWait}
 	if k == Poll {
 		e.Wait = pollWait
@@ -249,7 +281,7 @@
 	}
 	delete(c.open, number)
 	c.out = append(c.out, Told{o.kind, o.id, now - o.sent, a})
-	if o.job == nil {
+	if o.job == nil || o.once {
 		return
 	}
 	switch o.kind {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
@@ -133,14 +134,24 @@
 		n.peers.Send(e.Node, e.Message)
 	case core.List:
 		go func() {
-			o, rev, items := n.state.List(core.Root)
-			n.tell(func(c *core.Core, now unit.Micros) { c.OnList(now, o, rev, items) })
+			o, rev, items, more := n.state.List(core.Root, e.After, core.ListPage)
+			n.tell(func(c *core.Core, now unit.Micros) { c.OnList(now, e, o, rev, items, more) })
 		}()
 	case core.Watch:
 		go func() {
 			o, rev, events, gone := n.state.Watch(core.Root, e.After, e.Wait)
 			n.tell(func(c *core.Core, now unit.Micros) { c.OnChanges(now, e, o, rev, events, gone) })
 		}()
+	case core.ReadKey:
+		go func() {
+			o, value, stamp, rev := n.state.Get(e.Key)
+			n.tell(func(c *core.Core, now unit.Micros) { c.OnKey(now, e, o, value, stamp, rev) })
+		}()
+	case core.ScanKeys:
+		go func() {
+			o, _, items, more := n.state.List(past.Prefix, e.After, e.Page)
+			n.tell(func(c *core.Core, now unit.Micros) { c.OnScan(now, e, o, items, more) })
+		}()
 	case core.Commit:
 		go func() {
 			o, rev, failed := n.state.Commit(e.Txn)
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -94,6 +94,7 @@
 			Quota:      config.Quota{CPU: n.CPU, RAMMB: n.MemoryMB, FDLimit: n.Sockets},
 			ClockErrMs: n.ClockErrorMS}}
 	out.Tuning.LeaseS, out.Tuning.BlockSize = n.LeaseS, n.BlockMachines
+	out.Tuning.KeepDone, out.Tuning.PackSettleS = n.KeepDone, n.PackSettleS
 	for k := range n.Count {
 		if k != i {
 			name := NodeName(k)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -73,35 +75,46 @@
 	return code, store.Failed
 }
 
-// List reads every key with the prefix, and the revision at which it began.
-func (c *Client) List(prefix string) (store.Outcome, uint64, []store.Event) {
-	var rev uint64
-	var out []store.Event
-	after := ""
-	for page := 0; ; page++ {
-		if !c.limit.Allow() {
-			time.Sleep(50 * time.Millisecond)
-		}
-		q := url.Values{"starts": {prefix}, "page": {"500"}}
-		if after != "" {
-			q.Set("after", after)
-		}
-		var l wire.Listing
-		_, o := c.call(http.MethodGet, wire.KeysPath+"?"+q.Encode(), listTimeout, nil, &l)
-		if o != store.OK {
-			return o, 0, nil
-		}
-		if page == 0 {
-			rev = l.Revision
-		}
-		for _, it := range l.Items {
-			out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
-		}
-		if !l.More || len(l.Items) == 0 {
-			return store.OK, rev, out
-		}
-		after = l.Items[len(l.Items)-1].Key
+// List reads keys with a prefix that come after a key, as many as a page holds, and
+// the revision at which it read them. more says that there are others.
+func (c *Client) List(prefix, after string, page int) (o store.Outcome, rev uint64, items []store.Event, more bool) {
+	if !c.limit.Allow() {
+		return store.Refused, 0, nil, false
+	}
+	q := url.Values{"starts": {prefix}, "page": {strconv.Itoa(page)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var l wire.Listing
+	if _, o = c.call(http.MethodGet, wire.KeysPath+"?"+q.Encode(), listTimeout, nil, &l); o != store.OK {
+		return o, 0, nil, false
+	}
+	for _, it := range l.Items {
+		items = append(items, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+	}
+	return store.OK, l.Revision, items, l.More
+}
+
+// Get reads one key. A key that does not exist has no value; rev is then the revision
+// of the service, which tells none otherwise.
+func (c *Client) Get(key string) (o store.Outcome, value json.RawMessage, stamp, rev uint64) {
+	if !c.limit.Allow() {
+		return store.Refused, nil, 0, 0
+	}
+	var it struct {
+		wire.Entry
+		wire.Revision
+	}
+	code, o := c.call(http.MethodGet, wire.KeysPath+"/"+key, callTimeout, nil, &it)
+	switch {
+	case o == store.OK:
+		return o, it.Value, it.Stamp, 0
+	case code == http.StatusNotFound:
+		return store.OK, nil, 0, it.Revision.Revision
+	case o == store.Failed:
+		return store.Unknown, nil, 0, 0
 	}
+	return o, nil, 0, 0
 }
 
 // Watch reads the changes after a revision, waiting for one if there is none.
