--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -24,7 +24,9 @@
 	Shrink bool     `help:"Of a play that breaks a rule, print the scenario with all faults and jobs left out that it does not need."`
 	JSON   bool     `name:"json" help:"Print JSON."`
 	JUnit  string   `name:"junit" placeholder:"FILE" help:"Write the verdicts there as JUnit's XML."`
-	Log    string   `enum:",error,info,debug" default:"" help:"Print the controllers' logs of this level, in simulated time."`
+	Census string   `placeholder:"FILE" help:"Of one play, write there as CSV how many keys and jobs there are, again and again."`
+	Every  float64  `default:"3600" help:"Simulated seconds between two such counts."`
+	Log    string   `enum:",error,warn,info,debug" default:"" help:"Print the controllers' logs of this level, in simulated time."`
 }
 
 // Help implements kong's long help.
@@ -57,6 +59,17 @@
 	if o.Log != "" {
 		opt.Log = logInto(o.Log)
 	}
+	if o.Census != "" {
+		if len(plays) != 1 || o.Real {
+			return unusable(errors.New("--census is for one play in simulated time"))
+		}
+		f, err := os.Create(o.Census)
+		if err != nil {
+			return unusable(err)
+		}
+		defer f.Close()
+		opt.Census, opt.CensusEvery = rehearse.WriteCensus(f), unit.Seconds(o.Every)
+	}
 	// A play makes much that is soon garbage, and little that stays.
 	debug.SetGCPercent(400)
 	var list []rehearse.Verdict
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -24,6 +24,10 @@
 	descSeated      = desc("seated", "1 while the controller has a seat in the state service.")
 	descLeading     = desc("leading", "1 while the controller leases blocks to the others.")
 	descKnownJobs   = desc("jobs_known", "Jobs in the controller's copy, final ones included.")
+	descKeptDone    = desc("jobs_kept_done", "Jobs that are over and not packed.")
+	descPacked      = desc("jobs_packed", "Packed jobs that the filter holds.")
+	descLooked      = desc("buckets_read", "Buckets of packed jobs read since the start.")
+	descShed        = desc("lookups_refused", "Look-ups of packed jobs refused since the start, as there were too many.")
 	descActiveJobs  = desc("jobs_active", "Jobs that are not over, of all blocks.")
 	descAwaitJobs   = desc("jobs_awaiting", "Jobs that wait for other jobs to be done, of all blocks.")
 	descWrites      = desc("writes_waiting", "Changes that wait for the state service.")
@@ -35,7 +39,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descActiveJobs, descAwaitJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
+	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descKeptDone, descPacked, descLooked, descShed, descActiveJobs, descAwaitJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
 		ch <- d
 	}
 }
@@ -53,6 +57,10 @@
 	put(descSeated, flag[s.Seated])
 	put(descLeading, flag[s.Leading])
 	put(descKnownJobs, float64(s.KnownJobs))
+	put(descKeptDone, float64(s.KeptDone))
+	put(descPacked, float64(s.PackedIDs))
+	put(descLooked, float64(s.Looked))
+	put(descShed, float64(s.Shed))
 	put(descActiveJobs, float64(s.ActiveJobs))
 	put(descAwaitJobs, float64(s.AwaitJobs))
 	put(descWrites, float64(s.Writes))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 import (
 	"log/slog"
 	"slices"
+	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
@@ -304,7 +305,7 @@
 			c.recovery.seen = max(c.recovery.seen, rev)
 		}
 		for _, ch := range t.Changes {
-			if ch.Value != nil {
+			if ch.Value != nil && strings.HasPrefix(ch.Key, root) { // buckets are in no copy
 				learn(store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev})
 			}
 		}
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -103,9 +103,8 @@
 	}
 	if now := c.old.past.On(); now && !was {
 		c.log.Info("jobs that are over are packed from now on")
-		if e, ok := c.old.leads[leadKeyPast]; ok {
-			return c.learnClaim(e)
-		}
+		// Also where nobody claims it: what keeps older releases out is no claim.
+		return c.learnClaim(c.old.leads[leadKeyPast])
 	}
 	return nil
 }
@@ -235,9 +234,9 @@
 		}
 		mark = past.Mark{Release: release, Cut: c.replica.Rev + 1}
 		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.replica.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
-			store.Change{Key: pastKey, Value: store.Value(mark)},
 			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
-			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})})
+			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})},
+			store.Change{Key: pastKey, Value: store.Value(mark)})
 		o.markAt = c.now + unit.Second
 		return true
 	}
@@ -398,6 +397,26 @@
 	return &out, cancelled, true
 }
 
+// endAgain puts right what a service that went back lists as unfinished although it is
+// known here that it was over and packed: it must not start again. It returns what is
+// to be written.
+func (c *Core) endAgain(items []store.Event) []store.Event {
+	var again []store.Event
+	for i, e := range items {
+		id, isJob := strings.CutPrefix(e.Key, jobPrefix)
+		if !isJob || c.jobs[id] != nil {
+			continue
+		}
+		a, known := c.old.past.Known(id)
+		if r, err := ledger.DecodeRecord(e.Value); !known || err != nil || r.Status.Final() {
+			continue
+		}
+		items[i].Value = ledger.Record{Status: a.Status, Tasks: a.Tasks, Ended: a.Ended}.Encode()
+		again = append(again, items[i])
+	}
+	return again
+}
+
 // doubt looks at what is remembered of packed jobs after the state service went back:
 // what it has lost of them is written again.
 func (c *Core) doubt() {
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -71,13 +71,13 @@
 // reload takes a listing after the state service went back.
 func (c *Core) reload(rev uint64, items []store.Event) {
 	c.recovery.due, c.recovery.seen = false, rev
+	again := c.endAgain(items)
 	listed := make(map[string]uint64, len(items))
 	values := make(map[string]json.RawMessage, len(items))
 	for _, e := range items {
 		listed[e.Key], values[e.Key] = e.Stamp, e.Value
 	}
 	keep := map[string]bool{}
-	var again []store.Event
 	for _, e := range c.recovery.memory.Lost(listed) {
 		if v, ok := c.newer(e, values[e.Key]); ok {
 			keep[e.Key] = true
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -10,10 +10,15 @@
 type Stats struct {
 	Seated     bool
 	Leading    bool
-	KnownJobs  int // final ones included
-	ActiveJobs int // of all blocks
-	AwaitJobs  int // of those, the ones that wait for others to be done
-	Writes     int // that wait for the state service
+	KnownJobs  int    // in memory, final ones included
+	Keys       int    // in the copy
+	KeptDone   int    // jobs that are over and not packed
+	PackedIDs  int    // packed jobs that the filter holds
+	Looked     uint64 // buckets read since the start
+	Shed       uint64 // look-ups refused since the start
+	ActiveJobs int    // of all blocks
+	AwaitJobs  int    // of those, the ones that wait for others to be done
+	Writes     int    // that wait for the state service
 	Blocks     []BlockStats
 }
 
@@ -36,6 +41,8 @@
 // Stats answers a request for the present figures.
 func (c *Core) Stats(req ReqID) {
 	s := Stats{Seated: c.seat.id != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
+	s.Keys, s.KeptDone, s.Looked, s.Shed = c.replica.Keys(), c.old.packer.Len(), c.old.past.Looked, c.old.past.Shed
+	_, s.PackedIDs = c.old.past.Whole()
 	for _, l := range c.lanes {
 		s.Writes += l.Len()
 	}
--- a/internal/emulator/kv/kv.go
+++ b/internal/emulator/kv/kv.go
@@ -231,6 +231,21 @@
 // LastLease returns the highest lease ever given.
 func (s *Service) LastLease() uint64 { return s.nextLease }
 
+// Prefixes returns how many keys there are by the part up to their last slash but
+// one: the folder that they are in, below the first.
+func (s *Service) Prefixes() map[string]int {
+	out := map[string]int{}
+	s.keys.Ascend(func(it Item) bool {
+		top, rest, _ := strings.Cut(it.Key, "/")
+		if folder, _, ok := strings.Cut(rest, "/"); ok {
+			top += "/" + folder
+		}
+		out[top]++
+		return true
+	})
+	return out
+}
+
 // Len returns how many keys there are.
 func (s *Service) Len() int { return s.keys.Len() }
 
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -40,6 +40,9 @@
 	Break Broken
 	// Log returns a controller's log; nil: none.
 	Log func(node string, now func() unit.Micros) *slog.Logger
+	// Census, if set, is told what there is, again and again.
+	Census      func(Census)
+	CensusEvery unit.Micros
 }
 
 // Broken programs, for showing that the checker notices them. Each field, if set,
@@ -96,6 +99,7 @@
 	for _, n := range w.Nodes {
 		n.start()
 	}
+	w.count()
 	w.Faults = slices.Clone(s.Faults)
 	if d := s.Draw; d.ToS > 0 {
 		w.Faults = append(w.Faults, Drawn(s, seed, stream(17))...)
--- /dev/null
+++ b/internal/rehearse/census.go
@@ -0,0 +1,39 @@
+package rehearse
+
+import (
+	"encoding/csv"
+	"io"
+	"strconv"
+
+	"shalestage.example/shalestage/internal/emulator/sim"
+)
+
+// folders are the columns of a census: the folders of the state service that are
+// there for more than a moment.
+var folders = []string{"shalestage/job", "shalestage/part", "shalestage/progress", "shalestage/machine", "shalestage/type", "shalestage/kind",
+	"shalestage/seat", "shalestage/block", "shalestage/share", "shalestage", "shalestage-past"}
+
+// WriteCensus returns what writes each census as a line of CSV: the time in seconds,
+// keys by folder, and the largest figures of any controller.
+func WriteCensus(w io.Writer) func(sim.Census) {
+	out := csv.NewWriter(w)
+	head := append([]string{"at_s"}, folders...)
+	_ = out.Write(append(head, "jobs_in_memory", "keys_in_memory", "kept_done", "packed", "buckets_read", "lookups_refused", "heap_mb"))
+	return func(c sim.Census) {
+		line := []string{strconv.FormatFloat(c.At.Seconds(), 'f', 0, 64)}
+		for _, f := range folders {
+			line = append(line, strconv.Itoa(c.Keys[f]))
+		}
+		var jobs, keys, kept, packed int
+		var read, shed uint64
+		for _, n := range c.Nodes {
+			jobs, keys, kept, packed = max(jobs, n.KnownJobs), max(keys, n.Keys), max(kept, n.KeptDone), max(packed, n.PackedIDs)
+			read, shed = max(read, n.Looked), max(shed, n.Shed)
+		}
+		for _, n := range []int{jobs, keys, kept, packed, int(read), int(shed)} {
+			line = append(line, strconv.Itoa(n))
+		}
+		_ = out.Write(append(line, strconv.FormatFloat(c.HeapMB, 'f', 0, 64)))
+		out.Flush() // a long play is looked at while it goes on
+	}
+}
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -147,7 +147,7 @@
 	for _, v := range []struct {
 		field     string
 		v, lo, hi float64
-	}{{"at_s", f.AtS, 0, 1e6}, {"for_s", f.ForS, 0, 1e6}, {"count", float64(f.Count), 0, 1e6}, {"share", f.Share, 0, 1}, {"every_s", f.EveryS, 0, 1e6},
+	}{{"at_s", f.AtS, 0, 1e7}, {"for_s", f.ForS, 0, 1e6}, {"count", float64(f.Count), 0, 1e6}, {"share", f.Share, 0, 1}, {"every_s", f.EveryS, 0, 1e6},
 		{"times", f.Times, 0, 1e4}, {"per_hour", f.PerHour, 0, 1e6}, {"notice_s", f.NoticeS, 0, 3600}, {"delay_ms", f.DelayMS, 0, 60_000},
 		{"rps", f.RPS, 0, 1e6}, {"write_rps", f.WriteRPS, 0, 1e6}, {"value_kb", f.ValueKB, 0, 1e6}, {"txn_ops", float64(f.TxnOps), 0, 1e6}} {
 		if !(v.v >= v.lo && v.v <= v.hi) {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -456,7 +456,7 @@
 		c.within(at+".run_s", j.RunS, 0, maxAmount)
 		c.within(at+".vary", j.Vary, 0, 1)
 		c.within(at+".at_s", j.AtS, 0, maxAmount)
-		c.within(at+".count", float64(j.Count), 0, 1e6)
+		c.within(at+".count", float64(j.Count), 0, 1e7)
 		c.within(at+".every_s", j.EveryS, 0, maxAmount)
 		c.within(at+".cancel_after_s", j.CancelAfterS, 0, maxAmount)
 		for k, a := range j.Awaits {
