Backup, verify, restore and audit of what the state service keeps

Need: nothing could be saved or put back, and nothing told what grew without reason. A backup is a listing with the changes since, in checked zstd chunks, as of one revision; restore goes into an empty service, with every later term above those that workers can have seen; audit tells parts, progress, machines and blocks that belong to nothing, and clears what guarded deletes make safe.

--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kong"
 )
 
-const version = "0.4.0"
+const version = "0.5.0"
 
 // Exit statuses. Those of status tell a job's state to scripts.
 const (
@@ -46,6 +46,10 @@
 	Jobs     jobsCmd          `cmd:"" help:"List the jobs that were submitted from here."`
 	Fault    faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
 	Rehearse rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
+	Backup   backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
+	Verify   verifyCmd        `cmd:"" help:"Read a backup through."`
+	Restore  restoreCmd       `cmd:"" help:"Put a backup into an empty state service."`
+	Audit    auditCmd         `cmd:"" help:"Look for what should not be in the state service, or in a backup."`
 	Emulate  emulateCmd       `cmd:"" hidden:"" help:"Run one of the emulator's processes."`
 	Version  kong.VersionFlag `help:"Print the version and stop."`
 }
--- /dev/null
+++ b/internal/backup/audit.go
@@ -0,0 +1,158 @@
+package backup
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
+)
+
+// Report is what an audit found.
+type Report struct {
+	Keys     map[string]int `json:"keys"` // by folder
+	Packed   int            `json:"packed_jobs"`
+	Findings []core.Finding `json:"findings"`
+}
+
+func report(in *core.Inspector) Report {
+	keys, packed := in.Keys()
+	return Report{keys, packed, in.Findings()}
+}
+
+// AuditLive looks at a state service twice, as what one look shows of keys that change
+// meanwhile does not belong together: only what both have found counts.
+func AuditLive(s Service, o Options) (Report, error) {
+	o.fill()
+	first, err := look(s, o)
+	if err != nil || len(first.Findings) == 0 {
+		return first, err
+	}
+	second, err := look(s, o)
+	if err != nil {
+		return second, err
+	}
+	second.Findings = slices.DeleteFunc(second.Findings, func(f core.Finding) bool {
+		return !slices.ContainsFunc(first.Findings, func(g core.Finding) bool { return f.Kind == g.Kind && f.Key == g.Key })
+	})
+	return second, nil
+}
+
+func look(s Service, o Options) (Report, error) {
+	in := core.NewInspector()
+	b := &saving{s: s, o: o}
+	for _, part := range []struct {
+		prefix string
+		page   int
+		f      func(store.Event)
+	}{{core.Root, pageKeys, in.Look}, {past.Prefix, 64, in.LookBucket}} {
+		after, more := "", true
+		for more {
+			err := b.again("listing", func() store.Outcome {
+				o, _, items, rest := s.List(part.prefix, after, part.page)
+				if o != store.OK {
+					return o
+				}
+				for _, e := range items {
+					part.f(e)
+					after = e.Key
+				}
+				more = rest && len(items) > 0
+				return o
+			})
+			if err != nil {
+				return Report{}, err
+			}
+		}
+	}
+	return report(in), nil
+}
+
+// AuditFile looks at a backup, which is read twice, so that its size does not
+// matter. Only the last that it shows of a key counts.
+func AuditFile(open func() (io.ReadCloser, error)) (Report, error) {
+	pass := func(f func(n int, e store.Event)) error {
+		r, err := open()
+		if err != nil {
+			return err
+		}
+		n := 0
+		var s Summary
+		err = Each(r, &s, func(e store.Event) error {
+			n++
+			f(n, e)
+			return nil
+		})
+		return errors.Join(err, r.Close())
+	}
+	last := map[string]int{} // of buckets, and of what came more than once
+	live := map[string]store.Event{}
+	in := core.NewInspector()
+	err := pass(func(n int, e store.Event) {
+		switch {
+		case strings.HasPrefix(e.Key, past.Prefix):
+			last[e.Key] = n
+		case !strings.HasPrefix(e.Key, core.Root):
+		case e.Value == nil:
+			delete(live, e.Key)
+		default:
+			e.Stamp = uint64(n)
+			live[e.Key] = e
+		}
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	for _, k := range slices.Sorted(maps.Keys(live)) {
+		e := live[k]
+		in.Look(e)
+	}
+	err = pass(func(n int, e store.Event) {
+		if last[e.Key] == n && e.Value != nil {
+			in.LookBucket(e)
+		}
+	})
+	rep := report(in)
+	// Seats have no versions in a file, and their blocks are granted anew after a restore.
+	rep.Findings = slices.DeleteFunc(rep.Findings, func(f core.Finding) bool { return f.Kind == "no_seat" })
+	for i := range rep.Findings {
+		rep.Findings[i].Clear, rep.Findings[i].Fix = nil, false
+	}
+	return rep, err
+}
+
+// Fix clears what is safe to clear, and returns how many findings that were. Each is
+// guarded by the versions that were seen: what has changed since is left alone.
+func Fix(s Service, list []core.Finding, ops int, o Options) (int, error) {
+	o.fill()
+	b := &saving{s: s, o: o}
+	cleared := 0
+	for _, f := range list {
+		if f.Clear == nil {
+			continue
+		}
+		failed := false
+		for left := f.Clear.Changes; len(left) > 0 && !failed; {
+			n := min(len(left), ops)
+			err := b.again("clearing", func() store.Outcome {
+				o, _, _ := s.Commit(&store.Txn{Guards: f.Clear.Guards, Changes: left[:n]})
+				if failed = o == store.Failed; failed {
+					return store.OK // no longer so
+				}
+				return o
+			})
+			if err != nil {
+				return cleared, err
+			}
+			left = left[n:]
+		}
+		if !failed {
+			cleared++
+		}
+	}
+	return cleared, nil
+}
--- /dev/null
+++ b/internal/backup/backup_test.go
@@ -0,0 +1,270 @@
+package backup_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/backup"
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	_ "shalestage.example/shalestage/internal/fixedseed"
+)
+
+// service is the model of the state service, in which something happens before each
+// request.
+type service struct {
+	m      *kv.Service
+	now    unit.Micros
+	before func()
+	lost   func() bool // carried out, and the answer lost
+}
+
+func newService() *service {
+	return &service{m: kv.New(kv.Limits{Rate: 1e6, WriteRate: 1e6, ValueBytes: 8 << 10, TxnOps: 12}, rand.New(rand.NewPCG(1, 2)))}
+}
+
+func (s *service) ask() {
+	s.now += unit.Second
+	if s.before != nil {
+		s.before()
+	}
+}
+
+func (s *service) outcome(code int) store.Outcome {
+	switch {
+	case s.lost != nil && s.lost():
+		return store.Unknown
+	case code == 200:
+		return store.OK
+	case code == 409:
+		return store.Failed
+	case code == 400:
+		return store.TooLarge
+	}
+	return store.Refused
+}
+
+func (s *service) List(prefix, after string, page int) (store.Outcome, uint64, []store.Event, bool) {
+	s.ask()
+	l := s.m.List(s.now, "x", prefix, after, min(page, 3))
+	var out []store.Event
+	for _, it := range l.Items {
+		out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+	}
+	return s.outcome(l.Code), l.Rev, out, l.More
+}
+
+func (s *service) Watch(prefix string, after uint64, _ unit.Micros) (store.Outcome, uint64, []store.Event, bool) {
+	s.ask()
+	s.m.Watch(s.now, 1, "x", prefix, after, 0)
+	c := s.m.Drain()[0]
+	var out []store.Event
+	for _, e := range c.Events {
+		out = append(out, store.Event{Key: e.Key, Value: e.Value, Stamp: e.Stamp})
+	}
+	return s.outcome(c.Code), c.Rev, out, c.Code == 410
+}
+
+func (s *service) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
+	s.ask()
+	r := s.commit(t)
+	return s.outcome(r.Code), r.Rev, r.Failed
+}
+
+func (s *service) commit(t *store.Txn) kv.Result {
+	var k kv.Txn
+	for _, g := range t.Guards {
+		k.Guards = append(k.Guards, kv.Guard{Key: g.Key, Stamp: g.Stamp})
+	}
+	for _, c := range t.Changes {
+		k.Changes = append(k.Changes, kv.Change{Key: c.Key, Value: c.Value})
+	}
+	return s.m.Commit(s.now, "x", k)
+}
+
+func (s *service) all() map[string]string {
+	out := map[string]string{}
+	after := ""
+	for {
+		l := s.m.List(s.now, "x", "", after, 0)
+		for _, it := range l.Items {
+			out[it.Key], after = string(it.Value), it.Key
+		}
+		if !l.More {
+			return out
+		}
+	}
+}
+
+func options() backup.Options {
+	return backup.Options{Rate: 1e9, Chunk: 300, Sleep: func(time.Duration) {}, Now: func() time.Time { return time.Unix(1_700_000_000, 0) }}
+}
+
+// cut is a file that takes so many bytes and then no more.
+type cut struct {
+	bytes.Buffer
+	left int
+}
+
+func (c *cut) Write(b []byte) (int, error) {
+	n := min(len(b), c.left)
+	c.left -= n
+	c.Buffer.Write(b[:n])
+	if n < len(b) {
+		return n, errors.New("cut short")
+	}
+	return n, nil
+}
+
+// A backup that is made while keys change shows them all as of its revision, also
+// when it was cut short and gone on with, and a service it is put back into has the
+// same keys, but for those of leases and for a term above any that was given out.
+func TestBackupIsOfOneMoment(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newService()
+		seen := map[uint64]map[string]string{}
+		change := func() {
+			for range rapid.IntRange(0, 3).Draw(t, "changes") {
+				key := fmt.Sprintf("shalestage/job/wk-%06d", rapid.IntRange(0, 30).Draw(t, "key"))
+				c := store.Change{Key: key}
+				if rapid.IntRange(0, 3).Draw(t, "removes") > 0 {
+					c.Value = json.RawMessage(fmt.Sprintf(`{"status":"done","tasks":%d}`, rapid.IntRange(1, 9).Draw(t, "tasks")))
+				}
+				s.commit(&store.Txn{Changes: []store.Change{c}})
+			}
+			seen[s.m.Rev()] = s.all()
+		}
+		s.commit(&store.Txn{Changes: []store.Change{
+			{Key: core.TermKey, Value: store.Value(lead.Term{Term: 7, Node: "a"})},
+			{Key: "shalestage/leader", Value: store.Value(lead.Claim{Term: 7, Node: "a"})},
+			{Key: "shalestage/seat/a", Value: store.Value(lead.Seat{Node: "a"})}}})
+		for range 10 {
+			change()
+		}
+		s.before = change
+		file := &cut{left: rapid.IntRange(0, 4000).Draw(t, "cut")}
+		foot, err := backup.Save(s, file, nil, options())
+		if err != nil {
+			from, err := backup.Resume(bytes.NewReader(file.Bytes()))
+			end := int64(0)
+			if from != nil && err == nil {
+				end = from.Offset
+			}
+			file.Truncate(int(end))
+			file.left = 1 << 30
+			if foot, err = backup.Save(s, file, from, options()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := backup.Verify(bytes.NewReader(file.Bytes())); err != nil {
+			t.Fatal(err)
+		}
+		// Damage of any byte is noticed before anything is written.
+		bad := bytes.Clone(file.Bytes())
+		bad[rapid.IntRange(0, len(bad)-1).Draw(t, "byte")] ^= byte(rapid.IntRange(1, 255).Draw(t, "flip"))
+		var d *backup.Damage
+		if _, err := backup.Verify(bytes.NewReader(bad)); !errors.As(err, &d) {
+			t.Fatalf("a damaged byte: %v", err)
+		}
+		to := newService()
+		to.lost = func() bool { return rapid.IntRange(0, 9).Draw(t, "answer lost") == 0 }
+		done, err := backup.Restore(to, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: options(), Ops: rapid.IntRange(3, 12).Draw(t, "ops")})
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := maps.Clone(seen[foot.Rev])
+		if want == nil {
+			t.Fatalf("revision %d was never there", foot.Rev)
+		}
+		delete(want, "shalestage/leader")
+		delete(want, "shalestage/seat/a")
+		want[core.TermKey] = string(store.Value(lead.Term{Term: done.Term, Node: "a"}))
+		if got := to.all(); !maps.Equal(got, want) || done.Term < 1007 {
+			t.Fatalf("term %d; restored\n%v\nwant\n%v", done.Term, got, want)
+		}
+		to.lost = nil
+		if _, err := backup.Restore(to, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: options(), Ops: 3}); !errors.Is(err, backup.ErrNotEmpty) {
+			t.Fatalf("into a service that is not empty: %v", err)
+		}
+		if _, err := backup.Restore(to, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: options(), Ops: 3, Force: true}); err != nil || !maps.Equal(to.all(), want) {
+			t.Fatalf("forced: %v", err)
+		}
+	})
+}
+
+// TestAudit plants one of each thing that should not be there, and has what is safe
+// cleared.
+func TestAudit(t *testing.T) {
+	s := newService()
+	spec := `{"class":"c","team":"t","tasks":1,"demand":[1,0,1],"image":"","image_mb":0,"estimate":1,"awaits":["wk-000099","wk-000050"]}`
+	for _, c := range []struct{ key, value string }{
+		{"shalestage/job/wk-000001", `{"status":"pending","tasks":1,"spec":` + spec + `}`},
+		{"shalestage/job/wk-000002", `{"status":"done","tasks":1}`},
+		{"shalestage/job/wk-000003", `{"status":"pending","tasks":1,"parts":2,"sum":"00"}`},
+		{"shalestage/job/wk-000004", `"what"`},
+		{"shalestage/part/wk-000002/00/0", `{"text":"x"}`},
+		{"shalestage/part/wk-000003/00/0", `{"text":"x"}`},
+		{"shalestage/part/wk-000077/00/0", `{"text":"x"}`},
+		{"shalestage/progress/wk-000002/0", `{"tasks":"0"}`},
+		{"shalestage/progress/wk-000078/0", `{"tasks":"0"}`},
+		{"shalestage/progress/wk-000001/0", `{"tasks":"0"}`},
+		{"shalestage/machine/r-1", `{"type":"a","zone":"b","block":3}`},
+		{"shalestage/block/0", `{"term":1,"number":1,"node":"a","seat":5}`},
+		{"shalestage/other", `1`},
+		{"shalestage-past/00000000", `{"bits":0,"jobs":"1e+1"}`}, // wk-000050
+		{"shalestage-past/00000004", `{"bits":3,"jobs":""}`},
+		{"shalestage-past/00000005", `{"bits":0,"jobs":""}`},
+	} {
+		s.commit(&store.Txn{Changes: []store.Change{{Key: c.key, Value: json.RawMessage(c.value)}}})
+	}
+	rep, err := backup.AuditLive(s, options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, f := range rep.Findings {
+		got = append(got, f.Kind+" "+f.Key)
+	}
+	slices.Sort(got)
+	want := []string{"awaits_nothing shalestage/job/wk-000001", "foreign shalestage/other", "headless shalestage/part/wk-000077/00/0",
+		"incomplete shalestage/job/wk-000003", "leftover shalestage/part/wk-000002/00/0", "leftover shalestage/progress/wk-000002/0",
+		"leftover shalestage/progress/wk-000078/0", "misplaced shalestage-past/00000004", "no_block shalestage/machine/r-1",
+		"no_machines shalestage/machine/r-1", "no_seat shalestage/block/0", "unreadable shalestage-past/00000005", "unreadable shalestage/job/wk-000004"}
+	if !slices.Equal(got, want) {
+		t.Errorf("found\n%q\nwant\n%q", got, want)
+	}
+	// The same of a backup; nothing there is to be cleared, and no seat stands.
+	var file bytes.Buffer
+	if _, err := backup.Save(s, &file, nil, options()); err != nil {
+		t.Fatal(err)
+	}
+	saved, err := backup.AuditFile(func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(file.Bytes())), nil })
+	if err != nil || len(saved.Findings) != len(want)-1 || saved.Packed != 1 {
+		t.Errorf("of the backup: %v, %+v", err, saved)
+	}
+	// One of them gets its record before it is cleared: it stays.
+	s.commit(&store.Txn{Changes: []store.Change{{Key: "shalestage/job/wk-000078", Value: json.RawMessage(`{"status":"pending","tasks":1}`)}}})
+	if n, err := backup.Fix(s, rep.Findings, 3, options()); err != nil || n != 3 {
+		t.Errorf("%d cleared, %v", n, err)
+	}
+	left := s.all()
+	for key, there := range map[string]bool{"shalestage/part/wk-000002/00/0": false, "shalestage/progress/wk-000002/0": false,
+		"shalestage/progress/wk-000078/0": true, "shalestage/machine/r-1": false, "shalestage/part/wk-000077/00/0": true} {
+		if _, ok := left[key]; ok != there {
+			t.Errorf("%s is there: %v", key, ok)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backup/restore.go
@@ -0,0 +1,224 @@
+package backup
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
+)
+
+// restoreKey is there while a restore is under way. Each of its transactions guards
+// and rewrites it, so that none that comes late changes what later ones have written.
+const restoreKey = "shalestage-restore"
+
+// ErrNotEmpty says that the state service holds something already.
+var ErrNotEmpty = errors.New("the state service is not empty")
+
+// RestoreOptions say how a backup is put back.
+type RestoreOptions struct {
+	Options
+	Force bool // what is there is removed first
+	Ops   int  // changes of one transaction
+	// Above is the least that the next term must be above; 0: by the age of the backup.
+	Above uint64
+}
+
+// termsAtLeast is added to a backup's term beside one for each second of its age: a
+// leader's end is noticed after a lease, so terms never rise faster.
+const termsAtLeast = 1000
+
+// Restored is what a restore has done.
+type Restored struct {
+	Keys    int    `json:"keys"` // written, some more than once
+	Skipped int    `json:"skipped"`
+	Term    uint64 `json:"term"` // that every later term is above
+}
+
+type restoring struct {
+	s     Service
+	o     RestoreOptions
+	stamp uint64
+	batch []store.Change
+	size  int
+	out   Restored
+}
+
+// Restore puts a backup back that was verified before. Every token that is given out
+// afterwards is above all that workers can have seen, also after the backup.
+func Restore(s Service, r io.Reader, o RestoreOptions) (Restored, error) {
+	o.fill()
+	w := &restoring{s: s, o: o}
+	if err := w.clear(); err != nil {
+		return w.out, err
+	}
+	var sum Summary
+	term := lead.Term{}
+	err := Each(r, &sum, func(e store.Event) error {
+		if e.Key == core.TermKey {
+			if e.Value != nil {
+				if err := json.Unmarshal(e.Value, &term); err != nil {
+					return fmt.Errorf("%s: %w", e.Key, err)
+				}
+			}
+			return nil
+		}
+		if core.IsLeased(e) {
+			w.out.Skipped++ // it ended with its controller's lease
+			return nil
+		}
+		if e.Key == core.PastKey && e.Value != nil {
+			var m past.Mark
+			if err := json.Unmarshal(e.Value, &m); err != nil {
+				return fmt.Errorf("%s: %w", e.Key, err)
+			}
+			m.Cut = 0 // revisions begin anew
+			e.Value = store.Value(m)
+		}
+		return w.add(store.Change{Key: e.Key, Value: e.Value})
+	})
+	if err != nil {
+		return w.out, err
+	}
+	began, err := time.Parse(time.RFC3339, sum.Began)
+	if err != nil {
+		return w.out, fmt.Errorf("the backup's time: %w", err)
+	}
+	age := max(0, o.Now().Sub(began).Seconds())
+	term.Term = max(term.Term+termsAtLeast+uint64(age), o.Above)
+	if term.Term > lead.MaxTerm {
+		return w.out, fmt.Errorf("term %d: there are no more than %d", term.Term, uint64(lead.MaxTerm))
+	}
+	w.out.Term = term.Term
+	if err := w.add(store.Change{Key: core.TermKey, Value: store.Value(term)}); err != nil {
+		return w.out, err
+	}
+	if err := w.flush(); err != nil {
+		return w.out, err
+	}
+	return w.out, w.end()
+}
+
+// clear begins: into an empty service only, unless forced.
+func (w *restoring) clear() error {
+	var items []store.Event
+	more := true
+	list := func() error {
+		return w.again(func() store.Outcome {
+			var o store.Outcome
+			o, _, items, more = w.s.List(Prefix, "", pageKeys)
+			return o
+		})
+	}
+	if err := list(); err != nil {
+		return err
+	}
+	if len(items) > 0 && !w.o.Force {
+		return ErrNotEmpty
+	}
+	for _, e := range items {
+		if e.Key == restoreKey { // of a restore that did not end
+			w.stamp = e.Stamp
+		}
+	}
+	for len(items) > 0 {
+		for _, e := range items {
+			if e.Key == restoreKey {
+				continue
+			}
+			if err := w.add(store.Change{Key: e.Key}); err != nil {
+				return err
+			}
+		}
+		if err := w.flush(); err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+		if err := list(); err != nil {
+			return err
+		}
+	}
+	w.out = Restored{}
+	return nil
+}
+
+func (w *restoring) add(c store.Change) error {
+	n := 2*len(c.Key) + len(c.Value) + 200
+	if len(w.batch)+2 > w.o.Ops || w.size+n > 48<<10 {
+		if err := w.flush(); err != nil {
+			return err
+		}
+	}
+	w.batch = append(w.batch, c)
+	w.size += n
+	return nil
+}
+
+func (w *restoring) again(ask func() store.Outcome) error {
+	for range tries {
+		w.o.pause()
+		switch o := ask(); o {
+		case store.OK:
+			return nil
+		case store.TooLarge:
+			return errors.New("the state service takes no transaction of that size: try fewer --ops, or its limits are below those of the backup")
+		}
+	}
+	return errors.New("the state service does not answer")
+}
+
+// flush writes what waits.
+func (w *restoring) flush() error {
+	if len(w.batch) == 0 {
+		return nil
+	}
+	unsure := false
+	err := w.again(func() store.Outcome {
+		t := &store.Txn{Guards: []store.Guard{{Key: restoreKey, Stamp: w.stamp}},
+			Changes: append([]store.Change{{Key: restoreKey, Value: store.Value(w.out)}}, w.batch...)}
+		o, rev, _ := w.s.Commit(t)
+		if o == store.OK {
+			w.stamp = rev
+		}
+		if o == store.Failed && unsure || o == store.Unknown {
+			// It may have been carried out: then the key has a new version, under which
+			// the same is written once more.
+			unsure = true
+			if lo, _, items, _ := w.s.List(restoreKey, "", 1); lo == store.OK && len(items) == 1 {
+				w.stamp = items[0].Stamp
+			}
+		}
+		return o
+	})
+	w.out.Keys += len(w.batch)
+	w.batch, w.size = w.batch[:0], 0
+	if w.out.Keys%10_000 < w.o.Ops {
+		w.o.Say("%d keys", w.out.Keys)
+	}
+	return err
+}
+
+// end removes what said that the restore was under way.
+func (w *restoring) end() error {
+	return w.again(func() store.Outcome {
+		o, _, _ := w.s.Commit(&store.Txn{Changes: []store.Change{{Key: restoreKey}}})
+		return o
+	})
+}
+
+// folder is the part of a key that says what it is of.
+func folder(key string) string {
+	top, rest, _ := strings.Cut(key, "/")
+	if f, _, ok := strings.Cut(rest, "/"); ok {
+		return top + "/" + f
+	}
+	return top
+}
--- /dev/null
+++ b/internal/backup/scale_test.go
@@ -0,0 +1,117 @@
+package backup_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"shalestage.example/shalestage/internal/backup"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/host"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/state"
+)
+
+var scaleJobs = flag.Int("scale", 0, "packed jobs with which to measure backup and restore; 0: not measured")
+
+// TestScale measures backup and restore of many packed jobs over HTTP:
+// go test ./internal/backup -run TestScale -scale 1000000 -v
+func TestScale(t *testing.T) {
+	if *scaleJobs == 0 {
+		t.Skip("a measurement: -scale N")
+	}
+	from, first := serve(t)
+	to, second := serve(t)
+	first.Do(func(now unit.Micros, m *kv.Service) {
+		for _, e := range Packed(*scaleJobs) {
+			if r := m.Commit(now, "x", kv.Txn{Changes: []kv.Change{{Key: e.Key, Value: e.Value}}}); r.Code != http.StatusOK {
+				t.Errorf("%s: %d", e.Key, r.Code)
+			}
+		}
+	})
+	keys := func(s *host.State) (n int) {
+		s.Do(func(_ unit.Micros, m *kv.Service) { n = m.Len() })
+		return n
+	}
+	o := backup.Options{Rate: 1e9, Sleep: func(time.Duration) {}}
+	var file bytes.Buffer
+	base := heap()
+	began := time.Now()
+	foot, err := backup.Save(from, &file, nil, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("backup: %d jobs in %d keys, %.1f s, %d bytes, heap %d MB more", *scaleJobs, foot.Lines, time.Since(began).Seconds(), file.Len(), heap()-base)
+	began = time.Now()
+	done, err := backup.Restore(to, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: o, Ops: 12})
+	if err != nil || keys(second) != keys(first)+1 { // and the term
+		t.Fatalf("%d keys of %d: %v", keys(second), keys(first), err)
+	}
+	t.Logf("restore: %d keys, %.1f s", done.Keys, time.Since(began).Seconds())
+	began = time.Now()
+	rep, err := backup.AuditLive(to, o)
+	if err != nil || rep.Packed != *scaleJobs {
+		t.Fatalf("audit: %d jobs, %v", rep.Packed, err)
+	}
+	t.Logf("audit: %.1f s, %d findings", time.Since(began).Seconds(), len(rep.Findings))
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse >> 20)
+}
+
+// serve runs a state service until the test ends.
+func serve(t *testing.T) (*state.Client, *host.State) {
+	quiet := slog.New(slog.DiscardHandler)
+	s, err := host.NewState(kv.Limits{Rate: 1e9, WriteRate: 1e9, ValueBytes: 8 << 10, TxnOps: 12}, 0, nil, rand.New(rand.NewPCG(1, 2)), quiet,
+		func(err error) { t.Error(err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.Run(ctx)
+	srv := &http.Server{Handler: s.Handler("x")}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { _ = srv.Close(); cancel() })
+	return state.New(l.Addr().String(), 1e9, 1e9, quiet), s
+}
+
+// Packed returns the buckets of so many jobs.
+func Packed(jobs int) []store.Event {
+	depth := 0
+	for jobs>>depth > 200 {
+		depth++
+	}
+	buckets := make([]*past.Bucket, 1<<depth)
+	for i := range buckets {
+		buckets[i] = &past.Bucket{N: uint32(i), Bits: depth, Jobs: map[uint64]past.Answer{}}
+	}
+	for i := range uint64(jobs) {
+		n := 1_000_000 + i*7919%90_000_000_000
+		a := past.Answer{Status: ledger.Done, Tasks: int(1 + i%300), Ended: unit.Micros(1_790_000_000+i/2) * unit.Second}
+		buckets[past.Place(fmt.Sprintf("wk-%06d", n), depth)].Jobs[n] = a
+	}
+	var out []store.Event
+	for _, b := range buckets {
+		out = append(out, store.Event{Key: past.Key(b.N), Value: b.Encode()})
+	}
+	return out
+}
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -69,6 +69,9 @@
 // attempts that fit into one grant
 const attemptsPerGrant = 1 << 24
 
+// MaxTerm is the highest term whose tokens and attempts fit into their numbers.
+const MaxTerm = 1<<24 - 1
+
 // Token joins the leader's term and a lease number; it only ever rises.
 func Token(term, number uint64) uint64 { return term*numbersPerTerm + number%numbersPerTerm }
 
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -65,6 +66,24 @@
 	doubtsAtOnce = 16
 )
 
+// TermKey and PastKey are keys whose values a restore has to change.
+const (
+	TermKey = termKey
+	PastKey = pastKey
+)
+
+// IsLeased reports whether a key and its value belong to a controller's lease: with
+// that they are gone.
+func IsLeased(e store.Event) bool {
+	return strings.HasPrefix(e.Key, seatPrefix) || e.Key == leadKeyPast || e.Key == leadKeyFirst && !keepsOut(e.Value)
+}
+
+// keepsOut reports whether a claim is the one that keeps older releases out.
+func keepsOut(claim []byte) bool {
+	var c lead.Claim
+	return json.Unmarshal(claim, &c) == nil && c.Node == keptOut
+}
+
 func newOldJobs() oldJobs {
 	p := past.New()
 	return oldJobs{past: p, packer: past.NewPacker(p), leads: map[string]store.Event{}}
@@ -241,7 +260,7 @@
 		return true
 	}
 	o.markAt = c.now + unit.Second/2
-	if e := o.leads[leadKeyFirst]; e.Value == nil || !strings.Contains(string(e.Value), keptOut) {
+	if e := o.leads[leadKeyFirst]; !keepsOut(e.Value) {
 		l.write(c, []store.Guard{{Key: leadKeyFirst, Stamp: c.replica.Stamp(leadKeyFirst)}},
 			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})})
 		o.markAt = c.now
--- a/internal/core/past/bucket.go
+++ b/internal/core/past/bucket.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"iter"
 	"maps"
+	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -62,7 +64,10 @@
 }
 
 // at returns the bucket for a hash among those of a depth.
-func at(h uint64, bits int) uint32 { return uint32(h & (1<<bits - 1)) }
+func at(h uint64, depth int) uint32 { return uint32(h & (1<<depth - 1)) }
+
+// Place returns the number of the bucket for an id among those of a depth.
+func Place(id string, depth int) uint32 { return at(hash(id), depth) }
 
 // Covers reports whether a bucket is the one for an id.
 func (b *Bucket) Covers(id string) bool { return at(hash(id), b.Bits) == b.N }
@@ -228,3 +233,31 @@
 	maps.Copy(c.Jobs, jobs)
 	return c
 }
+
+// IDs returns the ids of the jobs in a bucket.
+func (b *Bucket) IDs() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for n := range b.Jobs {
+			if !yield(idOf(n)) {
+				return
+			}
+		}
+	}
+}
+
+// Misplaced says what is wrong with a bucket's place among the others, given the
+// depth of each, or "": every job must belong to exactly one of them.
+func Misplaced(n uint32, depths map[uint32]int) (key, why string) {
+	if n == 0 {
+		return Key(n), ""
+	}
+	p := parent(n)
+	d, ok := depths[p]
+	switch {
+	case !ok:
+		return Key(n), "the bucket that it was split off is missing"
+	case d <= bits.Len32(n)-1:
+		return Key(n), "the bucket that it was split off knows nothing of it"
+	}
+	return Key(n), ""
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -288,6 +288,8 @@
 			a.Team, a.Demand = j.Spec().Team, j.Spec().Demand
 		case j != nil:
 			a.Team, a.Demand = j.Record.Team, j.Record.Demand
+		default: // over and packed, or accepted after the backup that was put back
+			c.log.Warn("task of a job that is not known is stopped", "task", t.ID.String(), "machine", m.Name)
 		}
 	}
 	a.State = t.State
