--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -62,6 +62,8 @@
 	// lookShare is the part of a controller's reads that lookups take, and as much
 	// again is for filling the filter after a start.
 	lookShare = 1.0 / 6
+	// retryOld is when one should come back who asked for an old job while too many did.
+	retryOld = 5 * unit.Second
 	// doubtsAtOnce bounds the lookups under way after the state service went back.
 	doubtsAtOnce = 16
 )
@@ -336,7 +338,7 @@
 		case past.Absent:
 			c.reply(req, http.StatusNotFound, Problem{"no such job"})
 		default:
-			c.unavailable(req, "too many requests for old jobs")
+			c.send(Reply{Req: req, Code: http.StatusServiceUnavailable, Body: Problem{"too many requests for old jobs"}, RetryAfter: retryOld})
 		}
 	})
 }
--- a/internal/core/past/past.go
+++ b/internal/core/past/past.go
@@ -47,8 +47,11 @@
 	cacheJobs   = 1 << 13
 	filterBytes = 8 << 20
 	maxHints    = 1 << 18
-	// maxWaiting bounds the reads that wait, for submissions and for all else.
-	maxWaiting = 64
+	// Reads wait no longer than those who asked do: so many seconds' worth of them are
+	// queued, for submissions and for all else, and others are refused at once.
+	waitUrgent, waitPatient = 3, 1.2
+	minWaiting              = 4
+	maxSharing              = 1024 // who wait for the same read
 	// maxFollow bounds the buckets that are read for one answer. One read is the
 	// rule, and a hint that is out of date costs another.
 	maxFollow = 2*MaxBits + 2
@@ -87,6 +90,7 @@
 	urgent  []string // keys to be read: for submissions, and for all else
 	patient []string
 	under   int // reads under way
+	rate    float64 // at which reads are sent
 	credit  float64
 	last    unit.Micros
 	hold    unit.Micros // nothing is read before
@@ -233,13 +237,13 @@
 	l.steps++
 	key := Key(n)
 	r := p.reads[key]
-	queue := &p.patient
+	queue, room := &p.patient, max(minWaiting, int(p.rate*waitPatient))
 	if l.urgent {
-		queue = &p.urgent
+		queue, room = &p.urgent, max(minWaiting, int(p.rate*waitUrgent))
 	}
 	// A read that has been sent may have been answered before now: it proves nothing
 	// to one who asks now.
-	if r != nil && !r.sent {
+	if r != nil && !r.sent && len(r.waiting) < maxSharing {
 		r.waiting = append(r.waiting, l)
 		if l.urgent && !slices.Contains(p.urgent, key) {
 			p.patient = slices.DeleteFunc(p.patient, func(k string) bool { return k == key })
@@ -247,8 +251,8 @@
 		}
 		return
 	}
-	if len(*queue) >= maxWaiting || l.steps > maxFollow || r != nil {
-		if r != nil && len(r.waiting) < maxWaiting && l.steps <= maxFollow {
+	if len(*queue) >= room || l.steps > maxFollow || r != nil {
+		if r != nil && r.sent && len(r.waiting) < maxSharing && l.steps <= maxFollow {
 			r.waiting = append(r.waiting, l.again())
 			return
 		}
@@ -267,6 +271,7 @@
 
 // Next returns the reads that are due, at most rate a second.
 func (p *Past) Next(now unit.Micros, rate float64) []Read {
+	p.rate = rate
 	p.credit = min(p.credit+rate*(now-p.last).Seconds(), max(2, rate/2))
 	p.last = now
 	if now < p.hold {
