--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -235,6 +235,7 @@
 		{"tuning.worth_s", t.WorthS, 1, 3600},
 		{"tuning.block_machines", t.BlockSize, 0, 1e9},
 		{"tuning.round_share", t.RoundShare, 0, 1},
+		{"tuning.keep_done", t.KeepDone, 0, 1e7}, {"tuning.pack_settle_s", t.PackSettleS, 0, 1e6},
 	}
 	for _, r := range ranges {
 		if math.IsNaN(r.v) || r.v < r.lo || r.v > r.hi {
--- a/internal/core/past/past.go
+++ b/internal/core/past/past.go
@@ -89,7 +89,7 @@
 	reads   map[string]*read
 	urgent  []string // keys to be read: for submissions, and for all else
 	patient []string
-	under   int // reads under way
+	under   int     // reads under way
 	rate    float64 // at which reads are sent
 	credit  float64
 	last    unit.Micros
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -155,6 +155,14 @@
 // Broken returns the broken rules so far.
 func (c *Checker) Broken() []Break { return c.broken }
 
+// Running returns how many tasks of a job are on machines.
+func (c *Checker) Running(id string) int {
+	if j := c.jobs[id]; j != nil {
+		return len(j.on)
+	}
+	return 0
+}
+
 // Starts returns how many tasks were on a machine.
 func (c *Checker) Starts() int { return c.starts }
 
--- a/internal/emulator/sim/past_test.go
+++ b/internal/emulator/sim/past_test.go
@@ -1,17 +1,22 @@
 package sim
 
 import (
+	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
+	"shalestage.example/shalestage/internal/backup"
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/check"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/emulator/user"
 	"shalestage.example/shalestage/internal/scenario"
@@ -188,3 +193,88 @@
 	t.Logf("%d packed jobs: seated after %.2f s, a job done after %.2f s, filter whole after %.1f s (simulated); %.1f s of real time",
 		*history, seated.Seconds(), (j.Over - j.At).Seconds(), whole.Seconds(), time.Since(began).Seconds())
 }
+
+// direct is the state service as backup's commands see it, without a network.
+type direct struct{ w *World }
+
+func (d direct) List(prefix, after string, page int) (store.Outcome, uint64, []store.Event, bool) {
+	l := d.w.State.List(d.w.now, "backup", prefix, after, page)
+	var out []store.Event
+	for _, it := range l.Items {
+		out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+	}
+	return outcomeOf(l.Code), l.Rev, out, l.More
+}
+
+func (d direct) Watch(_ string, after uint64, _ unit.Micros) (store.Outcome, uint64, []store.Event, bool) {
+	return store.OK, after, nil, false // nothing happens meanwhile
+}
+
+func (d direct) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
+	var k kv.Txn
+	for _, g := range t.Guards {
+		k.Guards = append(k.Guards, kv.Guard{Key: g.Key, Stamp: g.Stamp})
+	}
+	for _, c := range t.Changes {
+		k.Changes = append(k.Changes, kv.Change{Key: c.Key, Value: c.Value})
+	}
+	r := d.w.State.Commit(d.w.now, "backup", k)
+	return outcomeOf(r.Code), r.Rev, r.Failed
+}
+
+// TestRestoredBackup takes a backup, goes on, loses the state service with all that it
+// holds, and puts the backup back. Workers still run what was started after it, and
+// have seen its tokens: what was accepted before is done in the end, nothing runs
+// twice at a time or beyond a limit, and what was accepted after is stopped.
+func TestRestoredBackup(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		w := New(packing(), Options{Seed: seed})
+		job := func(team string) *ledger.Spec {
+			return &ledger.Spec{Team: team, Tasks: 4, Demand: [3]int64{2000, 0, 1000}, AnyType: true, Image: "i", Estimate: 15 * second}
+		}
+		var before, after []*user.Job
+		for i := range 20 {
+			before = append(before, w.submit(unit.Micros(i)*8*second, job("red"), 15*second, 0))
+		}
+		w.Run(165 * second)
+		var file bytes.Buffer
+		opt := backup.Options{Rate: 1e9, Sleep: func(time.Duration) {}, Now: func() time.Time { return time.UnixMicro(int64(w.now)) }}
+		if _, err := backup.Save(direct{w}, &file, nil, opt); err != nil {
+			t.Fatal(err)
+		}
+		for i := range 6 {
+			after = append(after, w.submit(w.now+unit.Micros(i)*3*second, job("blue"), 60*second, 0))
+		}
+		w.Nodes[0].Crash() // so that terms rise after the backup
+		w.Run(185 * second)
+		for _, n := range w.Nodes {
+			n.Crash()
+		}
+		w.State = kv.New(w.S.State.KV(), rand.New(rand.NewPCG(seed, 3)))
+		done, err := backup.Restore(direct{w}, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: opt, Ops: 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Run(420 * second)
+		for _, b := range w.Check.Broken() {
+			// What a restore loses is lost: later jobs, and ends that were told since.
+			if b.Rule != check.Forgotten && b.Rule != check.WentBack && b.Rule != check.Lost {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+		}
+		for _, j := range before {
+			if j.Job.DoneTasks() != 4 || j.Final != ledger.Done {
+				t.Errorf("seed %d: %s is %q, %d tasks done", seed, j.ID, j.Final, j.Job.DoneTasks())
+			}
+		}
+		if k := w.Holder(0); k == nil || done.Term < 1000 {
+			t.Errorf("seed %d: held by %v, terms above %d", seed, k, done.Term)
+		}
+		// Of the later jobs nothing goes on: what ran has been stopped.
+		for _, j := range after {
+			if n := w.Check.Running(j.ID); n > 0 {
+				t.Errorf("seed %d: %d tasks of %s still run", seed, n, j.ID)
+			}
+		}
+	}
+}
