--- a/internal/emulator/sim/past_test.go
+++ b/internal/emulator/sim/past_test.go
@@ -284,3 +284,52 @@
 		}
 	}
 }
+
+// TestListingOutlivesChanges starts a controller that has to read so much, at so low a
+// rate, that the state service forgets the changes since it began, while its limits
+// fall. Changes are followed from the first page on: it is loaded all the same, and
+// knows what was removed meanwhile.
+func TestListingOutlivesChanges(t *testing.T) {
+	s := packing()
+	s.Controllers.Count, s.Controllers.KeepDone = 1, 0
+	s.State.RPS, s.State.WriteRPS, s.State.Next = 30, 1e6, scenario.Limits{RPS: 20, ValueKB: 2, TxnOps: 4}
+	w := New(s, Options{Seed: 1})
+	var items []kv.Item
+	for i := range uint64(30_000) {
+		items = append(items, kv.Item{Key: fmt.Sprintf("shalestage/job/wk-%06d", i), Value: json.RawMessage(`{"status":"done","tasks":1}`), Stamp: i + 1})
+	}
+	w.State.Restore(0, 30_000, 1, items, nil)
+	changes := 0
+	for i := range 30_000 { // 1,500 a second
+		w.after(unit.Micros(i)*second/1500, func() {
+			c := kv.Change{Key: "shalestage/type/x", Value: json.RawMessage(`{}`)}
+			if i%3 == 0 { // also removes what was listed, or is going to be
+				c = kv.Change{Key: fmt.Sprintf("shalestage/job/wk-%06d", i)}
+			}
+			if r := w.State.Commit(w.now, "other", kv.Txn{Changes: []kv.Change{c}}); r.Code == 200 {
+				changes++
+			}
+		})
+	}
+	// The others' changes are no part of what the controller was told of the limits.
+	l := s.State.KV()
+	limit := func(at unit.Micros, rate float64) { w.after(at, func() { l.Rate = rate; w.State.SetLimits(l) }) }
+	limit(0, 1e6)
+	limit(4*second, 1)
+	limit(7*second, 1e6)
+	loaded := unit.Micros(0)
+	for at := second / 2; at < 60*second && loaded == 0; at += second / 2 {
+		w.Run(at)
+		if w.census().Nodes[0].Seated {
+			loaded = at
+		}
+	}
+	if loaded == 0 || loaded > 19*second { // only once the others were through
+		t.Fatalf("seated after %.1f s and %d changes", loaded.Seconds(), changes)
+	}
+	w.Run(70 * second)
+	if c := w.census(); c.Nodes[0].KnownJobs != c.Keys["shalestage/job"] || changes < 12_000 {
+		t.Errorf("%d jobs known of %d after %d changes", c.Nodes[0].KnownJobs, c.Keys["shalestage/job"], changes)
+	}
+	t.Logf("seated after %.1f s and %d changes", loaded.Seconds(), changes)
+}
