--- a/internal/emulator/sim/past_test.go
+++ b/internal/emulator/sim/past_test.go
@@ -68,6 +68,7 @@
 	}
 	// What keeps the others out is no claim: after an end of all controllers, when the
 	// lead is nobody's, one of them takes it.
+	w.S.Controllers.RestartS = 10 // longer than a lease
 	for _, n := range w.Nodes {
 		n.Crash()
 	}
