Read once more: one retry loop, one cost of a change, one way into the model's types

Need: backup had two retry loops and four ways to page; what a change costs of a transaction was written three times; the model's types were converted in three places; users' options were built twice; a look-up's copy with a negative count said that it came late; the packer had a field that nobody read. Change: one piece for each, a list of its own for those who ask after a read was sent, and what was dead is gone. A clear that is refused for its size now fails at once, as a restore did, instead of after sixty tries.

--- a/cmd/shalestage/backup.go
+++ b/cmd/shalestage/backup.go
@@ -166,21 +166,17 @@
 func (o *auditCmd) Run() error {
 	var rep backup.Report
 	var err error
-	left := 0
+	cleared := 0
 	if o.File != "" {
 		if o.Fix {
 			return unusable(errors.New("--fix is for a state service"))
 		}
 		rep, err = backup.AuditFile(func() (io.ReadCloser, error) { return os.Open(o.File) })
-		left = len(rep.Findings)
 	} else {
 		f := stateFlags{State: o.State, Rate: o.Rate, Quiet: true}
 		c, opt := f.client()
 		if rep, err = backup.AuditLive(c, opt); err == nil && o.Fix {
-			left, err = backup.Fix(c, rep.Findings, max(o.Ops, 1), opt)
-			left = len(rep.Findings) - left
-		} else {
-			left = len(rep.Findings)
+			cleared, err = backup.Fix(c, rep.Findings, max(o.Ops, 1), opt)
 		}
 	}
 	if err != nil {
@@ -201,7 +197,7 @@
 			fmt.Printf("%s: %s: %s%s\n", f.Kind, f.Key, f.Text, note)
 		}
 	}
-	if left > 0 {
+	if left := len(rep.Findings) - cleared; left > 0 {
 		return exit{exitFailed, fmt.Errorf("%d findings are left", left)}
 	}
 	return nil
--- a/internal/backup/audit.go
+++ b/internal/backup/audit.go
@@ -44,29 +44,21 @@
 
 func look(s Service, o Options) (Report, error) {
 	in := core.NewInspector()
-	b := &saving{s: s, o: o}
 	for _, part := range []struct {
 		prefix string
 		page   int
 		f      func(store.Event)
 	}{{core.Root, pageKeys, in.Look}, {past.Prefix, 64, in.LookBucket}} {
-		after, more := "", true
-		for more {
-			err := b.again("listing", func() store.Outcome {
-				o, _, items, rest := s.List(part.prefix, after, part.page)
-				if o != store.OK {
-					return o
-				}
-				for _, e := range items {
-					part.f(e)
-					after = e.Key
-				}
-				more = rest && len(items) > 0
-				return o
-			})
-			if err != nil {
+		for after, more := "", true; more; {
+			var items []store.Event
+			var err error
+			if _, items, more, err = o.list(s, part.prefix, after, part.page); err != nil {
 				return Report{}, err
 			}
+			for _, e := range items {
+				part.f(e)
+				after = e.Key
+			}
 		}
 	}
 	return report(in), nil
@@ -89,7 +81,7 @@
 		})
 		return errors.Join(err, r.Close())
 	}
-	last := map[string]int{} // of buckets, and of what came more than once
+	last := map[string]int{} // where the last of each bucket stands
 	live := map[string]store.Event{}
 	in := core.NewInspector()
 	err := pass(func(n int, e store.Event) {
@@ -108,8 +100,7 @@
 		return Report{}, err
 	}
 	for _, k := range slices.Sorted(maps.Keys(live)) {
-		e := live[k]
-		in.Look(e)
+		in.Look(live[k])
 	}
 	err = pass(func(n int, e store.Event) {
 		if last[e.Key] == n && e.Value != nil {
@@ -129,7 +120,6 @@
 // guarded by the versions that were seen: what has changed since is left alone.
 func Fix(s Service, list []core.Finding, ops int, o Options) (int, error) {
 	o.fill()
-	b := &saving{s: s, o: o}
 	cleared := 0
 	for _, f := range list {
 		if f.Clear == nil {
@@ -138,7 +128,7 @@
 		failed := false
 		for left := f.Clear.Changes; len(left) > 0 && !failed; {
 			n := min(len(left), ops)
-			err := b.again("clearing", func() store.Outcome {
+			err := o.again("clearing", func() store.Outcome {
 				o, _, _ := s.Commit(&store.Txn{Guards: f.Clear.Guards, Changes: left[:n]})
 				if failed = o == store.Failed; failed {
 					return store.OK // no longer so
--- a/internal/backup/backup_test.go
+++ b/internal/backup/backup_test.go
@@ -19,6 +19,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/direct"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	_ "shalestage.example/shalestage/internal/fixedseed"
 )
@@ -60,22 +61,14 @@
 func (s *service) List(prefix, after string, page int) (store.Outcome, uint64, []store.Event, bool) {
 	s.ask()
 	l := s.m.List(s.now, "x", prefix, after, min(page, 3))
-	var out []store.Event
-	for _, it := range l.Items {
-		out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
-	}
-	return s.outcome(l.Code), l.Rev, out, l.More
+	return s.outcome(l.Code), l.Rev, direct.Items(l.Items), l.More
 }
 
 func (s *service) Watch(prefix string, after uint64, _ unit.Micros) (store.Outcome, uint64, []store.Event, bool) {
 	s.ask()
 	s.m.Watch(s.now, 1, "x", prefix, after, 0)
 	c := s.m.Drain()[0]
-	var out []store.Event
-	for _, e := range c.Events {
-		out = append(out, store.Event{Key: e.Key, Value: e.Value, Stamp: e.Stamp})
-	}
-	return s.outcome(c.Code), c.Rev, out, c.Code == 410
+	return s.outcome(c.Code), c.Rev, direct.Events(c.Events), c.Code == 410
 }
 
 func (s *service) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
@@ -84,16 +77,7 @@
 	return s.outcome(r.Code), r.Rev, r.Failed
 }
 
-func (s *service) commit(t *store.Txn) kv.Result {
-	var k kv.Txn
-	for _, g := range t.Guards {
-		k.Guards = append(k.Guards, kv.Guard{Key: g.Key, Stamp: g.Stamp})
-	}
-	for _, c := range t.Changes {
-		k.Changes = append(k.Changes, kv.Change{Key: c.Key, Value: c.Value})
-	}
-	return s.m.Commit(s.now, "x", k)
-}
+func (s *service) commit(t *store.Txn) kv.Result { return s.m.Commit(s.now, "x", direct.Txn(t)) }
 
 func (s *service) all() map[string]string {
 	out := map[string]string{}
--- a/internal/backup/restore.go
+++ b/internal/backup/restore.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 	"time"
 
 	"shalestage.example/shalestage/internal/core"
@@ -109,12 +108,9 @@
 func (w *restoring) clear() error {
 	var items []store.Event
 	more := true
-	list := func() error {
-		return w.again(func() store.Outcome {
-			var o store.Outcome
-			o, _, items, more = w.s.List(Prefix, "", pageKeys)
-			return o
-		})
+	list := func() (err error) {
+		_, items, more, err = w.o.list(w.s, Prefix, "", pageKeys)
+		return err
 	}
 	if err := list(); err != nil {
 		return err
@@ -151,37 +147,23 @@
 }
 
 func (w *restoring) add(c store.Change) error {
-	n := 2*len(c.Key) + len(c.Value) + 200
-	if len(w.batch)+2 > w.o.Ops || w.size+n > 48<<10 {
+	if len(w.batch)+2 > w.o.Ops || w.size+c.Size() > store.TxnBytes {
 		if err := w.flush(); err != nil {
 			return err
 		}
 	}
 	w.batch = append(w.batch, c)
-	w.size += n
+	w.size += c.Size()
 	return nil
 }
 
-func (w *restoring) again(ask func() store.Outcome) error {
-	for range tries {
-		w.o.pause()
-		switch o := ask(); o {
-		case store.OK:
-			return nil
-		case store.TooLarge:
-			return errors.New("the state service takes no transaction of that size: try fewer --ops, or its limits are below those of the backup")
-		}
-	}
-	return errors.New("the state service does not answer")
-}
-
 // flush writes what waits.
 func (w *restoring) flush() error {
 	if len(w.batch) == 0 {
 		return nil
 	}
 	unsure := false
-	err := w.again(func() store.Outcome {
+	err := w.o.again("writing", func() store.Outcome {
 		t := &store.Txn{Guards: []store.Guard{{Key: restoreKey, Stamp: w.stamp}},
 			Changes: append([]store.Change{{Key: restoreKey, Value: store.Value(w.out)}}, w.batch...)}
 		o, rev, _ := w.s.Commit(t)
@@ -208,17 +190,8 @@
 
 // end removes what said that the restore was under way.
 func (w *restoring) end() error {
-	return w.again(func() store.Outcome {
+	return w.o.again("writing", func() store.Outcome {
 		o, _, _ := w.s.Commit(&store.Txn{Changes: []store.Change{{Key: restoreKey}}})
 		return o
 	})
 }
-
-// folder is the part of a key that says what it is of.
-func folder(key string) string {
-	top, rest, _ := strings.Cut(key, "/")
-	if f, _, ok := strings.Cut(rest, "/"); ok {
-		return top + "/" + f
-	}
-	return top
-}
--- a/internal/backup/save.go
+++ b/internal/backup/save.go
@@ -53,6 +53,29 @@
 // pause keeps within the rate.
 func (o *Options) pause() { o.Sleep(time.Duration(float64(time.Second) / max(o.Rate, 0.1))) }
 
+// again asks until the service answers.
+func (o *Options) again(what string, ask func() store.Outcome) error {
+	for range tries {
+		o.pause()
+		switch ask() {
+		case store.OK:
+			return nil
+		case store.TooLarge:
+			return fmt.Errorf("%s: the state service takes nothing of that size: try fewer --ops, or its limits are below those of the backup", what)
+		}
+	}
+	return fmt.Errorf("%s: the state service does not answer", what)
+}
+
+// list reads a page of keys; more says that others follow.
+func (o *Options) list(s Service, prefix, after string, page int) (rev uint64, items []store.Event, more bool, err error) {
+	err = o.again("listing", func() (out store.Outcome) {
+		out, rev, items, more = s.List(prefix, after, page)
+		return out
+	})
+	return rev, items, more && len(items) > 0, err
+}
+
 // ErrOutrun says that more changed during a backup than the service remembers.
 var ErrOutrun = errors.New("the state service no longer has all changes since the backup began: use a higher rate")
 
@@ -102,41 +125,21 @@
 	return foot, b.w.flush()
 }
 
-// again asks until the service answers.
-func (b *saving) again(what string, ask func() store.Outcome) error {
-	for range tries {
-		b.o.pause()
-		if o := ask(); o == store.OK {
-			return nil
-		}
-	}
-	return fmt.Errorf("%s: the state service does not answer", what)
-}
-
 // begin notes the revision from which on changes are followed.
-func (b *saving) begin() error {
-	err := b.again("listing", func() store.Outcome {
-		o, rev, _, _ := b.s.List(Prefix, "", 1)
-		b.rev = rev
-		return o
-	})
+func (b *saving) begin() (err error) {
+	b.rev, _, _, err = b.o.list(b.s, Prefix, "", 1)
 	b.w.add(record{Head: &Head{Format: 1, Release: b.o.Release, Began: b.o.Now().UTC().Format(time.RFC3339), Rev: b.rev}})
 	return err
 }
 
 func (b *saving) list() error {
-	return b.again("listing", func() store.Outcome {
-		o, _, items, more := b.s.List(Prefix, b.after, pageKeys)
-		if o != store.OK {
-			return o
-		}
-		for _, e := range items {
-			b.put(e)
-			b.after = e.Key
-		}
-		b.lists = more && len(items) > 0
-		return o
-	})
+	_, items, more, err := b.o.list(b.s, Prefix, b.after, pageKeys)
+	for _, e := range items {
+		b.put(e)
+		b.after = e.Key
+	}
+	b.lists = more
+	return err
 }
 
 func (b *saving) put(e store.Event) {
@@ -147,7 +150,7 @@
 // changes takes what has changed since the last look.
 func (b *saving) changes() error {
 	gone := false
-	err := b.again("changes", func() store.Outcome {
+	err := b.o.again("changes", func() store.Outcome {
 		o, rev, events, old := b.s.Watch(Prefix, b.rev, 0)
 		if old {
 			gone = true
@@ -228,7 +231,7 @@
 func Verify(r io.Reader) (Summary, error) {
 	s := Summary{Lines: map[string]int{}}
 	err := Each(r, &s, func(e store.Event) error {
-		s.Lines[folder(e.Key)]++
+		s.Lines[store.Folder(e.Key)]++
 		return nil
 	})
 	return s, err
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -315,7 +315,7 @@
 	// the lanes may ask for more than the budget.
 	c.lanes[UserLane].Rate = c.cfg.WriteRate / float64(2*c.cfg.Size)
 	c.lanes[LeaderLane].Rate = c.cfg.WriteRate * 0.8 * part
-	c.lanes[PackLane].Rate = c.cfg.WriteRate * PackShare
+	c.lanes[PackLane].Rate = c.cfg.WriteRate * packShare
 	if part != c.cloudPart {
 		c.cloudPart = part
 		c.emit(CloudShare{part})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -229,7 +229,7 @@
 	c.recovery.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	for i := range c.lanes {
-		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: 48 << 10, MaxQueue: 256}
+		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: store.TxnBytes, MaxQueue: 256}
 	}
 	c.lanes[LeaderLane].MaxQueue = 1 << 16 // bounded by jobs and machines
 	c.lanes[PackLane].MaxQueue = 1
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -144,6 +144,15 @@
 // Keys returns how many keys there are by folder, and how many jobs are packed.
 func (s *Inspector) Keys() (map[string]int, int) { return s.keys, s.packed }
 
+// removal removes keys as long as the record of a job is as it was seen.
+func (s *Inspector) removal(id string, list []store.Event) *store.Write {
+	w := &store.Write{Guards: []store.Guard{{Key: jobPrefix + id, Stamp: s.jobs[id].stamp}}}
+	for _, e := range list {
+		w.Changes = append(w.Changes, store.Change{Key: e.Key})
+	}
+	return w
+}
+
 // Findings returns what was found once everything was looked at.
 func (s *Inspector) Findings() []Finding {
 	for _, id := range sortedKeys(s.awaits) {
@@ -159,11 +168,7 @@
 			// A submission may be storing them at this moment: its record could follow.
 			s.find("headless", list[0].Key, nil, "%d parts of a description whose job was never accepted, or is packed", len(list))
 		case j.status.Final():
-			w := &store.Write{Guards: []store.Guard{{Key: jobPrefix + id, Stamp: j.stamp}}}
-			for _, e := range list {
-				w.Changes = append(w.Changes, store.Change{Key: e.Key})
-			}
-			s.find("leftover", list[0].Key, w, "%d parts of the description of a job that is over", len(list))
+			s.find("leftover", list[0].Key, s.removal(id, list), "%d parts of the description of a job that is over", len(list))
 		default:
 			have := 0
 			for n := range j.parts {
@@ -183,11 +188,7 @@
 			continue
 		}
 		// Who stores progress guards the record of an unfinished job: none can come.
-		w := &store.Write{Guards: []store.Guard{{Key: jobPrefix + id, Stamp: j.stamp}}}
-		for _, e := range list {
-			w.Changes = append(w.Changes, store.Change{Key: e.Key})
-		}
-		s.find("leftover", list[0].Key, w, "%d records of finished tasks of a job that is over or not there", len(list))
+		s.find("leftover", list[0].Key, s.removal(id, list), "%d records of finished tasks of a job that is over or not there", len(list))
 	}
 	for _, e := range s.groups {
 		g, err := fleet.DecodeGroup(e.Key[len(machPrefix):], e.Value)
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -55,10 +55,10 @@
 	markEvery = 30 * unit.Second
 	// calmAfter is how long after a refusal for rates nothing is packed.
 	calmAfter = 30 * unit.Second
-	// PackShare is the part of the state service's changes that packing takes at
-	// most, and PackShareMost that when twice as much is kept as should be.
-	PackShare     = 0.1
-	PackShareMost = 0.25
+	// packShare is the part of the state service's changes that packing takes at
+	// most, and packShareMost that when twice as much is kept as should be.
+	packShare     = 0.1
+	packShareMost = 0.25
 	// lookShare is the part of a controller's reads that lookups take, and as much
 	// again is for filling the filter after a start.
 	lookShare = 1.0 / 6
@@ -206,7 +206,7 @@
 		c.emit(ScanKeys{*s})
 	}
 	l := c.leader
-	if l == nil || c.cfg.KeepDone == 0 || c.now < o.limitedFor(c) || c.lanes[LeaderLane].Len() > 0 || c.lanes[UserLane].Len() > 0 {
+	if l == nil || c.cfg.KeepDone == 0 || c.sync.limitedAt > 0 && c.now < c.sync.limitedAt+calmAfter || c.lanes[LeaderLane].Len() > 0 || c.lanes[UserLane].Len() > 0 {
 		return // packing takes only what nobody else needs
 	}
 	if l.writing || c.now >= o.markAt && c.keepOut(l) {
@@ -216,9 +216,9 @@
 	if stamp == 0 || c.replica.Rev < stamp || o.packer.Len() <= c.cfg.KeepDone-c.cfg.KeepDone/4 || c.lanes[PackLane].Len() > 0 {
 		return
 	}
-	share := PackShare
+	share := packShare
 	if o.packer.Len() > 2*c.cfg.KeepDone {
-		share = PackShareMost
+		share = packShareMost
 	}
 	c.lanes[PackLane].Rate = c.cfg.WriteRate * share
 	lim := past.Limits{Value: past.Limit(c.cfg.ValueMax), Ops: c.cfg.TxnOps, Size: c.lanes[PackLane].MaxBytes}
@@ -231,18 +231,12 @@
 	})
 }
 
-func (o *oldJobs) limitedFor(c *Core) unit.Micros {
-	if c.sync.limitedAt == 0 {
-		return 0
-	}
-	return c.sync.limitedAt + calmAfter
-}
-
 // keepOut writes the mark when it is due, and what keeps older releases out. It
 // reports whether there was anything to write.
 func (c *Core) keepOut(l *leader) bool {
 	o := &c.old
 	mark, stamp := o.past.Mark()
+	nobodys := store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})}
 	if !o.past.On() {
 		if o.packer.Len() <= c.cfg.KeepDone || c.now-o.mixedAt < c.cfg.PackSettle {
 			return false
@@ -256,7 +250,7 @@
 		mark = past.Mark{Release: release, Cut: c.replica.Rev + 1}
 		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.replica.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
 			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
-			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})},
+			nobodys,
 			store.Change{Key: pastKey, Value: store.Value(mark)})
 		o.markAt = c.now + unit.Second
 		return true
@@ -264,7 +258,7 @@
 	o.markAt = c.now + unit.Second/2
 	if e := o.leads[leadKeyFirst]; !keepsOut(e.Value) {
 		l.write(c, []store.Guard{{Key: leadKeyFirst, Stamp: c.replica.Stamp(leadKeyFirst)}},
-			store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})})
+			nobodys)
 		o.markAt = c.now
 		return true
 	}
--- a/internal/core/past/pack.go
+++ b/internal/core/past/pack.go
@@ -31,7 +31,6 @@
 	where map[string]*list.Element
 	busy  bool
 	try   unit.Micros
-	stuck int // jobs in turn that could not be packed yet
 	Done  int // packed by this node
 }
 
@@ -154,7 +153,6 @@
 	var clear []store.Change
 	size := 0
 	looked := 0
-	cost := func(key string) int { return 2*len(key) + 200 } // as lanes reckon
 	for e := k.order.Front(); e != nil && looked < window; e = e.Next() {
 		looked++
 		v := e.Value.(entry)
@@ -188,9 +186,13 @@
 		if err != nil {
 			continue
 		}
-		here := cost(j.Key)
-		for _, c := range j.Clear {
-			here += cost(c)
+		gone := []store.Change{{Key: j.Key}}
+		for _, k := range j.Clear {
+			gone = append(gone, store.Change{Key: k})
+		}
+		here := 0
+		for _, c := range gone {
+			here += c.Size()
 		}
 		if size+here+2*lim.Value+1024 > lim.Size {
 			break
@@ -199,10 +201,7 @@
 		taken[v.id] = j.Answer
 		more[n] = j.Answer
 		w.Guards = append(w.Guards, store.Guard{Key: j.Key, Stamp: j.Stamp})
-		clear = append(clear, store.Change{Key: j.Key})
-		for _, c := range j.Clear {
-			clear = append(clear, store.Change{Key: c})
-		}
+		clear = append(clear, gone...)
 	}
 	if len(taken) == 0 {
 		return nil, nil
--- a/internal/core/past/past.go
+++ b/internal/core/past/past.go
@@ -102,6 +102,7 @@
 type read struct {
 	sent    bool
 	waiting []*lookup
+	late    []*lookup // asked after it was sent: to those it proves nothing but what it shows
 }
 
 // lookup is one who waits for an answer.
@@ -241,32 +242,22 @@
 	if l.urgent {
 		queue, room = &p.urgent, max(minWaiting, int(p.rate*waitUrgent))
 	}
-	// A read that has been sent may have been answered before now: it proves nothing
-	// to one who asks now.
-	if r != nil && !r.sent && len(r.waiting) < maxSharing {
+	switch {
+	case l.steps > maxFollow || r == nil && len(*queue) >= room || r != nil && len(r.waiting)+len(r.late) >= maxSharing:
+		p.Shed++
+		l.fail()
+	case r == nil:
+		p.reads[key] = &read{waiting: []*lookup{l}}
+		*queue = append(*queue, key)
+	case r.sent:
+		r.late = append(r.late, l)
+	default:
 		r.waiting = append(r.waiting, l)
 		if l.urgent && !slices.Contains(p.urgent, key) {
 			p.patient = slices.DeleteFunc(p.patient, func(k string) bool { return k == key })
 			p.urgent = append(p.urgent, key)
 		}
-		return
-	}
-	if len(*queue) >= room || l.steps > maxFollow || r != nil {
-		if r != nil && r.sent && len(r.waiting) < maxSharing && l.steps <= maxFollow {
-			r.waiting = append(r.waiting, l.again())
-			return
-		}
-		p.Shed++
-		l.fail()
-		return
 	}
-	p.reads[key] = &read{waiting: []*lookup{l}}
-	*queue = append(*queue, key)
-}
-
-// again is one who waits for a read to end so that the bucket can be read once more.
-func (l *lookup) again() *lookup {
-	return &lookup{id: l.id, urgent: l.urgent, steps: -l.steps, done: l.done, bucket: l.bucket}
 }
 
 // Next returns the reads that are due, at most rate a second.
@@ -304,7 +295,7 @@
 	p.under--
 	if o != store.OK && o != store.Failed {
 		p.hold = now + unit.Second/4
-		for _, l := range w.waiting {
+		for _, l := range slices.Concat(w.waiting, w.late) {
 			l.fail()
 		}
 		return nil
@@ -318,16 +309,6 @@
 	}
 	for _, l := range w.waiting {
 		switch {
-		case l.steps < 0: // asked after the read was sent: only what is there counts
-			l.steps = -l.steps
-			if b != nil && l.done != nil {
-				if a, ok := b.Find(l.id); ok {
-					p.Remember(l.id, a)
-					l.done(Found, a)
-					continue
-				}
-			}
-			p.lookAt(l, n)
 		case err != nil:
 			l.fail()
 		case b == nil && n == 0:
@@ -343,17 +324,21 @@
 			p.tell(l, b, stamp)
 		}
 	}
+	for _, l := range w.late {
+		if b != nil && l.done != nil {
+			if _, ok := b.Find(l.id); ok {
+				p.tell(l, b, stamp)
+				continue
+			}
+		}
+		p.lookAt(l, n)
+	}
 	return err
 }
 
 // parent returns the bucket that another was split off.
 func parent(n uint32) uint32 {
-	for bit := uint32(1) << (MaxBits - 1); bit > 0; bit >>= 1 {
-		if n&bit != 0 {
-			return n &^ bit
-		}
-	}
-	return 0
+	return n &^ (1 << bits.Len32(n) >> 1)
 }
 
 func (p *Past) tell(l *lookup, b *Bucket, stamp uint64) {
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -32,6 +33,12 @@
 	Lease uint64
 }
 
+// Size is about what a change takes of a transaction, with a guard on its key.
+func (c Change) Size() int { return 2*len(c.Key) + len(c.Value) + 200 }
+
+// TxnBytes is how large transactions are made, below what the service takes.
+const TxnBytes = 48 << 10
+
 // Event is a change that happened at a revision.
 type Event struct {
 	Key   string
@@ -39,6 +46,16 @@
 	Stamp uint64
 }
 
+// Folder is the part of a key that says what it is of: its first two parts, or the
+// first where there is nothing after the second.
+func Folder(key string) string {
+	top, rest, _ := strings.Cut(key, "/")
+	if f, _, ok := strings.Cut(rest, "/"); ok {
+		return top + "/" + f
+	}
+	return top
+}
+
 // Outcome is what is known of a request to an outside service.
 type Outcome int
 
@@ -271,7 +288,7 @@
 		w := (*from)[0]
 		n, clash := 0, false
 		for _, c := range w.Changes {
-			n += 2*len(c.Key) + len(c.Value) + 200
+			n += c.Size()
 			clash = clash || touched[c.Key]
 		}
 		for _, g := range w.Guards {
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -146,7 +146,6 @@
 		s.pageRev = rev
 		if rev < s.listKnown && !c.recovery.due {
 			c.wentBack(s.listKnown, rev)
-			c.recovery.stale = false
 		}
 		if !c.recovery.due {
 			c.replica.Begin(rev)
--- a/internal/emulator/kv/kv.go
+++ b/internal/emulator/kv/kv.go
@@ -231,19 +231,12 @@
 // LastLease returns the highest lease ever given.
 func (s *Service) LastLease() uint64 { return s.nextLease }
 
-// Prefixes returns how many keys there are by the part up to their last slash but
-// one: the folder that they are in, below the first.
-func (s *Service) Prefixes() map[string]int {
-	out := map[string]int{}
+// Each hands every key to f, in their order.
+func (s *Service) Each(f func(Item)) {
 	s.keys.Ascend(func(it Item) bool {
-		top, rest, _ := strings.Cut(it.Key, "/")
-		if folder, _, ok := strings.Cut(rest, "/"); ok {
-			top += "/" + folder
-		}
-		out[top]++
+		f(it)
 		return true
 	})
-	return out
 }
 
 // Len returns how many keys there are.
--- a/internal/emulator/sim/census.go
+++ b/internal/emulator/sim/census.go
@@ -4,7 +4,9 @@
 	"runtime"
 
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/kv"
 )
 
 // Census is what there is at a time: what a long play is looked at for.
@@ -17,7 +19,8 @@
 
 // census counts.
 func (w *World) census() Census {
-	c := Census{At: w.now, Keys: w.State.Prefixes()}
+	c := Census{At: w.now, Keys: map[string]int{}}
+	w.State.Each(func(it kv.Item) { c.Keys[store.Folder(it.Key)]++ })
 	for _, n := range w.Nodes {
 		if n.life == 0 {
 			continue
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -13,6 +13,7 @@
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
+	"shalestage.example/shalestage/internal/emulator/direct"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/emulator/rental"
 	"shalestage.example/shalestage/internal/emulator/site"
@@ -371,11 +372,7 @@
 				done(o, 0, nil, false)
 				return
 			}
-			var items []store.Event
-			for _, it := range l.Items {
-				items = append(items, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
-			}
-			done(store.OK, l.Rev, items, l.More)
+			done(store.OK, l.Rev, direct.Items(l.Items), l.More)
 		})
 	})
 }
@@ -406,11 +403,7 @@
 func (n *Node) watch(life int, e core.Watch) {
 	w := n.w
 	finish := func(o store.Outcome, c kv.Changes) {
-		var events []store.Event
-		for _, ev := range c.Events {
-			events = append(events, store.Event{Key: ev.Key, Value: ev.Value, Stamp: ev.Stamp})
-		}
-		n.back(life, func() { n.core.OnChanges(n.local(), e, o, c.Rev, events, c.Code == http.StatusGone) })
+		n.back(life, func() { n.core.OnChanges(n.local(), e, o, c.Rev, direct.Events(c.Events), c.Code == http.StatusGone) })
 	}
 	if !n.state.AllowN(stamp(w.now), 1) {
 		w.after(0, func() { finish(store.Refused, kv.Changes{}) })
@@ -444,13 +437,7 @@
 
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
-	var t kv.Txn
-	for _, g := range e.Txn.Guards {
-		t.Guards = append(t.Guards, kv.Guard{Key: g.Key, Stamp: g.Stamp})
-	}
-	for _, c := range e.Txn.Changes {
-		t.Changes = append(t.Changes, kv.Change{Key: c.Key, Value: c.Value, Lease: c.Lease})
-	}
+	t := direct.Txn(e.Txn)
 	var res kv.Result
 	run := func() int {
 		res = w.State.Commit(w.now, n.Name, t)
--- a/internal/emulator/sim/past_test.go
+++ b/internal/emulator/sim/past_test.go
@@ -18,6 +18,7 @@
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
+	"shalestage.example/shalestage/internal/emulator/direct"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/emulator/packed"
 	"shalestage.example/shalestage/internal/emulator/user"
@@ -202,31 +203,20 @@
 		*history, seated.Seconds(), (j.Over - j.At).Seconds(), whole.Seconds(), time.Since(began).Seconds())
 }
 
-// direct is the state service as backup's commands see it, without a network.
-type direct struct{ w *World }
+// service is the state service as backup's commands see it, without a network.
+type service struct{ w *World }
 
-func (d direct) List(prefix, after string, page int) (store.Outcome, uint64, []store.Event, bool) {
+func (d service) List(prefix, after string, page int) (store.Outcome, uint64, []store.Event, bool) {
 	l := d.w.State.List(d.w.now, "backup", prefix, after, page)
-	var out []store.Event
-	for _, it := range l.Items {
-		out = append(out, store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
-	}
-	return outcomeOf(l.Code), l.Rev, out, l.More
+	return outcomeOf(l.Code), l.Rev, direct.Items(l.Items), l.More
 }
 
-func (d direct) Watch(_ string, after uint64, _ unit.Micros) (store.Outcome, uint64, []store.Event, bool) {
+func (d service) Watch(_ string, after uint64, _ unit.Micros) (store.Outcome, uint64, []store.Event, bool) {
 	return store.OK, after, nil, false // nothing happens meanwhile
 }
 
-func (d direct) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
-	var k kv.Txn
-	for _, g := range t.Guards {
-		k.Guards = append(k.Guards, kv.Guard{Key: g.Key, Stamp: g.Stamp})
-	}
-	for _, c := range t.Changes {
-		k.Changes = append(k.Changes, kv.Change{Key: c.Key, Value: c.Value})
-	}
-	r := d.w.State.Commit(d.w.now, "backup", k)
+func (d service) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
+	r := d.w.State.Commit(d.w.now, "backup", direct.Txn(t))
 	return outcomeOf(r.Code), r.Rev, r.Failed
 }
 
@@ -247,7 +237,7 @@
 		w.Run(165 * second)
 		var file bytes.Buffer
 		opt := backup.Options{Rate: 1e9, Sleep: func(time.Duration) {}, Now: func() time.Time { return time.UnixMicro(int64(w.now)) }}
-		if _, err := backup.Save(direct{w}, &file, nil, opt); err != nil {
+		if _, err := backup.Save(service{w}, &file, nil, opt); err != nil {
 			t.Fatal(err)
 		}
 		for i := range 6 {
@@ -259,7 +249,7 @@
 			n.Crash()
 		}
 		w.State = kv.New(w.S.State.KV(), rand.New(rand.NewPCG(seed, 3)))
-		done, err := backup.Restore(direct{w}, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: opt, Ops: 4})
+		done, err := backup.Restore(service{w}, bytes.NewReader(file.Bytes()), backup.RestoreOptions{Options: opt, Ops: 4})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -85,7 +85,7 @@
 	seed := cmp.Or(opt.Seed, s.Seed)
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 	w := &World{S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
-		Crowd: user.New(user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits}, stream(14)),
+		Crowd: user.New(s.UserOptions(), stream(14)),
 		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}}
 	w.net = network{w: w, ways: map[way]trouble{}}
 	w.front = balance.New(s.Controllers.Count, 0, stream(13))
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -369,8 +369,7 @@
 // Run lets users go about the scenario's jobs; faults of the file come at their times.
 func (d *Deployment) Run() []*user.Job {
 	s := d.s
-	crowd := user.New(user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits},
-		rand.New(rand.NewPCG(s.Seed, 14)))
+	crowd := user.New(s.UserOptions(), rand.New(rand.NewPCG(s.Seed, 14)))
 	jobs := s.Plan(d.First, rand.New(rand.NewPCG(s.Seed, 15)))
 	for _, j := range d.earlier {
 		crowd.Adopt(0, &user.Job{Job: j})
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -110,6 +110,11 @@
 	return out
 }
 
+// UserOptions says how the users behave.
+func (s *Scenario) UserOptions() user.Options {
+	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits}
+}
+
 // Work returns what is true of a job.
 func (j Job) Work(id string, spec *ledger.Spec) *work.Job {
 	return &work.Job{ID: id, Spec: spec, Run: unit.Seconds(j.RunS), Vary: j.Vary, Broken: j.Broken}
