The checker and the plan keep less of jobs that are over: long plays fit in memory

A heap profile after 20,000 s: two maps for every job that ever ran in the checker, and a description of its own for each of the 2,660,000 planned jobs.

--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -83,8 +83,8 @@
 	final     ledger.Status // as told
 	finalAt   unit.Micros
 	done      ledger.Set
-	on        map[int]Machine // tasks that are on a machine
-	zones     map[string]int
+	on        map[int]Machine // tasks that are on a machine; nil while none is, as a long play has many jobs
+	zones     map[string]int  // how many of them by zone
 	lostSince unit.Micros // the first of the polls that failed, one after another
 	pollsLost int         // how many these are
 	okBefore  int         // polls that were answered, of all jobs, before them
@@ -229,7 +229,7 @@
 // Planned says that a user begins to submit a job.
 func (c *Checker) Planned(at unit.Micros, id string, spec *ledger.Spec) {
 	c.Advance(at)
-	j := &job{id: id, spec: spec, on: map[int]Machine{}, zones: map[string]int{}}
+	j := &job{id: id, spec: spec}
 	for _, n := range spec.Awaits {
 		if a := c.jobs[n]; a != nil {
 			j.needs = append(j.needs, a)
@@ -427,6 +427,9 @@
 	if off, _ := c.off(j, nil); off > 0 && at > off+c.cfg.CancelIn {
 		c.breaks(at, RanCancelled, j, m.Name, "%s begins on %s, and its cancellation was told at %.1f", id, m.Name, off.Seconds())
 	}
+	if j.on == nil {
+		j.on, j.zones = map[int]Machine{}, map[string]int{}
+	}
 	j.on[id.Task] = m
 	j.zones[m.Zone]++
 	if s.OneZone && len(j.zones) > 1 || s.Spread && j.zones[m.Zone] > (s.Tasks+1)/2 {
@@ -457,6 +460,9 @@
 		if j.zones[m.Zone]--; j.zones[m.Zone] == 0 {
 			delete(j.zones, m.Zone)
 		}
+		if len(j.on) == 0 {
+			j.on, j.zones = nil, nil
+		}
 		c.use[j.spec.Team] = c.use[j.spec.Team].Sub(j.spec.Demand)
 	}
 }
@@ -467,8 +473,7 @@
 	c.Note(at, "all machines are gone")
 	clear(c.use)
 	for _, j := range c.jobs {
-		clear(j.on)
-		clear(j.zones)
+		j.on, j.zones = nil, nil
 	}
 }
 
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -126,8 +126,8 @@
 func (s *Scenario) Plan(first int, rng *rand.Rand) []*user.Job {
 	byName := map[string]*user.Job{}
 	var out []*user.Job
-	add := func(j Job, at unit.Micros) *user.Job {
-		u := &user.Job{Job: j.Work(fmt.Sprintf("wk-%06d", first+len(out)), j.Spec()),
+	add := func(j Job, spec *ledger.Spec, at unit.Micros) *user.Job {
+		u := &user.Job{Job: j.Work(fmt.Sprintf("wk-%06d", first+len(out)), spec),
 			At: at, CancelAfter: unit.Seconds(j.CancelAfterS)}
 		for _, a := range j.Awaits {
 			u.Awaits = append(u.Awaits, byName[a])
@@ -137,8 +137,9 @@
 	}
 	for _, j := range s.Jobs {
 		at := unit.Seconds(j.AtS)
+		spec := j.Spec() // one for all: nobody writes to it, and a long play has millions of jobs
 		for k := range max(j.Count, 1) {
-			u := add(j, at)
+			u := add(j, spec, at)
 			if k == 0 {
 				byName[j.Name] = u
 			}
