Parts of descriptions whose submission was given up are cleared; audit knows the cloud's list

A submission that does not fit one value stores its parts before its record; given up half-way it left them for good. Clearing them needs that no record can come afterwards: the record now guards the version of its first part, which is removed before all others. What is kept of parts is a package of its own (internal/core/parts), and leaves Core. Nothing is cleared before every controller has run this release (0.6) for ten minutes.

--- a/cmd/shalestage/backup.go
+++ b/cmd/shalestage/backup.go
@@ -8,10 +8,12 @@
 	"maps"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"shalestage.example/shalestage/internal/backup"
+	"shalestage.example/shalestage/internal/cloud"
 	"shalestage.example/shalestage/internal/state"
 )
 
@@ -149,12 +151,14 @@
 }
 
 type auditCmd struct {
-	State string  `xor:"what" required:"" placeholder:"HOST:PORT" help:"Look at a state service that runs."`
-	File  string  `xor:"what" required:"" placeholder:"FILE" help:"Look at a backup."`
-	Rate  float64 `default:"10" help:"Requests a second at most."`
-	Fix   bool    `help:"Clear what is safe to clear in the state service."`
-	Ops   int     `default:"3" help:"Changes of one transaction: the state service's limit."`
-	JSON  bool    `name:"json" help:"Print JSON."`
+	State string        `xor:"what" required:"" placeholder:"HOST:PORT" help:"Look at a state service that runs."`
+	File  string        `xor:"what" required:"" placeholder:"FILE" help:"Look at a backup."`
+	Cloud string        `placeholder:"HOST:PORT" help:"Hold machines against this cloud's list too."`
+	Lag   time.Duration `default:"30s" help:"By how much that list may lag: what is found is looked at again after this."`
+	Rate  float64       `default:"10" help:"Requests a second at most."`
+	Fix   bool          `help:"Clear what is safe to clear in the state service."`
+	Ops   int           `default:"3" help:"Changes of one transaction: the state service's limit."`
+	JSON  bool          `name:"json" help:"Print JSON."`
 }
 
 // Help implements kong's long help.
@@ -168,14 +172,18 @@
 	var err error
 	cleared := 0
 	if o.File != "" {
-		if o.Fix {
-			return unusable(errors.New("--fix is for a state service"))
+		if o.Fix || o.Cloud != "" {
+			return unusable(errors.New("--fix and --cloud are for a state service"))
 		}
 		rep, err = backup.AuditFile(func() (io.ReadCloser, error) { return os.Open(o.File) })
 	} else {
 		f := stateFlags{State: o.State, Rate: o.Rate, Quiet: true}
 		c, opt := f.client()
-		if rep, err = backup.AuditLive(c, opt); err == nil && o.Fix {
+		var hosts backup.Hosts
+		if o.Cloud != "" {
+			hosts = cloud.New(o.Cloud, 1, slog.New(slog.DiscardHandler))
+		}
+		if rep, err = backup.AuditLive(c, hosts, o.Lag, opt); err == nil && o.Fix {
 			cleared, err = backup.Fix(c, rep.Findings, max(o.Ops, 1), opt)
 		}
 	}
--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -11,7 +11,7 @@
 	"github.com/alecthomas/kong"
 )
 
-const version = "0.5.0"
+const version = "0.6.0"
 
 // Exit statuses. Those of status tell a job's state to scripts.
 const (
--- a/internal/backup/audit.go
+++ b/internal/backup/audit.go
@@ -2,14 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/wire"
 )
 
 // Report is what an audit found.
@@ -19,20 +22,25 @@
 	Findings []core.Finding `json:"findings"`
 }
 
-func report(in *core.Inspector) Report {
-	keys, packed := in.Keys()
-	return Report{keys, packed, in.Findings()}
+// Hosts lists the cloud's machines.
+type Hosts interface {
+	List() (store.Outcome, []wire.Host)
 }
 
 // AuditLive looks at a state service twice, as what one look shows of keys that change
-// meanwhile does not belong together: only what both have found counts.
-func AuditLive(s Service, o Options) (Report, error) {
+// meanwhile does not belong together: only what both have found counts. Machines are held
+// against the cloud's list, if there is one; as that lags, the second look waits for the
+// given time.
+func AuditLive(s Service, cloud Hosts, lag time.Duration, o Options) (Report, error) {
 	o.fill()
-	first, err := look(s, o)
+	first, err := look(s, cloud, o)
 	if err != nil || len(first.Findings) == 0 {
 		return first, err
 	}
-	second, err := look(s, o)
+	if cloud != nil {
+		o.Sleep(lag)
+	}
+	second, err := look(s, cloud, o)
 	if err != nil {
 		return second, err
 	}
@@ -42,7 +50,7 @@
 	return second, nil
 }
 
-func look(s Service, o Options) (Report, error) {
+func look(s Service, cloud Hosts, o Options) (Report, error) {
 	in := core.NewInspector()
 	for _, part := range []struct {
 		prefix string
@@ -61,7 +69,44 @@
 			}
 		}
 	}
-	return report(in), nil
+	rep := report(in)
+	if cloud == nil {
+		return rep, nil
+	}
+	var hosts []wire.Host
+	err := o.again("the machine list", func() (out store.Outcome) {
+		out, hosts = cloud.List()
+		return out
+	})
+	rep.Findings = append(rep.Findings, machines(in.Machines(), hosts)...)
+	return rep, err
+}
+
+func report(in *core.Inspector) Report {
+	keys, packed := in.Keys()
+	return Report{keys, packed, in.Findings()}
+}
+
+// machines holds the machines of records against the cloud's list. What is found is the
+// controllers' to mend: they return what nobody needs, and adopt what reports.
+func machines(recorded map[string]string, hosts []wire.Host) (out []core.Finding) {
+	listed := map[string]bool{}
+	for _, h := range hosts {
+		listed[h.ID] = true
+		key, known := recorded[h.ID]
+		switch {
+		case !known:
+			out = append(out, core.Finding{Kind: "stray", Key: h.ID, Text: fmt.Sprintf("a machine of type %s in zone %s that no record names, listed as %s; a controller adopts or returns it", h.Type, h.Zone, h.State)})
+		case h.State == wire.HostFailed:
+			out = append(out, core.Finding{Kind: "failed", Key: h.ID, Text: "a machine of " + key + " that has stopped of its own accord and was not returned"})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(recorded)) {
+		if !listed[name] {
+			out = append(out, core.Finding{Kind: "gone", Key: name, Text: "a machine of " + recorded[name] + " that is not in the cloud's list"})
+		}
+	}
+	return out
 }
 
 // AuditFile looks at a backup, which is read twice, so that its size does not
--- a/internal/backup/backup_test.go
+++ b/internal/backup/backup_test.go
@@ -22,6 +22,7 @@
 	"shalestage.example/shalestage/internal/emulator/direct"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	_ "shalestage.example/shalestage/internal/fixedseed"
+	"shalestage.example/shalestage/internal/wire"
 )
 
 // service is the model of the state service, in which something happens before each
@@ -189,6 +190,15 @@
 	})
 }
 
+// listed is a cloud whose list differs from look to look.
+type listed [][]wire.Host
+
+func (l *listed) List() (store.Outcome, []wire.Host) {
+	h := (*l)[0]
+	*l = (*l)[1:]
+	return store.OK, h
+}
+
 // TestAudit plants one of each thing that should not be there, and has what is safe
 // cleared.
 func TestAudit(t *testing.T) {
@@ -206,6 +216,7 @@
 		{"shalestage/progress/wk-000078/0", `{"tasks":"0"}`},
 		{"shalestage/progress/wk-000001/0", `{"tasks":"0"}`},
 		{"shalestage/machine/r-1", `{"type":"a","zone":"b","block":3}`},
+		{"shalestage/machine/r-2", `{"type":"a","zone":"b","block":0,"up":["n-1"],"booting":["n-2","n-3"]}`},
 		{"shalestage/block/0", `{"term":1,"number":1,"node":"a","seat":5}`},
 		{"shalestage/other", `1`},
 		{"shalestage-past/00000000", `{"bits":0,"jobs":"1e+1"}`}, // wk-000050
@@ -214,7 +225,8 @@
 	} {
 		s.commit(&store.Txn{Changes: []store.Change{{Key: c.key, Value: json.RawMessage(c.value)}}})
 	}
-	rep, err := backup.AuditLive(s, options())
+	looks := listed{{{ID: "n-1"}, {ID: "n-2", State: wire.HostFailed}, {ID: "n-8"}, {ID: "n-9"}}, {{ID: "n-1"}, {ID: "n-2", State: wire.HostFailed}, {ID: "n-9"}}}
+	rep, err := backup.AuditLive(s, &looks, 30*time.Second, options())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -223,20 +235,20 @@
 		got = append(got, f.Kind+" "+f.Key)
 	}
 	slices.Sort(got)
-	want := []string{"awaits_nothing shalestage/job/wk-000001", "foreign shalestage/other", "headless shalestage/part/wk-000077/00/0",
+	want := []string{"awaits_nothing shalestage/job/wk-000001", "failed n-2", "foreign shalestage/other", "gone n-3", "headless shalestage/part/wk-000077/00/0",
 		"incomplete shalestage/job/wk-000003", "leftover shalestage/part/wk-000002/00/0", "leftover shalestage/progress/wk-000002/0",
 		"leftover shalestage/progress/wk-000078/0", "misplaced shalestage-past/00000004", "no_block shalestage/machine/r-1",
-		"no_machines shalestage/machine/r-1", "no_seat shalestage/block/0", "unreadable shalestage-past/00000005", "unreadable shalestage/job/wk-000004"}
+		"no_machines shalestage/machine/r-1", "no_seat shalestage/block/0", "stray n-9", "unreadable shalestage-past/00000005", "unreadable shalestage/job/wk-000004"}
 	if !slices.Equal(got, want) {
 		t.Errorf("found\n%q\nwant\n%q", got, want)
 	}
-	// The same of a backup; nothing there is to be cleared, and no seat stands.
+	// The same of a backup; nothing there is to be cleared, no seat stands, and no cloud is asked.
 	var file bytes.Buffer
 	if _, err := backup.Save(s, &file, nil, options()); err != nil {
 		t.Fatal(err)
 	}
 	saved, err := backup.AuditFile(func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(file.Bytes())), nil })
-	if err != nil || len(saved.Findings) != len(want)-1 || saved.Packed != 1 {
+	if err != nil || len(saved.Findings) != len(want)-4 || saved.Packed != 1 {
 		t.Errorf("of the backup: %v, %+v", err, saved)
 	}
 	// One of them gets its record before it is cleared: it stays.
--- a/internal/backup/scale_test.go
+++ b/internal/backup/scale_test.go
@@ -60,7 +60,7 @@
 	}
 	t.Logf("restore: %d keys, %.1f s", done.Keys, time.Since(began).Seconds())
 	began = time.Now()
-	rep, err := backup.AuditLive(to, o)
+	rep, err := backup.AuditLive(to, nil, 0, o)
 	if err != nil || rep.Packed != *scaleJobs {
 		t.Fatalf("audit: %d jobs, %v", rep.Packed, err)
 	}
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -70,6 +70,8 @@
 	sweepAt   unit.Micros
 	moveAt    unit.Micros
 	logAt     unit.Micros
+	lone      string      // job whose parts are being cleared, as it has no record
+	loneAt    unit.Micros // when that goes on
 	cloudWait unit.Micros
 	renting   int
 	strays    map[string]unit.Micros // unknown machines that report, since when
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/store"
@@ -168,13 +169,12 @@
 	replica *store.Replica
 	lanes   [lanes]*store.Lane
 
-	jobs   map[string]*ledger.Job       // those that are not packed
-	active map[string]*ledger.Job       // those that are not final
-	graph  ledger.Graph                 // which of them wait for which
-	parts  map[string]map[string]string // descriptions stored in parts: their texts until they are read, by job and key
-	heads  map[string]store.Event       // records whose parts are not all known
-	untidy map[string]bool              // jobs that are over and of which something is to be cleaned up in the state service
-	flowAt unit.Micros                  // when aims next pass back along the graph
+	jobs   map[string]*ledger.Job // those that are not packed
+	active map[string]*ledger.Job // those that are not final
+	graph  ledger.Graph           // which of them wait for which
+	parts  *parts.Shelf           // descriptions that are stored in parts
+	untidy map[string]bool        // jobs that are over and of which something is to be cleaned up in the state service
+	flowAt unit.Micros            // when aims next pass back along the graph
 	types  map[string]*fleet.Type
 	claim  lead.Claim // of the present leader; Node "" if none
 	term   lead.Term
@@ -193,6 +193,7 @@
 	seat      seat
 	voters    map[string]*lead.Voter // what is owed with regard to each controller
 	releases  map[string]int         // of the other controllers, as last heard or read
+	mixedAt   map[int]unit.Micros    // by release: when another controller was last not known to run it or a later one
 	polls     map[string]*poll
 	leader    *leader // nil unless this node leads
 	claiming  bool
@@ -215,7 +216,7 @@
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
 		types: map[string]*fleet.Type{}, seats: map[string]*seatView{}, blocks: map[int]granted{}, shares: map[int]shared{},
 		groups: map[string]fleet.Group{}, where: map[string]int{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{},
-		parts: map[string]map[string]string{}, heads: map[string]store.Event{}, untidy: map[string]bool{}, releases: map[string]int{},
+		parts: parts.New(), untidy: map[string]bool{}, releases: map[string]int{}, mixedAt: map[int]unit.Micros{},
 		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
 	if c.cfg.ValueMax == 0 {
 		c.cfg.ValueMax = int(cfg.ValueKB * 1024)
@@ -326,7 +327,7 @@
 const (
 	root         = "shalestage/"
 	jobPrefix    = root + "job/"
-	partPrefix   = root + "part/"     // JOB/SUM/N, of a description that does not fit one value; listed after the jobs
+	partPrefix   = parts.Prefix       // of a description that does not fit one value; listed after the jobs
 	donePrefix   = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
 	machPrefix   = root + "machine/"
 	typePrefix   = root + "type/"
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -10,6 +10,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/store"
 )
@@ -144,6 +145,21 @@
 // Keys returns how many keys there are by folder, and how many jobs are packed.
 func (s *Inspector) Keys() (map[string]int, int) { return s.keys, s.packed }
 
+// Machines returns the record of each machine that has one.
+func (s *Inspector) Machines() map[string]string {
+	out := map[string]string{}
+	for _, e := range s.groups {
+		g, err := fleet.DecodeGroup(e.Key[len(machPrefix):], e.Value)
+		if err != nil {
+			continue // told as unreadable
+		}
+		for _, n := range slices.Concat(g.Up, g.Booting) {
+			out[n] = e.Key
+		}
+	}
+	return out
+}
+
 // removal removes keys as long as the record of a job is as it was seen.
 func (s *Inspector) removal(id string, list []store.Event) *store.Write {
 	w := &store.Write{Guards: []store.Guard{{Key: jobPrefix + id, Stamp: s.jobs[id].stamp}}}
@@ -166,13 +182,13 @@
 		switch {
 		case !ok:
 			// A submission may be storing them at this moment: its record could follow.
-			s.find("headless", list[0].Key, nil, "%d parts of a description whose job was never accepted, or is packed", len(list))
+			s.find("headless", list[0].Key, nil, "%d parts of a description whose job was never accepted, or is packed; controllers clear them after ten minutes", len(list))
 		case j.status.Final():
 			s.find("leftover", list[0].Key, s.removal(id, list), "%d parts of the description of a job that is over", len(list))
 		default:
 			have := 0
 			for n := range j.parts {
-				if slices.ContainsFunc(list, func(e store.Event) bool { return e.Key == partKey(id, j.sum, n) }) {
+				if slices.ContainsFunc(list, func(e store.Event) bool { return e.Key == parts.Key(id, j.sum, n) }) {
 					have++
 				}
 			}
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -18,13 +18,12 @@
 
 // oldJobs is what a controller keeps for that.
 type oldJobs struct {
-	past    *past.Past
-	packer  *past.Packer
-	mixedAt unit.Micros // another controller was last not known to run this release
-	markAt  unit.Micros // the mark is not written before
-	doubts  []string    // jobs of which it is not sure that the service still has them
-	asked   int         // of those, being looked up
-	leads   map[string]store.Event
+	past   *past.Past
+	packer *past.Packer
+	markAt unit.Micros // the mark is not written before
+	doubts []string    // jobs of which it is not sure that the service still has them
+	asked  int         // of those, being looked up
+	leads  map[string]store.Event
 }
 
 // Effects of lookups.
@@ -132,7 +131,7 @@
 
 // tooOld reports whether a controller runs a release that cannot read what is packed.
 func (c *Core) tooOld(node string) bool {
-	return c.old.past.On() && node != c.cfg.Node && c.releases[node] < release
+	return c.old.past.On() && node != c.cfg.Node && c.releases[node] < releasePast
 }
 
 // over notes that a job is over, so that it is packed some day.
@@ -173,7 +172,7 @@
 		return past.Job{}, false
 	}
 	out := past.Job{Answer: answerOf(j), Key: jobPrefix + id, Stamp: j.Stamp}
-	if j.Active() || j.Through != "" || j.Stamp >= cut || j.Placed() > 0 || c.graph.Named(id) || len(c.parts[id]) > 0 || c.untidy[id] {
+	if j.Active() || j.Through != "" || j.Stamp >= cut || j.Placed() > 0 || c.graph.Named(id) || c.parts.Any(id) || c.untidy[id] {
 		return out, false
 	}
 	// A cancelled job's finished tasks are still stored.
@@ -192,11 +191,7 @@
 // tickOld does what is due for jobs that are over.
 func (c *Core) tickOld() {
 	o := &c.old
-	for _, n := range c.peers.names {
-		if c.releases[n] < release {
-			o.mixedAt = c.now
-		}
-	}
+	c.noteMixed()
 	c.settleDoubts()
 	if !c.sync.loaded || c.stateAge() > heartbeat+unit.Second/2 || c.recovery.due {
 		return
@@ -238,7 +233,7 @@
 	mark, stamp := o.past.Mark()
 	nobodys := store.Change{Key: leadKeyFirst, Value: store.Value(lead.Claim{Term: l.term, Node: keptOut})}
 	if !o.past.On() {
-		if o.packer.Len() <= c.cfg.KeepDone || c.now-o.mixedAt < c.cfg.PackSettle {
+		if o.packer.Len() <= c.cfg.KeepDone || !c.settled(releasePast) {
 			return false
 		}
 		for _, name := range sortedKeys(c.types) {
@@ -247,7 +242,7 @@
 				return true
 			}
 		}
-		mark = past.Mark{Release: release, Cut: c.replica.Rev + 1}
+		mark = past.Mark{Release: releasePast, Cut: c.replica.Rev + 1}
 		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.replica.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
 			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
 			nobodys,
@@ -273,7 +268,7 @@
 		return false
 	}
 	// A new cut lets further jobs be packed.
-	mark.Release, mark.Cut, mark.Jobs = release, max(mark.Cut, c.replica.Rev+1), mark.Jobs+o.packer.Done
+	mark.Release, mark.Cut, mark.Jobs = releasePast, max(mark.Cut, c.replica.Rev+1), mark.Jobs+o.packer.Done
 	o.packer.Done = 0
 	o.markAt = c.now + markEvery
 	l.write(c, []store.Guard{{Key: pastKey, Stamp: stamp}}, store.Change{Key: pastKey, Value: store.Value(mark)})
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -1,11 +1,10 @@
 package core
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -32,7 +31,7 @@
 func (c *Core) jobFinal(j *ledger.Job) {
 	delete(c.active, j.ID)
 	c.over(j)
-	if len(c.parts[j.ID]) > 0 {
+	if c.parts.Any(j.ID) {
 		c.untidy[j.ID] = true
 	}
 	ready, cancelled := c.graph.Over(j, c.wall)
@@ -85,7 +84,7 @@
 // tidyParts removes parts of a description that nobody needs any more, as many as
 // there is room for, and returns how many.
 func (c *Core) tidyParts(bl *block, id string, room int) int {
-	keys := sortedKeys(c.parts[id])
+	keys := c.parts.Keys(id)
 	keys = keys[:min(len(keys), room, c.cfg.TxnOps)]
 	if len(keys) == 0 {
 		return 0
@@ -97,78 +96,93 @@
 	c.blockWrite(bl, true, func(o store.Outcome) {
 		if o == store.OK {
 			for _, k := range keys {
-				c.forgetPart(id, k)
+				c.forgetPart(k)
 			}
 		}
-		if len(c.parts[id]) > 0 {
+		if c.parts.Any(id) {
 			c.untidy[id] = true
 		}
 	}, keys, changes...)
 	return len(keys)
 }
 
+// loneEvery is the least time between two transactions that clear parts without a
+// record; the copy has followed the one before by then.
+const loneEvery = unit.Second
+
+// clearLone removes parts of a description whose submission was given up half-way. The
+// record may still be on its way, sent by a controller that stands still, or late: it
+// guards the version of the first part, which goes before the others, and these go only
+// while it stays away. So a record is stored with all of its parts or not at all.
+// Releases before 0.6 guard nothing, so that nothing is cleared beside one of them.
+func (c *Core) clearLone(bl *block) {
+	if bl.n != 0 || c.now < bl.loneAt || c.lanes[LeaderLane].Len() > 0 || !c.settled(releaseParts) {
+		return
+	}
+	bl.loneAt = c.now + loneEvery
+	id := bl.lone
+	if id == "" {
+		id, _ = c.parts.Lone(c.now, c.cfg.PackSettle)
+	}
+	keys := c.parts.Keys(id)
+	if bl.lone = id; c.jobs[id] != nil || len(keys) == 0 {
+		bl.lone = ""
+		return
+	}
+	first := parts.First(keys[0])
+	n := 1
+	for n < min(len(keys), c.cfg.TxnOps) && parts.First(keys[n]) == first {
+		n++
+	}
+	keys = keys[:n]
+	changes := make([]store.Change, n)
+	for i, k := range keys {
+		changes[i].Key = k
+	}
+	c.blockWrite(bl, true, func(o store.Outcome) {
+		if o != store.OK {
+			bl.lone = ""
+			c.parts.Back(c.now, id) // the submission has gone on, or nobody knows
+			return
+		}
+		// They are forgotten when the copy shows that they are gone, and not now: the first
+		// may have been stored once more by then, and the others would be taken for ones
+		// without it.
+		c.log.Info("parts of a submission that was given up are cleared", "job", id, "parts", n)
+	}, []string{jobPrefix + id, first}, changes...)
+}
+
 // forgetPart notes that a part is no longer stored.
-func (c *Core) forgetPart(id, key string) {
-	if delete(c.parts[id], key); len(c.parts[id]) == 0 {
-		delete(c.parts, id)
+func (c *Core) forgetPart(key string) {
+	if c.parts.Drop(key) {
+		id := parts.Owner(key)
 		if j := c.jobs[id]; j != nil && j.Through == "" {
 			delete(c.untidy, id)
 		}
 	}
 }
 
-// partKey is where one part of a job's description is stored.
-func partKey(id, sum string, n int) string { return fmt.Sprintf("%s%s/%s/%d", partPrefix, id, sum, n) }
-
 // learnPart takes in a part of a description. Its record is stored later, but may
 // be listed earlier.
-func (c *Core) learnPart(key string, e store.Event) error {
-	id, _, _ := strings.Cut(key, "/")
+func (c *Core) learnPart(e store.Event) error {
 	if e.Value == nil {
-		c.forgetPart(id, e.Key)
+		c.forgetPart(e.Key)
 		return nil
 	}
-	text, err := ledger.PartText(e.Value)
-	if err != nil {
+	id := parts.Owner(e.Key)
+	j := c.jobs[id]
+	head, waits, err := c.parts.Put(c.now, e, j != nil)
+	switch {
+	case err != nil:
 		return err
-	}
-	if c.parts[id] == nil {
-		c.parts[id] = map[string]string{}
-	}
-	c.parts[id][e.Key] = text
-	if j := c.jobs[id]; j != nil {
-		c.parts[id][e.Key] = "" // nobody needs it any more
-		if !j.Active() {
-			c.untidy[id] = true
-		}
-		return nil
-	}
-	if head, ok := c.heads[id]; ok {
+	case j != nil && !j.Active():
+		c.untidy[id] = true
+	case waits:
 		return c.learnJob(id, head)
 	}
 	return nil
 }
 
-// join adds a description to a record from its parts, and reports whether they
-// are all there.
-func (c *Core) join(id string, r *ledger.Record) (bool, error) {
-	texts := make([]string, r.Parts)
-	for n := range texts {
-		t, ok := c.parts[id][partKey(id, r.Sum, n)]
-		if !ok {
-			return false, nil
-		}
-		texts[n] = t
-	}
-	if err := r.Join(texts); err != nil {
-		return false, err
-	}
-	for k := range c.parts[id] {
-		c.parts[id][k] = ""
-	}
-	return true, nil
-}
-
 // ownAims is what a job's own user asks for.
 func (c *Core) ownAims(j *ledger.Job) ledger.Aims {
 	s := j.Spec()
@@ -235,10 +249,27 @@
 // release numbers tell what a controller understands. It is stored with its seat
 // and told with its status; those before it told none.
 const (
-	release       = 4
+	release       = 5
 	releaseAwaits = 3 // understands jobs that await others
+	releasePast   = 4 // finds packed jobs
+	releaseParts  = 5 // guards the first part of a description
 )
 
+// noteMixed keeps for how long all controllers have run certain releases.
+func (c *Core) noteMixed() {
+	for _, r := range []int{releasePast, releaseParts} {
+		for _, n := range c.peers.names {
+			if c.releases[n] < r {
+				c.mixedAt[r] = c.now
+			}
+		}
+	}
+}
+
+// settled reports whether every controller has run a release or a later one for so
+// long that nothing that an older one sent is expected any more.
+func (c *Core) settled(release int) bool { return c.now-c.mixedAt[release] >= c.cfg.PackSettle }
+
 // older returns a controller that is known to run a release before this one. It
 // would take a job that awaits others for one that may start.
 func (c *Core) older() string {
--- a/internal/core/pipeline_test.go
+++ b/internal/core/pipeline_test.go
@@ -11,6 +11,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -205,7 +206,7 @@
 	if j == nil || j.Awaiting != 1 || len(j.Spec().Awaits) != 2500 || j.Since != 1010*unit.Second {
 		t.Fatalf("read anew: %+v", j)
 	}
-	delete(all, partKey("wk-900000", j.Record.Sum, 1))
+	delete(all, parts.Key("wk-900000", j.Record.Sum, 1))
 	if j := holding(t, all).jobs["wk-900000"]; j != nil {
 		t.Fatal("a job whose awaited names cannot be read is taken for one that may start")
 	}
@@ -280,14 +281,14 @@
 // next, though an older one held it last.
 func TestNewReleaseHolds(t *testing.T) {
 	c := New(Config{Node: "c", Size: 3, Peers: []string{"a", "b"}, TxnOps: 4, ValueKB: 8, StateRate: 100, WriteRate: 50})
-	for i, v := range []string{`{"node":"a"}`, `{"node":"b","release":4}`, `{"node":"c","release":4}`} {
+	for i, v := range []string{`{"node":"a"}`, `{"node":"b","release":5}`, `{"node":"c","release":5}`} {
 		node := string(rune('a' + i))
 		c.learn(store.Event{Key: seatPrefix + node, Value: json.RawMessage(v), Stamp: uint64(i + 1)})
 	}
 	if to := c.chooseHolder(0, granted{Block: lead.Block{Node: "a"}}, nil); to == "a" || to == "" {
 		t.Fatalf("goes to %q", to)
 	}
-	c.learn(store.Event{Key: seatPrefix + "a", Value: json.RawMessage(`{"node":"a","release":4}`), Stamp: 9})
+	c.learn(store.Event{Key: seatPrefix + "a", Value: json.RawMessage(`{"node":"a","release":5}`), Stamp: 9})
 	if to := c.chooseHolder(0, granted{Block: lead.Block{Node: "a"}}, nil); to != "a" {
 		t.Fatalf("goes to %q, and not to the last holder", to)
 	}
--- a/internal/core/storing.go
+++ b/internal/core/storing.go
@@ -103,6 +103,7 @@
 // its next transaction: machines that are up, then finished tasks, the longest
 // first, and what is only cleaned up.
 func (c *Core) lateWrites(bl *block) {
+	c.clearLone(bl)
 	tidies := bl.n == 0 && len(c.untidy) > 0
 	if c.now < bl.lateAt || len(bl.changed) == 0 && len(bl.dirty) == 0 && !tidies {
 		return
--- a/internal/core/sync.go
+++ b/internal/core/sync.go
@@ -243,7 +243,7 @@
 	case strings.HasPrefix(e.Key, jobPrefix):
 		err = c.learnJob(e.Key[len(jobPrefix):], e)
 	case strings.HasPrefix(e.Key, partPrefix):
-		err = c.learnPart(e.Key[len(partPrefix):], e)
+		err = c.learnPart(e)
 	case strings.HasPrefix(e.Key, donePrefix):
 		err = c.learnFinished(e.Key[len(donePrefix):], e)
 	case strings.HasPrefix(e.Key, machPrefix):
@@ -285,13 +285,11 @@
 	}
 	j := c.jobs[id]
 	if r.Parts > 0 && j == nil {
-		complete, err := c.join(id, &r)
-		if err != nil || !complete {
-			c.heads[id] = e
+		if complete, err := c.parts.Join(id, &r, e); err != nil || !complete {
 			return err
 		}
 	}
-	delete(c.heads, id)
+	c.parts.Read(id)
 	if j == nil {
 		j = &ledger.Job{ID: id, Stamp: e.Stamp, Record: r}
 		c.jobs[id] = j
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -7,6 +7,7 @@
 
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -155,7 +156,7 @@
 	if cancelled {
 		n.record = ledger.Record{Status: ledger.Cancelled, Tasks: spec.Tasks, Team: spec.Team, Demand: spec.Demand}
 	}
-	n.parts, n.stored = nil, 0
+	n.parts, n.stored, n.first, n.there = nil, 0, 0, false
 	if n.value = n.record.Encode(); len(n.value) > c.cfg.ValueMax {
 		n.record, n.parts = n.record.Split(c.cfg.ValueMax)
 		n.value = n.record.Encode()
@@ -181,6 +182,8 @@
 	value  json.RawMessage   // its stored form
 	parts  []json.RawMessage // of its description, where that is stored in parts
 	stored int               // parts
+	first  uint64            // version of the first of them
+	there  bool              // it was there before: another controller stores, or has stored, the same
 }
 
 // store stores what is next of a new job: parts of its description, if there are
@@ -191,16 +194,38 @@
 	// record from one that was over and packed meanwhile.
 	w := &store.Write{Guards: []store.Guard{{Key: key}, {Key: pastKey, Stamp: n.mark}}}
 	last := n.stored == len(n.parts)
+	first := parts.Key(n.id, n.record.Sum, 0)
 	if last {
 		w.Changes = []store.Change{{Key: key, Value: n.value}}
+		if n.first != 0 { // who clears parts without a record begins with that one
+			w.Guards = append(w.Guards, store.Guard{Key: first, Stamp: n.first})
+		}
+	}
+	// Another controller may be storing the same: written once more, the first part's
+	// version would change, and the two would keep each other from storing the record.
+	// Others are passed over only where the first was there: else they may be about to be
+	// cleared.
+	begins := n.stored == 0 && !last
+	if begins {
+		n.first = c.replica.Stamp(first)
+		n.there = n.first != 0
+	}
+	for ; len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts); n.stored++ {
+		k := parts.Key(n.id, n.record.Sum, n.stored)
+		if !n.there || c.replica.Stamp(k) == 0 {
+			w.Changes = append(w.Changes, store.Change{Key: k, Value: n.parts[n.stored]})
+		}
 	}
-	for len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts) {
-		w.Changes = append(w.Changes, store.Change{Key: partKey(n.id, n.record.Sum, n.stored), Value: n.parts[n.stored]})
-		n.stored++
+	if !last && len(w.Changes) == 0 {
+		c.store(n) // all are there
+		return
 	}
-	w.Done = func(o store.Outcome, _ uint64) {
+	w.Done = func(o store.Outcome, rev uint64) {
 		switch {
 		case o == store.OK && !last:
+			if begins && !n.there {
+				n.first = rev
+			}
 			c.store(n)
 		case o == store.OK:
 			status := n.record.Status
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -85,9 +85,9 @@
 	done      ledger.Set
 	on        map[int]Machine // tasks that are on a machine; nil while none is, as a long play has many jobs
 	zones     map[string]int  // how many of them by zone
-	lostSince unit.Micros // the first of the polls that failed, one after another
-	pollsLost int         // how many these are
-	okBefore  int         // polls that were answered, of all jobs, before them
+	lostSince unit.Micros     // the first of the polls that failed, one after another
+	pollsLost int             // how many these are
+	okBefore  int             // polls that were answered, of all jobs, before them
 	allBefore int
 	needs     []*job
 	needed    []*job // by whom
--- /dev/null
+++ b/internal/emulator/sim/parts_test.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"strings"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/emulator/user"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// TestGivenUpParts has submissions whose descriptions go into parts while controllers
+// end one by one and all at once, and transactions come late or unanswered: users give
+// some up half-way. Their parts are cleared while records may still come, and no record
+// is ever there without its parts.
+func TestGivenUpParts(t *testing.T) {
+	seen := 0
+	for seed := range uint64(3) {
+		s := packing()
+		s.Controllers.KeepDone, s.Controllers.PackSettleS, s.Controllers.RestartS = 8192, 0.5, 20
+		s.Users.LateRetries = 0.3
+		w := New(s, Options{Seed: seed + 1})
+		var first []*user.Job
+		spec := &ledger.Spec{Team: "green", Tasks: 1, Demand: [3]int64{500, 0, 500}, AnyType: true, Image: "i", Estimate: second}
+		for i := range 700 {
+			first = append(first, w.submit(unit.Micros(i)*second/20, spec, second, 0))
+		}
+		for i := range 40 {
+			w.submit(80*second+unit.Micros(i)*second, spec, second, 0, first...)
+		}
+		for at := 80.0; at < 130; at += 1 + w.rng.Float64() {
+			w.after(unit.Seconds(at+w.rng.Float64()), func() { w.Nodes[w.rng.IntN(3)].Crash() })
+			w.after(unit.Seconds(at), func() { w.Fault(scenario.Fault{Kind: scenario.StateLate, ForS: 0.3}) })
+		}
+		for at := 80 * second; at < 300*second; at += second {
+			w.Run(at)
+			for _, f := range inspect(w) {
+				switch f.Kind {
+				case "headless":
+					seen++
+				case "incomplete":
+					t.Fatalf("seed %d at %.1f: %s: %s", seed+1, at.Seconds(), f.Key, f.Text)
+				}
+			}
+		}
+		w.Run(500 * second)
+		for _, f := range inspect(w) {
+			if f.Kind == "headless" {
+				t.Errorf("seed %d: %s is left: %s", seed+1, f.Key, f.Text)
+			}
+		}
+		w.Check.Finish(w.now, true)
+		if b := w.Check.Broken(); len(b) > 0 {
+			t.Errorf("seed %d: %v", seed+1, b)
+		}
+	}
+	if seen == 0 {
+		t.Error("nothing was given up half-way")
+	}
+}
+
+// inspect looks at what is stored.
+func inspect(w *World) []core.Finding {
+	in := core.NewInspector()
+	w.State.Each(func(it kv.Item) {
+		if strings.HasPrefix(it.Key, core.Root) {
+			in.Look(store.Event{Key: it.Key, Value: it.Value, Stamp: it.Stamp})
+		}
+	})
+	return in.Findings()
+}
