Core in rooms: the copy of the state service's keys is a package of its own

internal/core/mirror owns the listing, the watch, fresh reads, the rates and the notice that the service went back; it does not know what keys mean, and says what it needs by Host. sync.go is learn.go now, with what keys mean.

--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -155,7 +155,7 @@
 		{Key: machPrefix + "r-1", Value: store.Value(fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}}), Stamp: 118}}, false)
 	c.Drain()
 	c.OnChanges(c.now, Watch{After: 101, Known: 101}, store.OK, 110, nil, false)
-	if c.recovery.due {
+	if c.mirror.Recovering() {
 		t.Fatal("an answer that was under way is taken for a service that went back")
 	}
 	c.OnChanges(c.now, Watch{After: 120, Known: 120}, store.OK, 107, nil, false)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,12 +5,12 @@
 
 import (
 	"log/slog"
-	"slices"
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/recall"
@@ -85,15 +85,9 @@
 		// RetryAfter tells a user when to come back; 0: not said.
 		RetryAfter unit.Micros
 	}
-	// List reads a page of all keys, those after a key (OnList).
-	List struct{ After string }
-	// Watch reads changes after a revision (OnChanges). Fresh asks for an answer at once.
-	Watch struct {
-		After uint64
-		Known uint64 // the highest revision that was known when it was sent
-		Wait  unit.Micros
-		Fresh bool
-	}
+	// List and Watch read the state service's keys (OnList, OnChanges).
+	List  = mirror.List
+	Watch = mirror.Watch
 	// Commit sends a transaction (OnCommit).
 	Commit struct {
 		Lane LaneID
@@ -160,14 +154,14 @@
 
 // Core is one controller's whole state.
 type Core struct {
-	cfg     Config
-	log     *slog.Logger
-	now     unit.Micros // steady
-	wall    unit.Micros // time of day
-	out     []Effect
-	teams   map[string]*Team
-	replica *store.Replica
-	lanes   [lanes]*store.Lane
+	cfg    Config
+	log    *slog.Logger
+	now    unit.Micros // steady
+	wall   unit.Micros // time of day
+	out    []Effect
+	teams  map[string]*Team
+	mirror *mirror.Mirror // the copy of the state service's keys
+	lanes  [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job // those that are not packed
 	active map[string]*ledger.Job // those that are not final
@@ -188,8 +182,7 @@
 	loadAt unit.Micros
 
 	old       oldJobs
-	sync      syncState
-	recovery  recovery
+	memory    *recall.Memory // what may have to be written again
 	seat      seat
 	voters    map[string]*lead.Voter // what is owed with regard to each controller
 	releases  map[string]int         // of the other controllers, as last heard or read
@@ -225,9 +218,9 @@
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
-	c.replica = store.NewReplica(c.learn)
+	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
-	c.recovery.memory = recall.New(recallBytes)
+	c.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: store.TxnBytes, MaxQueue: 256}
@@ -263,11 +256,11 @@
 	}
 	for id, l := range c.lanes {
 		if t := l.Next(c.now); t != nil {
-			t.Known = c.recovery.seen
+			t.Known = c.mirror.Seen()
 			c.emit(Commit{LaneID(id), t})
 		}
 	}
-	c.pumpSync()
+	c.mirror.Pump(c.now)
 	c.pumpOld()
 }
 
@@ -280,7 +273,7 @@
 	c.silence += min(c.now-c.ticked, awakeStep)
 	c.ticked = c.now
 	c.wall = wall
-	c.tickSync()
+	c.mirror.Tick(c.now, wall)
 	c.tickPeers()
 	c.tickSeat()
 	c.tickLead()
@@ -298,18 +291,7 @@
 	c.at(now)
 	o = c.heard(o)
 	if o == store.OK {
-		learn := c.replica.Learn
-		if rev < t.Known || rev == t.Known && puts(t) {
-			c.wentBack(t.Known, rev)
-			learn = c.replica.Put
-		} else {
-			c.recovery.seen = max(c.recovery.seen, rev)
-		}
-		for _, ch := range t.Changes {
-			if ch.Value != nil && strings.HasPrefix(ch.Key, root) { // buckets are in no copy
-				learn(store.Event{Key: ch.Key, Value: ch.Value, Stamp: rev})
-			}
-		}
+		c.mirror.Committed(now, t, rev, func(key string) bool { return strings.HasPrefix(key, root) }) // buckets are in no copy
 	}
 	if o != store.OK {
 		c.wantSync(nil)
@@ -317,12 +299,6 @@
 	c.lanes[lane].Finish(now, o, rev, failed)
 }
 
-// puts reports whether a transaction surely makes a new revision: what is removed
-// may have been gone already.
-func puts(t *store.Txn) bool {
-	return slices.ContainsFunc(t.Changes, func(ch store.Change) bool { return ch.Value != nil })
-}
-
 // Keys of the state service.
 const (
 	root         = "shalestage/"
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -23,10 +23,9 @@
 	}
 	bl := c.held[j.Record.Block]
 	if bl == nil {
-		s := c.sync
-		fmt.Fprintf(&b, "; block %d held by %+v; led by %q; seat %d opening %v after %.1f; loaded %v listing %v reading %v watching %v heard %.1f; lane %d",
+		fmt.Fprintf(&b, "; block %d held by %+v; led by %q; seat %d opening %v after %.1f; %s; lane %d",
 			j.Record.Block, c.blocks[j.Record.Block], c.claim.Node, c.seat.id, c.seat.opening, c.seat.after.Seconds(),
-			s.loaded, s.listing, s.reading, s.watching, s.lastOK.Seconds(), c.lanes[LeaderLane].Len())
+			c.mirror.Explain(), c.lanes[LeaderLane].Len())
 		return b.String()
 	}
 	if s := j.Spec(); s != nil {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -66,20 +66,20 @@
 // tickLead claims the lead where nobody has it.
 func (c *Core) tickLead() {
 	if l := c.leader; l != nil {
-		if c.now >= l.lookAt && !l.writing && c.now-c.sync.lastOK < unit.Second {
+		if c.now >= l.lookAt && !l.writing && c.stateAge() < unit.Second {
 			l.lookAt = c.now + governEvery
 			c.govern(l)
 		}
 		return
 	}
-	if c.seat.id == 0 || c.claiming || !c.leadFree() || c.now-c.sync.lastOK > unit.Second {
+	if c.seat.id == 0 || c.claiming || !c.leadFree() || c.stateAge() > unit.Second {
 		return
 	}
 	c.claiming = true
 	term := c.term.Term + 1
 	me, key := c.cfg.Node, c.leadKey()
 	c.lanes[LeaderLane].Add(&store.Write{
-		Guards: []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}, {Key: termKey, Stamp: c.replica.Stamp(termKey)},
+		Guards: []store.Guard{{Key: key, Stamp: c.mirror.Stamp(key)}, {Key: termKey, Stamp: c.mirror.Stamp(termKey)},
 			{Key: seatPrefix + me, Stamp: c.seat.id}},
 		Changes: []store.Change{
 			{Key: key, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
--- a/internal/core/sync.go
+++ b/internal/core/learn.go
@@ -9,77 +9,33 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
-// syncState drives the copy of the state service's keys. One listing fills
-// it, a watch keeps it fresh, and a read without waiting proves it fresh: a
-// request that must not get an old answer waits for a read that began after
-// the request arrived. Requests that arrive together share one read.
-type syncState struct {
-	loaded    bool
-	loadedAt  unit.Micros
-	listing   bool
-	listKnown uint64        // the highest revision that was known when the listing began
-	page      string        // the last key that it has shown; "": it has not begun
-	pageRev   uint64        // revision at which it began
-	pages     []store.Event // what it has shown, where the service went back
-	limitedAt unit.Micros   // the state service last refused something as too much; 0: never
-	watching  bool
-	reading   bool
-	retryAt   unit.Micros
-	nextRead  unit.Micros
-	nextWatch unit.Micros
-	current   []func(ok bool) // told when the read under way ends
-	waiting   []func(ok bool) // wait for the next read
-	want      bool
-	lastOK    unit.Micros // the state service last answered
-	everOK    bool
-}
-
-const (
-	watchWait = 5 * unit.Second
-	// ListPage is how many keys are listed at once.
-	ListPage  = 500
-	maxWaiter = 2000
-)
+// copied is what the copy of the state service's keys tells this controller.
+type copied struct{ *Core }
 
-// wantSync asks for a fresh read; f, if any, is told whether it worked.
-func (c *Core) wantSync(f func(ok bool)) {
-	if f != nil && len(c.sync.waiting) >= maxWaiter {
-		f(false)
-		return
-	}
-	c.sync.want = true
-	if f != nil {
-		c.sync.waiting = append(c.sync.waiting, f)
-	}
-}
+// Emit implements mirror.Host.
+func (c copied) Emit(e any) { c.emit(e) }
 
-// heartbeat is how often the state service is asked at least, so that every
-// controller knows, and can tell its peers, whether it is served.
-const heartbeat = 400 * unit.Second / 1000
+// Learn implements mirror.Host.
+func (c copied) Learn(e store.Event) { c.learn(e) }
 
-// heard notes whether the state service serves this node, and at what rate. It
-// returns the outcome for those whom the reason of a refusal does not concern.
-func (c *Core) heard(o store.Outcome) store.Outcome {
-	switch o {
-	case store.OK, store.Failed, store.TooLarge:
-		c.sync.lastOK, c.sync.everOK = c.now, true
-	case store.Limited:
-		c.sync.limitedAt = c.now
-		c.useNextRates()
-		return store.Refused
+// Removed implements mirror.Host.
+func (c copied) Removed(key string) {
+	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
+		c.old.past.Packed(id)
 	}
-	return o
 }
 
-// useNextRates goes by the rates that the state service was to have later.
-func (c *Core) useNextRates() {
-	if next := c.cfg.NextStateRate; next > 0 {
-		c.cfg.StateRate = min(c.cfg.StateRate, next)
-	}
+// Gap implements mirror.Host.
+func (c copied) Gap() { c.old.past.Lost() }
+
+// Limited implements mirror.Host: from now on the rates count that the state service was
+// to have later.
+func (c copied) Limited() {
 	if next := c.cfg.NextWriteRate; 0 < next && next < c.cfg.WriteRate {
 		c.log.Info("state service takes fewer changes", "a_second", next)
 		c.cfg.WriteRate = next
@@ -87,144 +43,38 @@
 	}
 }
 
-func (c *Core) tickSync() {
-	s := &c.sync
-	if s.loaded && c.now-s.lastOK > heartbeat {
-		s.want = true
-	}
-	if !s.loaded && !s.listing && c.now >= s.retryAt {
-		if s.page == "" {
-			s.listKnown, s.pages = c.recovery.seen, nil
-		}
-		s.listing = true
-		c.emit(List{After: s.page})
-	}
-	// Changes are followed while the listing goes on: the service keeps only some,
-	// and one that is longer than that would never end.
-	if (s.loaded || s.page != "" && !c.recovery.due) && !s.watching && c.now >= s.retryAt && c.now >= s.nextWatch {
-		s.watching = true
-		// A watch ends with every change, so a third of the budget bounds them.
-		s.nextWatch = c.now + unit.Seconds(3*float64(c.cfg.Size)/c.cfg.StateRate)
-		c.emit(Watch{After: c.replica.Rev, Known: c.recovery.seen, Wait: watchWait})
-	}
-}
+// Reload implements mirror.Host.
+func (c copied) Reload(rev uint64, items []store.Event) { c.reload(rev, items) }
 
-func (c *Core) pumpSync() {
-	s := &c.sync
-	if !s.want || s.reading || !s.loaded || c.now < s.nextRead {
-		return
-	}
-	s.want, s.reading = false, true
-	s.current, s.waiting = s.waiting, nil
-	// Half of the request budget is for reads, shared by all controllers.
-	s.nextRead = c.now + unit.Seconds(2*float64(c.cfg.Size)/c.cfg.StateRate)
-	c.emit(Watch{After: c.replica.Rev, Known: c.recovery.seen, Fresh: true})
-}
+// ListPage is how many keys are listed at once.
+const ListPage = mirror.Page
+
+// wantSync asks for a fresh read; f, if any, is told whether it worked.
+func (c *Core) wantSync(f func(ok bool)) { c.mirror.Want(f) }
+
+// heard notes whether the state service serves this node, and at what rate. It
+// returns the outcome for those whom the reason of a refusal does not concern.
+func (c *Core) heard(o store.Outcome) store.Outcome { return c.mirror.Heard(c.now, o) }
 
 // OnList takes a page of the listing, read at a revision; more says that there are
-// others. A page that was not served is asked for again.
+// others.
 func (c *Core) OnList(now unit.Micros, l List, o store.Outcome, rev uint64, items []store.Event, more bool) {
 	c.at(now)
-	o = c.heard(o)
-	s := &c.sync
-	s.listing = false
-	if o != store.OK {
-		s.retryAt = now + unit.Second/2
-		return
-	}
-	if l.After != s.page { // the listing has begun anew meanwhile
-		c.tickSync()
-		return
-	}
-	if c.recovery.stale { // it may show what was there before the service went back
-		c.recovery.stale = false
-		s.page = ""
-		c.tickSync()
-		return
-	}
-	if s.page == "" {
-		s.pageRev = rev
-		if rev < s.listKnown && !c.recovery.due {
-			c.wentBack(s.listKnown, rev)
-		}
-		if !c.recovery.due {
-			c.replica.Begin(rev)
-			c.recovery.seen = max(c.recovery.seen, rev)
-			if s.loadedAt > 0 {
-				c.old.past.Lost()
-			}
-		}
-	}
-	if c.recovery.due {
-		s.pages = append(s.pages, items...)
-	} else {
-		c.replica.Page(items)
-	}
-	if more && len(items) > 0 {
-		s.page = items[len(items)-1].Key
-		// As fast as half of this node's part of the budget allows.
-		s.retryAt = now + unit.Seconds(2*float64(c.cfg.Size)/c.cfg.StateRate)
-		c.tickSync()
-		return
-	}
-	if c.recovery.due {
-		c.reload(s.pageRev, s.pages)
-	} else {
-		c.replica.End()
-	}
-	s.page, s.pages = "", nil
-	s.loaded, s.loadedAt = true, now
-	c.log.Info("state loaded", "keys", c.replica.Keys(), "revision", s.pageRev)
-	c.wantSync(nil)
-	c.tickSync()
+	c.mirror.OnList(c.now, l, o, rev, items, more)
 }
 
-// OnChanges takes a watch's answer. gone means that the service no longer has
-// all changes since then, so the copy is taken anew.
+// OnChanges takes a watch's answer. gone means that the service no longer has all
+// changes since then.
 func (c *Core) OnChanges(now unit.Micros, w Watch, o store.Outcome, rev uint64, events []store.Event, gone bool) {
 	c.at(now)
-	o = c.heard(o)
-	s := &c.sync
-	var told []func(bool)
-	if w.Fresh {
-		s.reading = false
-		told, s.current = s.current, nil
-	} else {
-		s.watching = false
-	}
-	// One that was sent before the copy was last taken anew tells nothing of it.
-	if o == store.OK && rev < w.Known && w.Known <= c.recovery.seen {
-		c.wentBack(w.Known, rev)
-		o = store.Unknown
-	}
-	if o == store.OK {
-		c.recovery.seen = max(c.recovery.seen, rev)
-		for _, e := range events {
-			if id, ok := strings.CutPrefix(e.Key, jobPrefix); ok && e.Value == nil {
-				c.old.past.Packed(id) // also where the copy has never had it
-			}
-		}
-		c.replica.Advance(w.After, rev, events)
-	} else if gone {
-		s.loaded, s.page = false, ""
-	} else if c.recovery.due {
-		s.retryAt = now // the copy is taken anew at once
-	} else if !w.Fresh {
-		s.retryAt = now + unit.Second/2
-	} else {
-		s.nextRead = max(s.nextRead, now+unit.Second/4)
-	}
-	c.tickSync()
-	for _, f := range told {
-		f(o == store.OK)
-	}
+	c.mirror.OnChanges(c.now, w, o, rev, events, gone)
 }
 
 // learn takes one change of the copy. Records that cannot be read are logged
 // and skipped: they end no process.
 func (c *Core) learn(e store.Event) {
 	if !isAuthority(e.Key) {
-		c.recovery.memory.Note(e)
+		c.memory.Note(e)
 	}
 	var err error
 	switch {
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -66,7 +66,7 @@
 			c.wantSync(func(bool) {
 				switch {
 				case c.held[bl.n] != bl || !j.Active() || j.Record.Block != bl.n:
-				case (o == store.Failed || o == store.TooLarge) && j.Stamp == c.replica.Stamp(key):
+				case (o == store.Failed || o == store.TooLarge) && j.Stamp == c.mirror.Stamp(key):
 					j.Moving = false // that transaction can never be carried out
 				default:
 					c.moveJob(bl, j, to)
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -8,6 +8,7 @@
 
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -177,7 +178,7 @@
 	}
 	// A cancelled job's finished tasks are still stored.
 	for _, name := range c.layout.Names(j.Record.Tasks) {
-		if k := progressKey(id, name); c.replica.Stamp(k) != 0 {
+		if k := progressKey(id, name); c.mirror.Stamp(k) != 0 {
 			out.Clear = append(out.Clear, k)
 		}
 	}
@@ -193,22 +194,22 @@
 	o := &c.old
 	c.noteMixed()
 	c.settleDoubts()
-	if !c.sync.loaded || c.stateAge() > heartbeat+unit.Second/2 || c.recovery.due {
+	if !c.mirror.Loaded() || c.stateAge() > mirror.Heartbeat+unit.Second/2 || c.mirror.Recovering() {
 		return
 	}
-	rate := c.cfg.StateRate / float64(c.cfg.Size) * lookShare
+	rate := c.mirror.Rate() / float64(c.cfg.Size) * lookShare
 	if s := o.past.NextScan(c.now, unit.Seconds(1/rate)); s != nil {
 		c.emit(ScanKeys{*s})
 	}
 	l := c.leader
-	if l == nil || c.cfg.KeepDone == 0 || c.sync.limitedAt > 0 && c.now < c.sync.limitedAt+calmAfter || c.lanes[LeaderLane].Len() > 0 || c.lanes[UserLane].Len() > 0 {
+	if l == nil || c.cfg.KeepDone == 0 || c.mirror.Refused(c.now, calmAfter) || c.lanes[LeaderLane].Len() > 0 || c.lanes[UserLane].Len() > 0 {
 		return // packing takes only what nobody else needs
 	}
 	if l.writing || c.now >= o.markAt && c.keepOut(l) {
 		return
 	}
 	_, stamp := o.past.Mark()
-	if stamp == 0 || c.replica.Rev < stamp || o.packer.Len() <= c.cfg.KeepDone-c.cfg.KeepDone/4 || c.lanes[PackLane].Len() > 0 {
+	if stamp == 0 || c.mirror.Rev < stamp || o.packer.Len() <= c.cfg.KeepDone-c.cfg.KeepDone/4 || c.lanes[PackLane].Len() > 0 {
 		return
 	}
 	share := packShare
@@ -237,13 +238,13 @@
 			return false
 		}
 		for _, name := range sortedKeys(c.types) {
-			if key := kindPrefix + name; c.replica.Stamp(key) == 0 {
+			if key := kindPrefix + name; c.mirror.Stamp(key) == 0 {
 				l.write(c, []store.Guard{{Key: key}}, store.Change{Key: key, Value: store.Value(c.types[name])})
 				return true
 			}
 		}
-		mark = past.Mark{Release: releasePast, Cut: c.replica.Rev + 1}
-		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.replica.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
+		mark = past.Mark{Release: releasePast, Cut: c.mirror.Rev + 1}
+		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.mirror.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
 			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
 			nobodys,
 			store.Change{Key: pastKey, Value: store.Value(mark)})
@@ -252,14 +253,14 @@
 	}
 	o.markAt = c.now + unit.Second/2
 	if e := o.leads[leadKeyFirst]; !keepsOut(e.Value) {
-		l.write(c, []store.Guard{{Key: leadKeyFirst, Stamp: c.replica.Stamp(leadKeyFirst)}},
+		l.write(c, []store.Guard{{Key: leadKeyFirst, Stamp: c.mirror.Stamp(leadKeyFirst)}},
 			nobodys)
 		o.markAt = c.now
 		return true
 	}
 	for _, name := range sortedKeys(c.types) {
-		if key := typePrefix + name; c.replica.Stamp(key) != 0 {
-			l.write(c, []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}}, store.Change{Key: key})
+		if key := typePrefix + name; c.mirror.Stamp(key) != 0 {
+			l.write(c, []store.Guard{{Key: key, Stamp: c.mirror.Stamp(key)}}, store.Change{Key: key})
 			o.markAt = c.now
 			return true
 		}
@@ -268,7 +269,7 @@
 		return false
 	}
 	// A new cut lets further jobs be packed.
-	mark.Release, mark.Cut, mark.Jobs = releasePast, max(mark.Cut, c.replica.Rev+1), mark.Jobs+o.packer.Done
+	mark.Release, mark.Cut, mark.Jobs = releasePast, max(mark.Cut, c.mirror.Rev+1), mark.Jobs+o.packer.Done
 	o.packer.Done = 0
 	o.markAt = c.now + markEvery
 	l.write(c, []store.Guard{{Key: pastKey, Stamp: stamp}}, store.Change{Key: pastKey, Value: store.Value(mark)})
@@ -277,8 +278,8 @@
 
 // pumpOld sends the reads that are due.
 func (c *Core) pumpOld() {
-	for _, r := range c.old.past.Next(c.now, c.cfg.StateRate/float64(c.cfg.Size)*lookShare) {
-		c.emit(ReadKey{r, c.recovery.seen})
+	for _, r := range c.old.past.Next(c.now, c.mirror.Rate()/float64(c.cfg.Size)*lookShare) {
+		c.emit(ReadKey{r, c.mirror.Seen()})
 	}
 }
 
@@ -287,8 +288,7 @@
 func (c *Core) OnKey(now unit.Micros, r ReadKey, o store.Outcome, value []byte, stamp, rev uint64) {
 	c.at(now)
 	o = c.heard(o)
-	if rev > 0 && rev < r.Known && r.Known <= c.recovery.seen {
-		c.wentBack(r.Known, rev)
+	if rev > 0 && c.mirror.Behind(rev, r.Known) {
 		o = store.Unknown
 	}
 	if err := c.old.past.OnRead(now, r.Read, o, value, stamp); err != nil {
@@ -341,7 +341,7 @@
 		then(n, true)
 		return
 	}
-	if c.replica.Rev < n.mark { // the copy may lack what was accepted before the mark
+	if c.mirror.Rev < n.mark { // the copy may lack what was accepted before the mark
 		c.wantSync(func(ok bool) {
 			if !ok {
 				then(n, false)
@@ -436,7 +436,7 @@
 
 func (c *Core) settleDoubts() {
 	o := &c.old
-	for len(o.doubts) > 0 && o.asked < doubtsAtOnce && c.sync.loaded && !c.recovery.due {
+	for len(o.doubts) > 0 && o.asked < doubtsAtOnce && c.mirror.Loaded() && !c.mirror.Recovering() {
 		id := o.doubts[0]
 		o.doubts = o.doubts[1:]
 		a, known := o.past.Known(id)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -129,18 +129,14 @@
 	return p
 }
 
-func (c *Core) stateAge() unit.Micros {
-	if !c.sync.everOK {
-		return unit.Never
-	}
-	return c.now - c.sync.lastOK
-}
+// stateAge is how long ago the state service last answered.
+func (c *Core) stateAge() unit.Micros { return c.mirror.Age(c.now) }
 
 func (c *Core) tickPeers() {
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Back: c.recovery.mark}
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Back: c.mirror.Mark()}
 		if c.valid(c.now) {
 			s.Seat, s.Sent = c.seat.id, c.now
 		}
@@ -306,7 +302,7 @@
 // still of use while it can hand requests over.
 func (c *Core) Ready(now unit.Micros) bool {
 	c.at(now)
-	if !c.sync.loaded || len(c.types) == 0 {
+	if !c.mirror.Loaded() || len(c.types) == 0 {
 		return false
 	}
 	return c.stateAge() < 3*unit.Second || c.anyPeer()
--- a/internal/core/pipeline_test.go
+++ b/internal/core/pipeline_test.go
@@ -38,7 +38,7 @@
 				replies[e.Req] = e
 			case Watch:
 				if e.Fresh {
-					c.OnChanges(c.now, e, store.OK, c.replica.Rev, nil, false)
+					c.OnChanges(c.now, e, store.OK, c.mirror.Rev, nil, false)
 				}
 			case Commit:
 				if len(e.Txn.Changes) > 4 || len(e.Txn.Guards) > 16 {
@@ -56,7 +56,7 @@
 				c.OnCommit(c.now, e.Lane, e.Txn, store.OK, rev, nil)
 				for _, ch := range e.Txn.Changes {
 					if ch.Value == nil {
-						c.replica.Learn(store.Event{Key: ch.Key, Stamp: rev})
+						c.mirror.Learn(store.Event{Key: ch.Key, Stamp: rev})
 					}
 				}
 			}
@@ -73,7 +73,7 @@
 		t.Helper()
 		for _, e := range c.Drain() {
 			if w, ok := e.(Watch); ok && w.Fresh {
-				c.OnChanges(c.now, w, o, c.replica.Rev+1, events, false)
+				c.OnChanges(c.now, w, o, c.mirror.Rev+1, events, false)
 				return replyTo(t, c, 5)
 			}
 		}
@@ -82,7 +82,7 @@
 	}
 	step := func() {
 		c.Tick(c.now+unit.Second, c.wall+unit.Second)
-		c.OnChanges(c.now, Watch{Fresh: true, After: c.replica.Rev}, store.OK, c.replica.Rev, nil, false)
+		c.OnChanges(c.now, Watch{Fresh: true, After: c.mirror.Rev}, store.OK, c.mirror.Rev, nil, false)
 	}
 	step()
 	c.Submit(c.now, 5, "wk-000009", job("wk-000001", "wk-000008"), "")
@@ -100,7 +100,7 @@
 	c.Submit(c.now, 5, "wk-000009", job("wk-000008"), "")
 	for _, e := range c.Drain() {
 		if w, ok := e.(Watch); ok && w.Fresh { // another controller has accepted it meanwhile
-			c.OnChanges(c.now, w, store.OK, c.replica.Rev+1, []store.Event{{Key: jobPrefix + "wk-000008", Value: pending(job()).Encode(), Stamp: c.replica.Rev + 1}}, false)
+			c.OnChanges(c.now, w, store.OK, c.mirror.Rev+1, []store.Event{{Key: jobPrefix + "wk-000008", Value: pending(job()).Encode(), Stamp: c.mirror.Rev + 1}}, false)
 		}
 	}
 	if r := serve(t, c, map[string]store.Event{})[5]; r.Code != http.StatusCreated || c.jobs["wk-000009"].Awaiting != 1 {
@@ -160,8 +160,8 @@
 	if r := submit("wk-000002", "wk-000001"); r.Code != http.StatusCreated {
 		t.Fatalf("%+v", r)
 	}
+	c.at(c.now + 2*unit.Second) // the state service has not answered for a while
 	c.OnPeer(c.now, "b", PeerStatus{StateAge: 0})
-	c.sync.lastOK = 0
 	c.Submit(c.now, 7, "wk-000004", job("wk-000001"), "")
 	for _, e := range c.Drain() {
 		if m, ok := e.(SendPeer); ok {
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -9,7 +9,6 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
-	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -25,31 +24,12 @@
 // minutes of changes at the rates of docs/results.md.
 const recallBytes = 1 << 20
 
-// recovery is what a controller knows of times at which the state service went back.
-type recovery struct {
-	memory *recall.Memory
-	mark   unit.Micros // time of day at which this node last noticed it: tells one time from the next
-	due    bool        // the copy is to be taken anew for it
-	stale  bool        // the listing under way began before that
-	seen   uint64      // the highest revision that any answer has told
-}
-
 // isAuthority reports whether a key says who may act: it is never written again by
 // others than its owner.
 func isAuthority(key string) bool {
 	return key == leadKeyFirst || key == leadKeyPast || strings.HasPrefix(key, seatPrefix)
 }
 
-// wentBack notes that the state service is behind what it has answered.
-func (c *Core) wentBack(known, got uint64) {
-	if c.recovery.due {
-		return
-	}
-	c.log.Error("the state service went back behind an answer: what is known here is written again", "known_revision", known, "revision", got)
-	c.recovery.mark = max(c.wall, c.recovery.mark+1)
-	c.recoverCopy()
-}
-
 // heardBack takes a peer's word that the state service went back: each has its own
 // mark, as two may have noticed two different times.
 func (c *Core) heardBack(from string, v *peerView, mark unit.Micros) {
@@ -58,19 +38,11 @@
 	}
 	v.back = mark
 	c.log.Warn("another controller says that the state service went back", "controller", from)
-	c.recoverCopy()
-}
-
-func (c *Core) recoverCopy() {
-	c.recovery.due = true
-	c.recovery.stale = c.sync.listing
-	c.sync.loaded, c.sync.page = false, ""
-	c.sync.retryAt = c.now
+	c.mirror.Anew(c.now)
 }
 
 // reload takes a listing after the state service went back.
 func (c *Core) reload(rev uint64, items []store.Event) {
-	c.recovery.due, c.recovery.seen = false, rev
 	again := c.endAgain(items)
 	listed := make(map[string]uint64, len(items))
 	values := make(map[string]json.RawMessage, len(items))
@@ -78,13 +50,13 @@
 		listed[e.Key], values[e.Key] = e.Stamp, e.Value
 	}
 	keep := map[string]bool{}
-	for _, e := range c.recovery.memory.Lost(listed) {
+	for _, e := range c.memory.Lost(listed) {
 		if v, ok := c.newer(e, values[e.Key]); ok {
 			keep[e.Key] = true
 			again = append(again, store.Event{Key: e.Key, Value: v, Stamp: listed[e.Key]})
 		}
 	}
-	c.replica.Recover(rev, items, keep)
+	c.mirror.Recover(rev, items, keep)
 	c.doubt()
 	for _, e := range again {
 		c.log.Warn("written again", "key", e.Key, "listed_version", e.Stamp)
@@ -120,7 +92,7 @@
 			}
 			// Refused, unknown or another was first: what counts is what is there.
 			c.wantSync(func(ok bool) {
-				stamp := c.replica.Stamp(e.Key)
+				stamp := c.mirror.Stamp(e.Key)
 				if ok && (stamp != e.Stamp || o == store.Failed) {
 					return // it is there, or somebody else's is
 				}
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -134,8 +134,8 @@
 		key := c.typeKey(t.Name)
 		old := c.types[t.Name]
 		c.setType(t)
-		if l := c.leader; l != nil && (old == nil || c.replica.Stamp(key) == 0) {
-			l.write(c, []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}}, store.Change{Key: key, Value: store.Value(t)})
+		if l := c.leader; l != nil && (old == nil || c.mirror.Stamp(key) == 0) {
+			l.write(c, []store.Guard{{Key: key, Stamp: c.mirror.Stamp(key)}}, store.Change{Key: key, Value: store.Value(t)})
 		}
 	}
 	for _, bl := range c.held {
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -72,10 +72,10 @@
 		}
 		return
 	}
-	if !c.sync.loaded || s.opening || c.now < s.after {
+	if !c.mirror.Loaded() || s.opening || c.now < s.after {
 		return
 	}
-	if c.now-c.sync.lastOK > unit.Second {
+	if c.stateAge() > unit.Second {
 		c.wantSync(nil)
 		return
 	}
@@ -97,7 +97,7 @@
 	key := seatPrefix + c.cfg.Node
 	sent := s.sent
 	c.lanes[LeaderLane].Add(&store.Write{
-		Guards:  []store.Guard{{Key: key, Stamp: c.replica.Stamp(key)}},
+		Guards:  []store.Guard{{Key: key, Stamp: c.mirror.Stamp(key)}},
 		Changes: []store.Change{{Key: key, Value: store.Value(lead.Seat{Node: c.cfg.Node, Release: release}), Lease: id}},
 		Done: func(o store.Outcome, rev uint64) {
 			s.opening = false
@@ -223,7 +223,7 @@
 	}
 	v := c.seats[node]
 	if v == nil { // not there when the copy was first read
-		v = &seatView{since: c.sync.loadedAt, goneAt: c.sync.loadedAt}
+		v = &seatView{since: c.mirror.LoadedAt(), goneAt: c.mirror.LoadedAt()}
 		c.seats[node] = v
 	}
 	switch {
--- a/internal/core/storing.go
+++ b/internal/core/storing.go
@@ -22,7 +22,7 @@
 func (c *Core) guarded(bl *block, keys []string, changes []store.Change) *store.Write {
 	w := &store.Write{Guards: []store.Guard{{Key: blockKey(bl.n), Stamp: bl.grant}}, Changes: changes}
 	for _, k := range keys {
-		w.Guards = append(w.Guards, store.Guard{Key: k, Stamp: c.replica.Stamp(k)})
+		w.Guards = append(w.Guards, store.Guard{Key: k, Stamp: c.mirror.Stamp(k)})
 	}
 	return w
 }
@@ -68,7 +68,7 @@
 	ch := store.Change{Key: g.key}
 	if len(g.members) > 0 {
 		ch.Value = store.Value(rec)
-	} else if c.replica.Stamp(g.key) == 0 {
+	} else if c.mirror.Stamp(g.key) == 0 {
 		delete(bl.groups, g.key)
 		return
 	}
@@ -188,7 +188,7 @@
 	rec := ledger.Record{Status: ledger.Done, Tasks: j.Record.Tasks, Ended: c.wall}
 	changes := []store.Change{{Key: key, Value: rec.Encode()}}
 	for _, name := range c.layout.Names(j.Record.Tasks) {
-		if k := progressKey(j.ID, name); c.replica.Stamp(k) != 0 && len(changes) < c.cfg.TxnOps {
+		if k := progressKey(j.ID, name); c.mirror.Stamp(k) != 0 && len(changes) < c.cfg.TxnOps {
 			changes = append(changes, store.Change{Key: k})
 		}
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -207,12 +207,12 @@
 	// cleared.
 	begins := n.stored == 0 && !last
 	if begins {
-		n.first = c.replica.Stamp(first)
+		n.first = c.mirror.Stamp(first)
 		n.there = n.first != 0
 	}
 	for ; len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts); n.stored++ {
 		k := parts.Key(n.id, n.record.Sum, n.stored)
-		if !n.there || c.replica.Stamp(k) == 0 {
+		if !n.there || c.mirror.Stamp(k) == 0 {
 			w.Changes = append(w.Changes, store.Change{Key: k, Value: n.parts[n.stored]})
 		}
 	}
