Core in rooms: seats, promises and permits are a package of their own; a test of the copy

internal/core/seats owns this controller's seat, its view of the others, what it owes them and the polls for permits; what it needs of the rest is its Host.

--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -18,7 +18,7 @@
 // more: with a hand-over a minute nothing was returned at all.
 func TestMachineAgeOutlivesHolder(t *testing.T) {
 	c := New(Config{Node: "a", Size: 1, TxnOps: 8, ValueKB: 8, StateRate: 100, WriteRate: 50,
-		LeaderTTL: 2 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second})
+		LeaderTTL: 1000 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second})
 	now, wall := unit.Second, 1000*unit.Second
 	c.Tick(now, wall)
 	g := fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}, Rented: wall - 400*unit.Second}
@@ -168,6 +168,7 @@
 		t.Fatal("a revision below a known one was not noticed")
 	}
 	c.OnList(c.now, List{}, store.OK, 108, []store.Event{
+		{Key: seatPrefix + "a", Value: store.Value(lead.Seat{Node: "a"}), Stamp: 1},
 		{Key: jobPrefix + "wk-000001", Value: store.Value(early), Stamp: 1},
 		{Key: machPrefix + "r-1", Value: store.Value(fleet.Group{Type: "big", Zone: "z", Booting: []string{"n-1"}}), Stamp: 2}}, false)
 	if c.jobs["wk-000001"].Active() || c.jobs["wk-000002"] == nil || c.held[0] == nil {
@@ -209,7 +210,7 @@
 func holding(t *testing.T, values map[string]any) *Core {
 	t.Helper()
 	c := New(Config{Node: "a", Size: 1, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, NextWriteRate: 20, Teams: []Team{{Name: "t"}},
-		LeaderTTL: 2 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second, CloudRate: 5,
+		LeaderTTL: 1000 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second, CloudRate: 5,
 		Scale: scale.Params{Memory: 15 * unit.Second, Worth: 20 * unit.Second, IdleReturn: 5 * unit.Second}})
 	c.Tick(unit.Second, 1000*unit.Second)
 	var items []store.Event
@@ -217,10 +218,15 @@
 		items = append(items, store.Event{Key: k, Value: store.Value(values[k]), Stamp: uint64(len(items) + 1)})
 	}
 	c.OnTypes(c.now, store.OK, []fleet.Type{{Name: "big", Capacity: pack.Vec{16_000, 0, 64_000}, Zones: []string{"z"}, Price: 2, Boot: 10 * unit.Second}})
+	c.OnLease(c.now, store.OK, 7)
+	for _, e := range c.Drain() {
+		if w, ok := e.(Commit); ok {
+			c.OnCommit(c.now, w.Lane, w.Txn, store.OK, 1, nil)
+			items = append(items, store.Event{Key: seatPrefix + "a", Value: w.Txn.Changes[0].Value, Stamp: 1})
+		}
+	}
+	items = append(items, store.Event{Key: blockKey(0), Value: store.Value(lead.Block{Term: 1, Node: "a", Seat: 1}), Stamp: 100})
 	c.OnList(c.now, List{}, store.OK, 100, items, false)
-	c.seat.id, c.seat.auth = 1, lead.Authority{TTL: 1000 * unit.Second}
-	c.seat.auth.Renewed(c.now)
-	c.hold(0, granted{Block: lead.Block{Term: 1, Node: "a", Seat: 1}, stamp: 101})
 	c.Drain()
 	c.OnChanges(c.now, Watch{After: 100, Fresh: true}, store.OK, 101, nil, false)
 	c.Drain()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/seats"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -93,12 +94,10 @@
 		Lane LaneID
 		Txn  *store.Txn
 	}
-	// OpenLease asks for a lease (OnLease).
-	OpenLease struct{ TTL unit.Micros }
-	// RenewLease extends a lease (OnRenew).
-	RenewLease struct{ ID uint64 }
-	// CloseLease ends a lease; no answer is needed.
-	CloseLease struct{ ID uint64 }
+	// OpenLease, RenewLease and CloseLease keep a controller's seat (OnLease, OnRenew).
+	OpenLease  = seats.OpenLease
+	RenewLease = seats.RenewLease
+	CloseLease = seats.CloseLease
 	// FetchTypes reads the price list (OnTypes).
 	FetchTypes struct{}
 	// RentHosts asks for machines (OnRent).
@@ -172,7 +171,6 @@
 	types  map[string]*fleet.Type
 	claim  lead.Claim // of the present leader; Node "" if none
 	term   lead.Term
-	seats  map[string]*seatView
 	blocks map[int]granted
 	shares map[int]shared
 	groups map[string]fleet.Group // stored machines, by key
@@ -183,12 +181,10 @@
 
 	old       oldJobs
 	memory    *recall.Memory // what may have to be written again
-	seat      seat
-	voters    map[string]*lead.Voter // what is owed with regard to each controller
-	releases  map[string]int         // of the other controllers, as last heard or read
-	mixedAt   map[int]unit.Micros    // by release: when another controller was last not known to run it or a later one
-	polls     map[string]*poll
-	leader    *leader // nil unless this node leads
+	seats     *seats.Seats
+	releases  map[string]int      // of the other controllers, as last heard or read
+	mixedAt   map[int]unit.Micros // by release: when another controller was last not known to run it or a later one
+	leader    *leader             // nil unless this node leads
 	claiming  bool
 	held      map[int]*block // blocks that this node holds
 	ticked    unit.Micros    // last tick
@@ -207,8 +203,8 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
-		types: map[string]*fleet.Type{}, seats: map[string]*seatView{}, blocks: map[int]granted{}, shares: map[int]shared{},
-		groups: map[string]fleet.Group{}, where: map[string]int{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{},
+		types: map[string]*fleet.Type{}, blocks: map[int]granted{}, shares: map[int]shared{},
+		groups: map[string]fleet.Group{}, where: map[string]int{},
 		parts: parts.New(), untidy: map[string]bool{}, releases: map[string]int{}, mixedAt: map[int]unit.Micros{},
 		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
 	if c.cfg.ValueMax == 0 {
@@ -220,6 +216,7 @@
 	}
 	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
+	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	for i := range c.lanes {
@@ -275,7 +272,7 @@
 	c.wall = wall
 	c.mirror.Tick(c.now, wall)
 	c.tickPeers()
-	c.tickSeat()
+	c.seats.Tick(c.now)
 	c.tickLead()
 	c.tickTypes()
 	c.tickOld()
@@ -307,7 +304,7 @@
 	donePrefix   = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
 	machPrefix   = root + "machine/"
 	typePrefix   = root + "type/"
-	seatPrefix   = root + "seat/"
+	seatPrefix   = seats.Prefix
 	blockPrefix  = root + "block/"
 	sharePrefix  = root + "share/"
 	leadKeyFirst = root + "leader"
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -72,7 +72,7 @@
 		}
 		return
 	}
-	if c.seat.id == 0 || c.claiming || !c.leadFree() || c.stateAge() > unit.Second {
+	if c.seats.ID() == 0 || c.claiming || !c.leadFree() || c.stateAge() > unit.Second {
 		return
 	}
 	c.claiming = true
@@ -80,14 +80,14 @@
 	me, key := c.cfg.Node, c.leadKey()
 	c.lanes[LeaderLane].Add(&store.Write{
 		Guards: []store.Guard{{Key: key, Stamp: c.mirror.Stamp(key)}, {Key: termKey, Stamp: c.mirror.Stamp(termKey)},
-			{Key: seatPrefix + me, Stamp: c.seat.id}},
+			{Key: seatPrefix + me, Stamp: c.seats.ID()}},
 		Changes: []store.Change{
-			{Key: key, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seat.id}), Lease: c.seat.pass},
+			{Key: key, Value: store.Value(lead.Claim{Term: term, Node: me, Seat: c.seats.ID()}), Lease: c.seats.Pass()},
 			{Key: termKey, Value: store.Value(lead.Term{Term: term, Node: me})},
 		},
 		Done: func(o store.Outcome, rev uint64) {
 			c.claiming = false
-			if o == store.OK && c.seat.id != 0 && key == c.leadKey() {
+			if o == store.OK && c.seats.ID() != 0 && key == c.leadKey() {
 				c.leader = &leader{term: term, stamp: rev, claims: map[int]claimed{}, moveAt: c.now + moveEvery}
 				c.log.Info("leading", "term", term)
 			}
@@ -144,7 +144,7 @@
 		c.blocks[k] = granted{b, e.Stamp}
 	}
 	if bl := c.held[k]; bl != nil && bl.grant != c.blocks[k].stamp {
-		if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seat.id && lead.Token(g.Term, g.Number) == bl.token && !bl.free {
+		if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seats.ID() && lead.Token(g.Term, g.Number) == bl.token && !bl.free {
 			bl.grant = g.stamp // the same grant, written again as it was lost
 		} else {
 			c.drop(bl)
@@ -156,7 +156,7 @@
 
 // take begins to hold a block that is granted to this node's seat.
 func (c *Core) take(k int) {
-	if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seat.id && c.seat.id != 0 && c.held[k] == nil {
+	if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seats.ID() && c.seats.ID() != 0 && c.held[k] == nil {
 		c.hold(k, g)
 	}
 }
@@ -211,7 +211,7 @@
 	extra := map[string]int{}
 	for k := range c.blockCount() {
 		g, known := c.blocks[k]
-		if !known && k >= open || known && g.Node != "" && !c.ended(g.Node, g.Seat) {
+		if !known && k >= open || known && g.Node != "" && !c.seats.Ended(c.now, g.Node, g.Seat) {
 			continue
 		}
 		to := c.chooseHolder(k, g, extra)
@@ -220,7 +220,7 @@
 		}
 		extra[to]++
 		l.number++
-		b := lead.Block{Term: l.term, Number: l.number, Node: to, Seat: c.seatOf(to)}
+		b := lead.Block{Term: l.term, Number: l.number, Node: to, Seat: c.seats.Of(to)}
 		guards = append(guards, store.Guard{Key: blockKey(k), Stamp: g.stamp}, store.Guard{Key: seatPrefix + to, Stamp: b.Seat})
 		changes = append(changes, store.Change{Key: blockKey(k), Value: store.Value(b)})
 		if _, ok := c.shares[k]; !ok {
@@ -285,7 +285,7 @@
 		count[n] = e
 	}
 	for _, g := range c.blocks {
-		if g.Node != "" && g.Seat == c.seatOf(g.Node) {
+		if g.Node != "" && g.Seat == c.seats.Of(g.Node) {
 			count[g.Node]++
 		}
 	}
@@ -293,7 +293,7 @@
 	names := c.everyone()
 	for i := range names {
 		n := names[(i+k)%len(names)]
-		if c.seatOf(n) == 0 || c.tooOld(n) {
+		if c.seats.Of(n) == 0 || c.tooOld(n) {
 			continue
 		}
 		cost := 2 * count[n]
@@ -430,10 +430,9 @@
 	}
 	idle, from := "", ""
 	for _, n := range c.everyone() {
-		v := c.seats[n]
 		switch {
-		case v == nil || v.id == 0:
-		case len(held[n]) == 0 && c.now-v.since > 3*unit.Second && (n == c.cfg.Node || c.alive(c.peers.views[n])) && !c.isDeaf(n):
+		case c.seats.Of(n) == 0:
+		case len(held[n]) == 0 && c.now-c.seats.Since(n) > 3*unit.Second && (n == c.cfg.Node || c.alive(c.peers.views[n])) && !c.isDeaf(n):
 			idle = n
 		case len(held[n]) > 1:
 			from = n
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -83,7 +83,7 @@
 	case e.Key == pastKey:
 		err = c.learnMark(e)
 	case strings.HasPrefix(e.Key, seatPrefix):
-		err = c.learnSeat(e.Key[len(seatPrefix):], e)
+		err = c.seats.Learn(c.now, e.Key[len(seatPrefix):], e)
 	case strings.HasPrefix(e.Key, blockPrefix):
 		err = c.learnBlock(e)
 	case strings.HasPrefix(e.Key, sharePrefix):
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -244,8 +244,8 @@
 			}
 		}
 		mark = past.Mark{Release: releasePast, Cut: c.mirror.Rev + 1}
-		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.mirror.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seat.id}},
-			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seat.id}), Lease: c.seat.pass},
+		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.mirror.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seats.ID()}},
+			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seats.ID()}), Lease: c.seats.Pass()},
 			nobodys,
 			store.Change{Key: pastKey, Value: store.Value(mark)})
 		o.markAt = c.now + unit.Second
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -137,8 +137,8 @@
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
 		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Back: c.mirror.Mark()}
-		if c.valid(c.now) {
-			s.Seat, s.Sent = c.seat.id, c.now
+		if c.seats.Valid(c.now) {
+			s.Seat, s.Sent = c.seats.ID(), c.now
 		}
 		for _, k := range sortedBlocks(c.held) {
 			st := BlockStatus{Block: k, Share: c.shares[k].stamp, Use: -1}
@@ -225,7 +225,7 @@
 		v.status, v.heard = m, now
 		c.heardRelease(from, m.Release)
 		c.heardBack(from, v, m.Back)
-		if m.Seat != 0 && c.voter(from).Promise(now, m.Seat, c.seatOf(from)) {
+		if c.seats.Promise(now, from, m.Seat) {
 			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent}})
 		}
 		if l := c.leader; l != nil {
@@ -236,13 +236,14 @@
 			}
 		}
 	case PeerPromise:
-		if c.seat.id != 0 && c.seat.id == m.Seat && m.Sent <= now {
-			c.seat.auth.Promised(from, m.Sent)
-		}
+		c.seats.Promised(now, from, m.Seat, m.Sent)
 	case PeerPermitAsk:
-		c.permitAsked(from, m)
+		// Of no controller: whoever asks waits until its time is over.
+		if (m.Node == c.cfg.Node || c.peers.views[m.Node] != nil) && c.seats.PermitAsked(now, m.Node, m.Seat) {
+			c.emit(SendPeer{from, PeerPermit(m)})
+		}
 	case PeerPermit:
-		c.permitted(from, m)
+		c.seats.Permitted(from, m.Node, m.Seat)
 	case PeerRelease:
 		if bl := c.held[m.Block]; bl != nil && bl.grant == m.Grant {
 			c.release(bl, "the leader asks for it")
--- a/internal/core/recall/recall.go
+++ b/internal/core/recall/recall.go
@@ -4,6 +4,7 @@
 package recall
 
 import (
+	"bytes"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -64,12 +65,13 @@
 // Size returns the bytes in use, about.
 func (m *Memory) Size() int { return m.size }
 
-// Lost returns the values that a listing lacks or has in an older version, in the
-// order of their versions. Removed keys are not among them.
-func (m *Memory) Lost(listed map[string]uint64) []store.Event {
+// Lost returns the values that a listing lacks or has in an older version, or in the same
+// where that was given out a second time, in the order of their versions. Removed keys are
+// not among them.
+func (m *Memory) Lost(listed map[string]store.Event) []store.Event {
 	var out []store.Event
 	for k, n := range m.known {
-		if n.value != nil && listed[k] < n.stamp {
+		if l := listed[k]; n.value != nil && (l.Stamp < n.stamp || l.Stamp == n.stamp && !bytes.Equal(l.Value, n.value)) {
 			out = append(out, store.Event{Key: k, Value: n.value, Stamp: n.stamp})
 		}
 	}
--- a/internal/core/recall/recall_test.go
+++ b/internal/core/recall/recall_test.go
@@ -31,16 +31,24 @@
 				t.Fatalf("%d bytes of %d, %d keys, %d entries", m.Size(), max, len(m.known), len(m.order))
 			}
 		}
-		listed := map[string]uint64{}
+		listed := map[string]store.Event{}
+		missing := func(e store.Event) bool {
+			l := listed[e.Key]
+			return l.Stamp < e.Stamp || string(l.Value) != string(e.Value)
+		}
 		for k, e := range last {
 			if rapid.Bool().Draw(t, "listed "+k) {
-				listed[k] = e.Stamp - uint64(rapid.IntRange(0, 1).Draw(t, "older"))
+				e.Stamp -= uint64(rapid.IntRange(0, 1).Draw(t, "older"))
+				if rapid.IntRange(0, 3).Draw(t, "given out again") == 0 {
+					e.Value = json.RawMessage(`"another's"`)
+				}
+				listed[k] = e
 			}
 		}
 		lost := m.Lost(listed)
 		for i, e := range lost {
-			if l := last[e.Key]; l.Stamp != e.Stamp || string(l.Value) != string(e.Value) || e.Value == nil || listed[e.Key] >= e.Stamp {
-				t.Fatalf("%+v is called lost, last %+v, listed %d", e, l, listed[e.Key])
+			if l := last[e.Key]; l.Stamp != e.Stamp || string(l.Value) != string(e.Value) || e.Value == nil || !missing(e) {
+				t.Fatalf("%+v is called lost, last %+v, listed %+v", e, l, listed[e.Key])
 			}
 			if i > 0 && lost[i-1].Stamp > e.Stamp {
 				t.Fatal("not in the order of their versions")
@@ -49,9 +57,9 @@
 		// With room for all, nothing is missed.
 		all := New(1 << 20)
 		want := 0
-		for k, e := range last {
+		for _, e := range last {
 			all.Note(e)
-			if e.Value != nil && listed[k] < e.Stamp {
+			if e.Value != nil && missing(e) {
 				want++
 			}
 		}
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -44,16 +44,15 @@
 // reload takes a listing after the state service went back.
 func (c *Core) reload(rev uint64, items []store.Event) {
 	again := c.endAgain(items)
-	listed := make(map[string]uint64, len(items))
-	values := make(map[string]json.RawMessage, len(items))
+	listed := make(map[string]store.Event, len(items))
 	for _, e := range items {
-		listed[e.Key], values[e.Key] = e.Stamp, e.Value
+		listed[e.Key] = e
 	}
 	keep := map[string]bool{}
 	for _, e := range c.memory.Lost(listed) {
-		if v, ok := c.newer(e, values[e.Key]); ok {
+		if v, ok := c.newer(e, listed[e.Key].Value); ok {
 			keep[e.Key] = true
-			again = append(again, store.Event{Key: e.Key, Value: v, Stamp: listed[e.Key]})
+			again = append(again, store.Event{Key: e.Key, Value: v, Stamp: listed[e.Key].Stamp})
 		}
 	}
 	c.mirror.Recover(rev, items, keep)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -131,7 +131,7 @@
 func (c *Core) holderOf(k int) string {
 	g := c.blocks[k]
 	v := c.peers.views[g.Node]
-	if g.Node == "" || v == nil || c.seatOf(g.Node) != g.Seat || !c.alive(v) && c.anyPeer() {
+	if g.Node == "" || v == nil || c.seats.Of(g.Node) != g.Seat || !c.alive(v) && c.anyPeer() {
 		return ""
 	}
 	return g.Node
--- /dev/null
+++ b/internal/core/seats/seats.go
@@ -0,0 +1,325 @@
+// Package seats keeps a controller's standing in the state service, and what it knows of
+// the others'. A seat is a record that is attached to a lease: blocks and the lead are
+// held by a seat and end with it. What a seat held is given away once its record is gone
+// and a majority of the controllers has permitted it; see package lead for promises and
+// permits, and docs/design.md for why that is safe.
+//
+// It is pure: answers and the time go in by method calls, what is to be done comes out by
+// its host.
+package seats
+
+import (
+	"encoding/json"
+	"log/slog"
+
+	"shalestage.example/shalestage/internal/core/lead"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Prefix is where seats are stored, by the controllers' names.
+const Prefix = "shalestage/seat/"
+
+// Effects.
+type (
+	// OpenLease asks for a lease (OnLease).
+	OpenLease struct{ TTL unit.Micros }
+	// RenewLease extends a lease (OnRenew).
+	RenewLease struct{ ID uint64 }
+	// CloseLease ends a lease; no answer is needed.
+	CloseLease struct{ ID uint64 }
+)
+
+// Host is whose seat it is.
+type Host interface {
+	// Emit sends an effect.
+	Emit(e any)
+	// Store queues a write ahead of what users ask for.
+	Store(w *store.Write)
+	// Stamp is the version of a key in the copy of the state service's keys.
+	Stamp(key string) uint64
+	// Copy tells since when there is a copy (ok: there is one now), and how long ago the
+	// state service last answered.
+	Copy() (since, age unit.Micros, ok bool)
+	// Reread asks for a fresh read.
+	Reread()
+	// AskPermits asks all other controllers to permit that what a seat held is given away.
+	AskPermits(node string, seat uint64)
+	// Seated says that the seat stands, Lost that it does no longer.
+	Seated()
+	Lost()
+	// Release tells which release a controller runs.
+	Release(node string, release int)
+}
+
+// Config says what a seat is like.
+type Config struct {
+	Node    string
+	Size    int // controllers, this one included
+	Release int
+	TTL     unit.Micros
+	// Extend is how long promises may carry a seat past its last renewal.
+	Extend unit.Micros
+	Log    *slog.Logger
+}
+
+// Seats is a controller's own seat and its view of the others.
+type Seats struct {
+	cfg  Config
+	host Host
+	now  unit.Micros
+
+	id       uint64 // version of the record; 0: none
+	pass     uint64 // lease in the state service
+	auth     lead.Authority
+	opening  bool
+	sent     unit.Micros // when the lease was asked for
+	after    unit.Micros // not tried before
+	renewing bool
+	renewAt  unit.Micros
+	lastHold unit.Micros // when the renewal under way was sent
+
+	views  map[string]*view
+	voters map[string]*lead.Voter // what is owed with regard to each controller
+	polls  map[string]*poll
+}
+
+// view is what this node knows of a controller's seat.
+type view struct {
+	id     uint64      // 0: none
+	since  unit.Micros // when that was learnt
+	goneAt unit.Micros // when the record was seen to be gone
+}
+
+// poll collects permits to give away what a seat holds.
+type poll struct {
+	seat    uint64
+	askedAt unit.Micros
+	permits map[string]bool
+}
+
+const (
+	authorityMargin = 100_000 // 0.1 s for the service's own slack and ours
+	// permitFresh is how long a round of asking for permits lasts.
+	permitFresh = unit.Second / 4
+	// pause is the time before the next try to take a seat, pauseLease that after a lease
+	// was refused.
+	pause      = unit.Second / 5
+	pauseLease = unit.Second / 2
+)
+
+// New returns a controller's standing before it has any.
+func New(cfg Config, host Host) *Seats {
+	return &Seats{cfg: cfg, host: host, views: map[string]*view{}, voters: map[string]*lead.Voter{}, polls: map[string]*poll{}}
+}
+
+// ID is the version of this node's record, 0 while it has no seat; Pass is the lease to
+// which that is attached.
+func (s *Seats) ID() uint64   { return s.id }
+func (s *Seats) Pass() uint64 { return s.pass }
+
+// Valid reports whether this node's seat surely stands.
+func (s *Seats) Valid(now unit.Micros) bool { return now < s.Until() }
+
+// Until is when the authority of this node's seat ends, as known at present.
+func (s *Seats) Until() unit.Micros {
+	if s.id == 0 {
+		return 0
+	}
+	return s.auth.Until()
+}
+
+// Tick takes a seat, and keeps it.
+func (s *Seats) Tick(now unit.Micros) {
+	s.now = now
+	if s.id != 0 {
+		if !s.renewing && now >= s.renewAt {
+			s.renewing, s.lastHold = true, now
+			s.host.Emit(RenewLease{s.pass})
+		}
+		return
+	}
+	_, age, ok := s.host.Copy()
+	if !ok || s.opening || now < s.after {
+		return
+	}
+	if age > unit.Second {
+		s.host.Reread()
+		return
+	}
+	s.opening, s.sent = true, now
+	s.host.Emit(OpenLease{s.cfg.TTL})
+}
+
+// OnLease takes a new lease's outcome and takes a seat with it. A record of
+// this node's that is there already was left by its last process, which has
+// surely ended.
+func (s *Seats) OnLease(now unit.Micros, o store.Outcome, id uint64) {
+	s.now = now
+	if o != store.OK {
+		s.opening, s.after = false, now+pauseLease
+		return
+	}
+	key := Prefix + s.cfg.Node
+	sent := s.sent
+	s.host.Store(&store.Write{
+		Guards:  []store.Guard{{Key: key, Stamp: s.host.Stamp(key)}},
+		Changes: []store.Change{{Key: key, Value: store.Value(lead.Seat{Node: s.cfg.Node, Release: s.cfg.Release}), Lease: id}},
+		Done: func(o store.Outcome, rev uint64) {
+			s.opening = false
+			if o != store.OK {
+				// Ending the lease also keeps a late write from being carried out.
+				s.after = s.now + pause
+				s.host.Emit(CloseLease{id})
+				s.host.Reread()
+				return
+			}
+			s.id, s.pass, s.renewing, s.renewAt = rev, id, false, sent+s.cfg.TTL/5
+			s.auth = lead.Authority{TTL: s.cfg.TTL, Margin: authorityMargin, Extend: s.cfg.Extend, Peers: s.cfg.Size / 2}
+			s.auth.Renewed(sent)
+			s.cfg.Log.Info("seated", "seat", rev)
+			s.host.Seated()
+		},
+	})
+}
+
+// OnRenew takes a renewal's outcome.
+func (s *Seats) OnRenew(now unit.Micros, id uint64, o store.Outcome) {
+	s.now = now
+	if s.id == 0 || s.pass != id {
+		return
+	}
+	s.renewing = false
+	switch o {
+	case store.OK:
+		s.auth.Renewed(s.lastHold)
+		s.renewAt = s.lastHold + s.cfg.TTL/5
+	case store.Failed:
+		s.lose("the lease has ended")
+	default:
+		s.renewAt = now + s.cfg.TTL/10
+	}
+}
+
+// lose gives up the seat, and with it all that this node holds.
+func (s *Seats) lose(why string) {
+	s.cfg.Log.Warn("seat lost", "seat", s.id, "why", why)
+	s.host.Emit(CloseLease{s.pass})
+	s.id, s.after = 0, s.now+pause
+	s.host.Lost()
+	s.host.Reread()
+}
+
+// Learn takes the record of a controller's seat.
+func (s *Seats) Learn(now unit.Micros, node string, e store.Event) error {
+	s.now = now
+	v := &view{since: now}
+	if e.Value == nil {
+		v.goneAt = now
+	} else {
+		var r lead.Seat
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			return err
+		}
+		v.id = e.Stamp
+		s.host.Release(node, r.Release)
+	}
+	s.views[node] = v
+	if node == s.cfg.Node && s.id != 0 && v.id != s.id {
+		s.lose("the seat is another's or gone")
+	}
+	return nil
+}
+
+// Of returns the seat that a controller has, as far as this node knows; 0: none.
+func (s *Seats) Of(node string) uint64 {
+	if v := s.views[node]; v != nil {
+		return v.id
+	}
+	return 0
+}
+
+// Since is when it was learnt that a controller has the seat that it has.
+func (s *Seats) Since(node string) unit.Micros {
+	if v := s.views[node]; v != nil {
+		return v.since
+	}
+	return 0
+}
+
+func (s *Seats) voter(node string) *lead.Voter {
+	v := s.voters[node]
+	if v == nil {
+		v = &lead.Voter{}
+		s.voters[node] = v
+	}
+	return v
+}
+
+// Promise is asked by a controller for its seat.
+func (s *Seats) Promise(now unit.Micros, node string, seat uint64) bool {
+	return seat != 0 && s.voter(node).Promise(now, seat, s.Of(node))
+}
+
+// Promised takes a controller's promise for a seat of this node's, which asked for it at
+// a time.
+func (s *Seats) Promised(now unit.Micros, from string, seat uint64, asked unit.Micros) {
+	if s.id != 0 && s.id == seat && asked <= now {
+		s.auth.Promised(from, asked)
+	}
+}
+
+// Ended reports whether a seat surely holds nothing any more, and seeks the
+// help of a majority to make that sure.
+func (s *Seats) Ended(now unit.Micros, node string, id uint64) bool {
+	s.now = now
+	if node == s.cfg.Node {
+		return id != s.id // it was this node's last process, or was given up
+	}
+	v := s.views[node]
+	if v == nil { // not there when the copy was first read
+		since, _, _ := s.host.Copy()
+		v = &view{since: since, goneAt: since}
+		s.views[node] = v
+	}
+	switch {
+	case v.id != 0 && v.id == id:
+		return false
+	case v.id != 0:
+		return true // the controller has given it up, or its process has ended
+	case now-v.goneAt > unit.Longest(s.cfg.Extend)+s.cfg.TTL:
+		return true // whatever was promised to it, its time is over
+	case id == 0:
+		return false // held by an older release that knows no seats
+	}
+	p := s.polls[node]
+	if p == nil || p.seat != id || now-p.askedAt > permitFresh {
+		p = &poll{seat: id, askedAt: now, permits: map[string]bool{}}
+		s.polls[node] = p
+		s.host.AskPermits(node, id)
+	}
+	if !p.permits[s.cfg.Node] && s.voter(node).Permit(now, id) {
+		p.permits[s.cfg.Node] = true
+	}
+	return len(p.permits) > s.cfg.Size/2
+}
+
+// PermitAsked answers a controller that wants to give away what a seat holds. The node is
+// one of the controllers.
+func (s *Seats) PermitAsked(now unit.Micros, node string, seat uint64) bool {
+	s.now = now
+	if node == s.cfg.Node && seat == s.id {
+		if s.id == 0 || s.Valid(now) {
+			return false
+		}
+		s.lose("another takes over and authority has run out")
+	}
+	return s.voter(node).Permit(now, seat)
+}
+
+// Permitted takes a controller's help.
+func (s *Seats) Permitted(from, node string, seat uint64) {
+	if p := s.polls[node]; p != nil && p.seat == seat {
+		p.permits[from] = true
+	}
+}
--- a/internal/core/silent.go
+++ b/internal/core/silent.go
@@ -45,7 +45,7 @@
 // has not found itself deaf.
 func (c *Core) hearingPeer() bool {
 	for _, n := range c.peers.names {
-		if c.alive(c.peers.views[n]) && !c.isDeaf(n) && c.seatOf(n) != 0 {
+		if c.alive(c.peers.views[n]) && !c.isDeaf(n) && c.seats.Of(n) != 0 {
 			return true
 		}
 	}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -40,7 +40,7 @@
 
 // Stats answers a request for the present figures.
 func (c *Core) Stats(req ReqID) {
-	s := Stats{Seated: c.seat.id != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
+	s := Stats{Seated: c.seats.ID() != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
 	s.Keys, s.KeptDone, s.Looked, s.Shed = c.mirror.Keys(), c.old.packer.Len(), c.old.past.Looked, c.old.past.Shed
 	_, s.PackedIDs = c.old.past.Whole()
 	for _, l := range c.lanes {
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -166,15 +166,16 @@
 func (r *Replica) Keys() int { return len(r.stamps) }
 
 // Recover takes a full listing of a service that went back behind the copy. Every
-// version is as listed, whatever was known; the keys to keep are not applied, as the
-// copy knows better of them.
+// version is as listed, whatever was known, and every value is applied, as the service may
+// have given out a version a second time; the keys to keep are not, as the copy knows
+// better of them.
 func (r *Replica) Recover(rev uint64, items []Event, keep map[string]bool) {
 	old := r.stamps
 	r.taking = nil
 	r.stamps = make(map[string]uint64, len(items))
 	for _, e := range items {
 		r.stamps[e.Key] = e.Stamp
-		if old[e.Key] != e.Stamp && !keep[e.Key] {
+		if !keep[e.Key] {
 			r.apply(e)
 		}
 	}
