shalestage experiment: settings against each other in simulated time, with paired seeds

Differences of a few points were told from noise by eye, from one or two plays. An experiment plays settings x scenarios x seeds on all cores, goes on where it was stopped, holds each setting against a baseline by pairs of plays with equal seeds (paired t, Holm's correction over all comparisons), and writes one HTML page with plots, CSV and JSON. internal/emulator/meter measures plays: times, money, where the rented time went. Scenario files may set the controllers' knobs ([tuning]).

--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -38,20 +38,21 @@
 func unusable(err error) error { return exit{exitUnusable, err} }
 
 type commands struct {
-	Serve    serveCmd         `cmd:"" default:"withargs" help:"Run a controller (what --config FILE alone does)."`
-	Up       upCmd            `cmd:"" help:"Start a whole deployment on this machine and run a workload on it."`
-	Submit   submitCmd        `cmd:"" help:"Submit the jobs of a file."`
-	Status   statusCmd        `cmd:"" help:"Tell the state of jobs."`
-	Cancel   cancelCmd        `cmd:"" help:"Cancel jobs."`
-	Jobs     jobsCmd          `cmd:"" help:"List the jobs that were submitted from here."`
-	Fault    faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
-	Rehearse rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
-	Backup   backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
-	Verify   verifyCmd        `cmd:"" help:"Read a backup through."`
-	Restore  restoreCmd       `cmd:"" help:"Put a backup into an empty state service."`
-	Audit    auditCmd         `cmd:"" help:"Look for what should not be in the state service, or in a backup."`
-	Emulate  emulateCmd       `cmd:"" hidden:"" help:"Run one of the emulator's processes."`
-	Version  kong.VersionFlag `help:"Print the version and stop."`
+	Serve      serveCmd         `cmd:"" default:"withargs" help:"Run a controller (what --config FILE alone does)."`
+	Up         upCmd            `cmd:"" help:"Start a whole deployment on this machine and run a workload on it."`
+	Submit     submitCmd        `cmd:"" help:"Submit the jobs of a file."`
+	Status     statusCmd        `cmd:"" help:"Tell the state of jobs."`
+	Cancel     cancelCmd        `cmd:"" help:"Cancel jobs."`
+	Jobs       jobsCmd          `cmd:"" help:"List the jobs that were submitted from here."`
+	Fault      faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
+	Rehearse   rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
+	Experiment experimentCmd    `cmd:"" help:"Play settings against each other and tell what is more than noise."`
+	Backup     backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
+	Verify     verifyCmd        `cmd:"" help:"Read a backup through."`
+	Restore    restoreCmd       `cmd:"" help:"Put a backup into an empty state service."`
+	Audit      auditCmd         `cmd:"" help:"Look for what should not be in the state service, or in a backup."`
+	Emulate    emulateCmd       `cmd:"" hidden:"" help:"Run one of the emulator's processes."`
+	Version    kong.VersionFlag `help:"Print the version and stop."`
 }
 
 // model returns what the command line is read into. A controller, which is started
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,11 +206,7 @@
 			}
 		}
 	}
-	t := s.Tuning
-	ranges := []struct {
-		field     string
-		v, lo, hi float64
-	}{
+	if err := checkRanges([]bounded{
 		{"deployment.workers.report_s", d.Workers.ReportS, 0.1, 600},
 		{"deployment.workers.lease_s", d.Workers.LeaseS, 1, 3600},
 		{"deployment.workers.cancel_s", d.Workers.CancelS, 1, 3600},
@@ -225,6 +221,15 @@
 		{"deployment.quota.cpu", d.Quota.CPU, 0.001, 1024},
 		{"deployment.quota.ram_mb", d.Quota.RAMMB, 32, 1e7},
 		{"deployment.clock_error_ms", d.ClockErrMs, 0, 60000},
+	}); err != nil {
+		return err
+	}
+	return s.Tuning.Check()
+}
+
+// Check reports the first knob that is out of range.
+func (t Tuning) Check() error {
+	return checkRanges([]bounded{
 		{"tuning.fairness", t.Fairness, 0, 0.999},
 		{"tuning.epsilon_scale", t.EpsilonScale, 0, 100},
 		{"tuning.image_penalty", t.ImagePenalty, 0, 1},
@@ -236,8 +241,17 @@
 		{"tuning.block_machines", t.BlockSize, 0, 1e9},
 		{"tuning.round_share", t.RoundShare, 0, 1},
 		{"tuning.keep_done", t.KeepDone, 0, 1e7}, {"tuning.pack_settle_s", t.PackSettleS, 0, 1e6},
-	}
-	for _, r := range ranges {
+	})
+}
+
+// bounded is a field with its value and the range that it must be in.
+type bounded struct {
+	field     string
+	v, lo, hi float64
+}
+
+func checkRanges(list []bounded) error {
+	for _, r := range list {
 		if math.IsNaN(r.v) || r.v < r.lo || r.v > r.hi {
 			return fmt.Errorf("%s: want %g to %g, got %g", r.field, r.lo, r.hi, r.v)
 		}
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -152,6 +152,20 @@
 	return n
 }
 
+// Use returns what the tasks take that are on the machine, and those that wait for their
+// image.
+func (w *Worker) Use() (running, fetching pack.Vec) {
+	for _, t := range w.tasks {
+		switch {
+		case t.on():
+			running = running.Add(t.job.Spec.Demand)
+		case t.state == fleet.Fetching:
+			fetching = fetching.Add(t.job.Spec.Demand)
+		}
+	}
+	return running, fetching
+}
+
 func (t *task) on() bool { return t.state == fleet.Running || t.state == fleet.Saving }
 
 // SetFault changes what is wrong with the machine.
--- a/internal/emulator/rental/rental.go
+++ b/internal/emulator/rental/rental.go
@@ -170,6 +170,9 @@
 	return s
 }
 
+// Config returns what the cloud is like.
+func (s *Service) Config() Config { return s.cfg }
+
 // Down puts the cloud's interface out of order until a time; machines go on.
 func (s *Service) Down(until unit.Micros) { s.down = max(s.down, until) }
 
@@ -434,6 +437,18 @@
 	return out
 }
 
+// Charged returns the machines that are paid for, booting ones too, in the order of
+// their names.
+func (s *Service) Charged() []*Machine {
+	var out []*Machine
+	for _, m := range s.machines {
+		if m.Died == unit.Never && m.Gone == unit.Never {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // Spent returns the money spent by now.
 func (s *Service) Spent(now unit.Micros) float64 {
 	sum := s.spent
--- /dev/null
+++ b/internal/emulator/sim/measure.go
@@ -0,0 +1,69 @@
+package sim
+
+import (
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/emulator/meter"
+	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/user"
+)
+
+// meter hands what a user did or was told to the meter.
+func (w *World) meter(e any) {
+	m := w.opt.Meter
+	if m == nil {
+		return
+	}
+	switch e := e.(type) {
+	case user.Planned:
+		m.Planned(w.now, e.Job)
+	case user.CancelAsked:
+		m.Asked(e.ID)
+	case user.Told:
+		m.Told(e)
+	}
+}
+
+// measure looks at the machines again and again.
+func (w *World) measure() {
+	if w.opt.Meter == nil || w.opt.MeterEvery <= 0 {
+		return
+	}
+	w.after(w.opt.MeterEvery, func() {
+		w.opt.Meter.Look(w.look())
+		w.measure()
+	})
+}
+
+// look counts the CPUs that are rented, and what they do.
+func (w *World) look() meter.Sample {
+	s := meter.Sample{AtS: w.now.Seconds()}
+	cpus := map[string]float64{}
+	for _, t := range w.Site.Cloud.Config().Types {
+		cpus[t.Name] = float64(site.Capacity(t)[pack.CPU]) / 1000
+	}
+	for _, m := range w.Site.Cloud.Charged() {
+		c := cpus[m.Type]
+		s.Rented += c
+		if k := w.Site.Worker(m.Name); k != nil {
+			running, fetching := k.Use()
+			s.Running += float64(running[pack.CPU]) / 1000
+			s.Fetching += float64(fetching[pack.CPU]) / 1000
+		} else {
+			s.Booting += c
+		}
+	}
+	return s
+}
+
+// Cheapest is the lowest price of a CPU for an hour that the cloud's list ever names.
+func (w *World) Cheapest() float64 {
+	least := 0.0
+	for _, t := range w.Site.Cloud.Config().Types {
+		for _, p := range []float64{t.Price, t.SpotPrice} {
+			if c := p / t.CPUs; p > 0 && (least == 0 || c < least) {
+				least = c
+			}
+		}
+	}
+	return least
+}
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -21,6 +21,7 @@
 	"shalestage.example/shalestage/internal/emulator/check"
 	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/emulator/meter"
 	"shalestage.example/shalestage/internal/emulator/rental"
 	"shalestage.example/shalestage/internal/emulator/site"
 	"shalestage.example/shalestage/internal/emulator/user"
@@ -43,6 +44,9 @@
 	// Census, if set, is told what there is, again and again.
 	Census      func(Census)
 	CensusEvery unit.Micros
+	// Meter, if set, measures the play, and looks at it again and again.
+	Meter      *meter.Meter
+	MeterEvery unit.Micros
 }
 
 // Broken programs, for showing that the checker notices them. Each field, if set,
@@ -100,6 +104,7 @@
 		n.start()
 	}
 	w.count()
+	w.measure()
 	w.Faults = slices.Clone(s.Faults)
 	if d := s.Draw; d.ToS > 0 {
 		w.Faults = append(w.Faults, Drawn(s, seed, stream(17))...)
@@ -183,8 +188,14 @@
 		case site.Began:
 			w.starts++
 			w.Check.Began(w.now, machineOf(e.Machine), e.Task)
+			if m := w.opt.Meter; m != nil {
+				m.Began(w.now, e.Machine.Name, e.Task)
+			}
 		case site.Ended:
 			w.Check.Ended(w.now, machineOf(e.Machine), e.Task, e.Completed)
+			if m := w.opt.Meter; m != nil {
+				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
+			}
 		}
 	}
 }
@@ -251,6 +262,7 @@
 			w.call(call, nil)
 		} else {
 			user.Tell(w.Check, w.now, e)
+			w.meter(e)
 		}
 	}
 }
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 
@@ -93,6 +95,7 @@
 			Cloud:      config.Cloud{RPS: s.Cloud.RPS, ListLagS: s.Cloud.ListLagS},
 			Quota:      config.Quota{CPU: n.CPU, RAMMB: n.MemoryMB, FDLimit: n.Sockets},
 			ClockErrMs: n.ClockErrorMS}}
+	out.Tuning, _ = s.tuning() // checked when the file was read
 	out.Tuning.LeaseS, out.Tuning.BlockSize = n.LeaseS, n.BlockMachines
 	out.Tuning.KeepDone, out.Tuning.PackSettleS = n.KeepDone, n.PackSettleS
 	for k := range n.Count {
@@ -110,6 +113,21 @@
 	return out
 }
 
+// tuning returns the defaults of the controllers' knobs with what the file changes.
+func (s *Scenario) tuning() (config.Tuning, error) {
+	t := config.DefaultTuning()
+	b, err := json.Marshal(s.Tuning)
+	if err != nil {
+		return t, err
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&t); err != nil && len(s.Tuning) > 0 {
+		return t, err
+	}
+	return t, t.Check()
+}
+
 // UserOptions says how the users behave.
 func (s *Scenario) UserOptions() user.Options {
 	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -21,24 +21,27 @@
 
 // Scenario is a whole file.
 type Scenario struct {
-	Name        string        `toml:"name"`
-	About       string        `toml:"about"`
-	Base        string        `toml:"base"` // file beside this one, of which this one changes what it names
-	Seed        uint64        `toml:"seed"`
-	DurationS   float64       `toml:"duration_s"` // of the play; a run of "up" ends when all jobs are over
-	Controllers Controllers   `toml:"controllers"`
-	State       State         `toml:"state"`
-	Cloud       Cloud         `toml:"cloud"`
-	Workers     Workers       `toml:"workers"`
-	Users       Users         `toml:"users"`
-	Types       []MachineType `toml:"machine_types"`
-	Capacity    []Capacity    `toml:"capacity"`
-	Teams       []Team        `toml:"teams"`
-	Objectives  []Objective   `toml:"objectives"`
-	Jobs        []Job         `toml:"job"`
-	Faults      []Fault       `toml:"fault"`
-	Draw        Draw          `toml:"draw"`
-	Expect      Expect        `toml:"expect"`
+	Name        string      `toml:"name"`
+	About       string      `toml:"about"`
+	Base        string      `toml:"base"` // file beside this one, of which this one changes what it names
+	Seed        uint64      `toml:"seed"`
+	DurationS   float64     `toml:"duration_s"` // of the play; a run of "up" ends when all jobs are over
+	Controllers Controllers `toml:"controllers"`
+	State       State       `toml:"state"`
+	Cloud       Cloud       `toml:"cloud"`
+	Workers     Workers     `toml:"workers"`
+	Users       Users       `toml:"users"`
+	// Tuning are knobs of the controllers' settings, by their names there; those that
+	// have a field of their own under controllers are set by that.
+	Tuning     map[string]float64 `toml:"tuning,omitempty"`
+	Types      []MachineType      `toml:"machine_types"`
+	Capacity   []Capacity         `toml:"capacity"`
+	Teams      []Team             `toml:"teams"`
+	Objectives []Objective        `toml:"objectives"`
+	Jobs       []Job              `toml:"job"`
+	Faults     []Fault            `toml:"fault"`
+	Draw       Draw               `toml:"draw"`
+	Expect     Expect             `toml:"expect"`
 }
 
 // Controllers says how many there are and what each has.
@@ -239,6 +242,34 @@
 	return parseOver(base, file, b, true)
 }
 
+// LoadOver reads a file and what changes some of it, in the file's own form. Mistakes of
+// the latter are told with lines and columns of it, under its name.
+func LoadOver(file, name string, over []byte) (*Scenario, error) {
+	s, err := Load(file)
+	if err != nil || len(over) == 0 {
+		return s, err
+	}
+	return parseOver(s, name, over, true)
+}
+
+// Decode reads a file of another form into v; unknown keys and mistakes are told with line
+// and column.
+func Decode(file string, b []byte, v any) error {
+	d := toml.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return mistakeOf(file, err)
+	}
+	return nil
+}
+
+// Wrong tells a mistake at a key of a file, such as "setting[1].name".
+func Wrong(file string, b []byte, path, format string, args ...any) error {
+	c := checker{file: file, text: b}
+	c.fail(path, format, args...)
+	return c.found
+}
+
 // Defaults returns the deployment that a file changes: a small one.
 func Defaults() *Scenario {
 	return &Scenario{Seed: 1, DurationS: 300,
@@ -256,10 +287,8 @@
 }
 
 func parseOver(s *Scenario, file string, b []byte, whole bool) (*Scenario, error) {
-	d := toml.NewDecoder(strings.NewReader(string(b)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		return nil, mistakeOf(file, err)
+	if err := Decode(file, b, s); err != nil {
+		return nil, err
 	}
 	c := checker{file: file, text: b}
 	if whole {
@@ -372,6 +401,9 @@
 	c.within("draw.from_s", s.Draw.FromS, 0, 1e6)
 	c.within("draw.to_s", s.Draw.ToS, 0, 1e6)
 	c.within("draw.gap_s", s.Draw.GapS, 0, 1e6)
+	if _, err := s.tuning(); err != nil {
+		c.fail("tuning", "%s", strings.TrimPrefix(err.Error(), "tuning."))
+	}
 	c.types(s)
 	if len(s.Teams) == 0 {
 		c.fail("teams", "missing: at least one team is needed")
