--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -46,6 +46,7 @@
 	Jobs       jobsCmd          `cmd:"" help:"List the jobs that were submitted from here."`
 	Fault      faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
 	Rehearse   rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
+	Load       loadCmd          `cmd:"" help:"Ask a deployment at set rates, and tell how it bears them."`
 	Experiment experimentCmd    `cmd:"" help:"Play settings against each other and tell what is more than noise."`
 	Backup     backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
 	Verify     verifyCmd        `cmd:"" help:"Read a backup through."`
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"shalestage.example/shalestage/internal/core"
@@ -85,6 +86,6 @@
 // metrics serves the figures in the text form that Prometheus reads.
 func metrics(n Node) http.Handler {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collector{n})
+	r.MustRegister(collector{n}, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 1})
 }
--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"shalestage.example/shalestage/internal/core/unit"
@@ -177,6 +178,7 @@
 		_ = json.NewEncoder(w).Encode(read()) // the client may be gone
 	})
 	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for name, f := range gauges {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "emulator", Name: name, Help: "See docs/emulator.md."},
 			func() float64 { return f(read()) }))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -263,6 +263,13 @@
 	return nil
 }
 
+// CheckJobs looks for what cannot be worked with in jobs that a file of another form has.
+func CheckJobs(file string, b []byte, jobs []Job) error {
+	c := checker{file: file, text: b}
+	c.jobs(&Scenario{Jobs: jobs}, false)
+	return c.found
+}
+
 // Wrong tells a mistake at a key of a file, such as "setting[1].name".
 func Wrong(file string, b []byte, path, format string, args ...any) error {
 	c := checker{file: file, text: b}
