shalestage explore: all orders of what can happen to seats, promises, permits and grants

That no two controllers ever hold a block was tested by drawn histories.

A leader decides nothing now while its copy is not whole, and a seat ends by being replaced only by a later one.

--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/alecthomas/kong"
+
+	"shalestage.example/shalestage/internal/explore/authority"
 )
 
 const version = "0.6.0"
@@ -47,6 +49,7 @@
 	Fault      faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
 	Rehearse   rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
 	Load       loadCmd          `cmd:"" help:"Ask a deployment at set rates, and tell how it bears them."`
+	Explore    exploreCmd       `cmd:"" help:"Look for two holders of a block in all orders of what can happen."`
 	Experiment experimentCmd    `cmd:"" help:"Play settings against each other and tell what is more than noise."`
 	Backup     backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
 	Verify     verifyCmd        `cmd:"" help:"Read a backup through."`
@@ -70,7 +73,7 @@
 func main() {
 	k := kong.Must(model(os.Args[1:]), kong.Name("shalestage"),
 		kong.Description("The shalestage cluster scheduler. LOG_LEVEL sets a controller's log level: error, info or debug."),
-		kong.Vars{"version": version}, kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+		kong.Vars{"version": version, "faults": fmt.Sprint(authority.Faults)}, kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	ctx, err := k.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "shalestage: %v; --help lists the commands\n", err)
--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -244,3 +244,35 @@
 	t.Fatalf("request %d is not answered", req)
 	return Reply{}
 }
+
+// While the copy is taken anew it shows blocks as of another time than seats: a leader gives
+// nothing away until it is whole again.
+func TestTornCopy(t *testing.T) {
+	c := holding(t, nil)
+	serve(t, c, map[string]store.Event{})
+	if c.leader == nil {
+		t.Fatal("nobody leads")
+	}
+	c.cfg.Size, c.cfg.LeaderTTL = 3, 2*unit.Second
+	c.peers = newPeers([]string{"b", "c"})
+	commits := func() (n int) {
+		for range 100 {
+			c.Tick(c.now+TickEvery, c.wall+TickEvery)
+			for _, e := range c.Drain() {
+				switch e := e.(type) {
+				case Watch: // nothing has changed
+					c.OnChanges(c.now, e, store.OK, c.mirror.Rev, nil, false)
+				case Commit:
+					n++
+				}
+			}
+		}
+		return n
+	}
+	c.OnChanges(c.now, Watch{After: c.mirror.Rev}, store.Failed, 0, nil, true)
+	// A page of the new listing: the block is another's, whose seat is on a later one.
+	c.learn(store.Event{Key: blockKey(0), Value: store.Value(lead.Block{Term: 1, Number: 7, Node: "b", Seat: 1 << 50}), Stamp: 1 << 51})
+	if n := commits(); n > 0 {
+		t.Errorf("%d transactions of a leader whose copy is not whole", n)
+	}
+}
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -23,8 +23,8 @@
 	}
 	bl := c.held[j.Record.Block]
 	if bl == nil {
-		fmt.Fprintf(&b, "; block %d held by %+v; led by %q; seat %d; %s; lane %d",
-			j.Record.Block, c.blocks[j.Record.Block], c.claim.Node, c.seats.ID(),
+		fmt.Fprintf(&b, "; block %d held by %+v; led by %q; %s; %s; lane %d",
+			j.Record.Block, c.blocks[j.Record.Block], c.claim.Node, c.seats.Trace(c.now),
 			c.mirror.Explain(), c.lanes[LeaderLane].Len())
 		return b.String()
 	}
--- /dev/null
+++ b/internal/core/lead/trace.go
@@ -0,0 +1,34 @@
+package lead
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// left adds how long a time is still to come, 0 once it is over: of no use any more, it does
+// not matter for how long.
+func left(b []byte, what string, t, now unit.Micros) []byte {
+	return strconv.AppendInt(append(b, what...), int64(max(0, t-now)), 10)
+}
+
+// Trace adds what an authority rests on, in times from now. Equal traces act the same from
+// then on.
+func (a *Authority) Trace(b []byte, now unit.Micros) []byte {
+	b = left(b, "until ", a.until, now)
+	b = left(b, " bound ", a.bound, now)
+	b = left(b, " carried ", a.carried, now)
+	for _, p := range slices.Sorted(maps.Keys(a.promises)) {
+		b = left(append(append(b, ' '), p...), " ", a.promises[p], now)
+	}
+	return b
+}
+
+// Trace adds what a voter owes, likewise.
+func (v *Voter) Trace(b []byte, now unit.Micros) []byte {
+	b = left(b, "promised ", v.promisedUntil, now)
+	b = strconv.AppendUint(append(b, " over "...), v.over, 10)
+	return left(b, " young ", unit.Longest(PromiseTime), now)
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -66,7 +66,9 @@
 // tickLead claims the lead where nobody has it.
 func (c *Core) tickLead() {
 	if l := c.leader; l != nil {
-		if c.now >= l.lookAt && !l.writing && c.stateAge() < unit.Second {
+		// While the copy is taken anew it shows blocks as of another time than seats: one
+		// that was just granted would seem to be a dead seat's.
+		if c.now >= l.lookAt && !l.writing && c.mirror.Loaded() && c.stateAge() < unit.Second {
 			l.lookAt = c.now + governEvery
 			c.govern(l)
 		}
--- a/internal/core/seats/seats.go
+++ b/internal/core/seats/seats.go
@@ -11,6 +11,9 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
+	"strconv"
 
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/store"
@@ -283,10 +286,15 @@
 		s.views[node] = v
 	}
 	switch {
-	case v.id != 0 && v.id == id:
+	case v.id == id && id != 0:
 		return false
-	case v.id != 0:
+	case v.id > id:
 		return true // the controller has given it up, or its process has ended
+	case v.id != 0:
+		// The view is older than the block's record, as while a listing goes on whose pages
+		// with seats are still to come: the seat may stand. Where versions went back, it is
+		// over in time.
+		return now-v.since > unit.Longest(s.cfg.Extend)+s.cfg.TTL
 	case now-v.goneAt > unit.Longest(s.cfg.Extend)+s.cfg.TTL:
 		return true // whatever was promised to it, its time is over
 	case id == 0:
@@ -323,3 +331,41 @@
 		p.permits[from] = true
 	}
 }
+
+// Trace tells all that counts of a controller's standing, in times from now: for logs, and
+// for exploring what may follow, as equal traces act the same from then on.
+func (s *Seats) Trace(now unit.Micros) string {
+	var b []byte
+	number := func(what string, n uint64) { b = strconv.AppendUint(append(b, what...), n, 10) }
+	ahead := func(what string, t unit.Micros) { number(what, uint64(max(0, t-now))) }
+	number("seat ", s.id)
+	number(" pass ", s.pass)
+	ahead(" after ", s.after)
+	ahead(" renews ", s.renewAt)
+	b = strconv.AppendBool(append(b, " opening "...), s.opening)
+	if s.renewing {
+		number(" renewing for ", uint64(now-s.lastHold))
+	}
+	if s.id != 0 {
+		b = s.auth.Trace(append(b, "; "...), now)
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.views)) {
+		v := s.views[n]
+		number("; "+n+" has ", v.id)
+		if v.id == 0 { // what counts is when it will have been gone for long enough
+			ahead(" gone ", v.goneAt+unit.Longest(s.cfg.Extend)+s.cfg.TTL)
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.voters)) {
+		b = s.voters[n].Trace(append(b, "; owes "+n+" "...), now)
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.polls)) {
+		p := s.polls[n]
+		number("; polls "+n+" ", p.seat)
+		ahead(" for ", p.askedAt+permitFresh+1)
+		for _, from := range slices.Sorted(maps.Keys(p.permits)) {
+			b = append(append(b, ' '), from...)
+		}
+	}
+	return string(b)
+}
