Pictures pass the link: one list of messages for gob and for what is taken in

Played with real processes, pictures were dropped by the reader, which had a list of its own; simulated controllers have no link. A test sends every message, and a part of a picture of the largest size.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// pictureTasks bounds one part, which must fit into a frame between controllers.
-	pictureTasks = 400
+	// PictureTasks bounds one part, which must fit into a frame between controllers.
+	PictureTasks = 400
 	// maxPicture bounds the machines that are remembered of a picture.
 	maxPicture = 1 << 16
 )
@@ -72,7 +72,7 @@
 		for _, id := range sortedTasks(m.Tasks) {
 			p.Tasks = append(p.Tasks, fleet.Task{ID: id, Attempt: m.Tasks[id].Number, State: m.Tasks[id].State})
 		}
-		if size > 0 && size+len(p.Tasks)+4 > pictureTasks {
+		if size > 0 && size+len(p.Tasks)+4 > PictureTasks {
 			send()
 		}
 		part.Machines, size = append(part.Machines, p), size+len(p.Tasks)+4
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"reflect"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -40,8 +42,11 @@
 	Message any
 }
 
+// messages are all that controllers tell each other.
+var messages = []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerRelease{}, core.PeerAsk{}, core.PeerAnswer{}, core.PeerPicture{}}
+
 func init() {
-	for _, m := range []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerRelease{}, core.PeerAsk{}, core.PeerAnswer{}, core.PeerPicture{}} {
+	for _, m := range messages {
 		gob.Register(m)
 	}
 }
@@ -83,8 +88,7 @@
 	if f.Format != format {
 		return "", nil, fmt.Errorf("%w: format %d", errFrame, f.Format)
 	}
-	switch f.Message.(type) {
-	case core.PeerStatus, core.PeerPromise, core.PeerPermitAsk, core.PeerPermit, core.PeerRelease, core.PeerAsk, core.PeerAnswer:
+	if slices.ContainsFunc(messages, func(m any) bool { return reflect.TypeOf(m) == reflect.TypeOf(f.Message) }) {
 		return f.From, f.Message, nil
 	}
 	return "", nil, fmt.Errorf("%w: message %T", errFrame, f.Message) // gob knows plain types too
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
 	_ "shalestage.example/shalestage/internal/fixedseed"
@@ -42,6 +44,27 @@
 	})
 }
 
+// Every message passes, and a part of a picture of the largest size fits into a frame.
+func TestEveryMessage(t *testing.T) {
+	picture := core.PeerPicture{Block: 1, Token: 1 << 60}
+	for n := 0; len(picture.Machines) < core.PictureTasks/8; n++ {
+		m := core.MachinePicture{Name: fmt.Sprintf("n-%020d", n), Addr: "100.100.100.100:10000", Session: 1 << 60, Seq: 1 << 60}
+		for k := range 8 {
+			m.Tasks = append(m.Tasks, fleet.Task{ID: ledger.TaskID{Job: fmt.Sprintf("wk-%040d", n), Task: 90_000 + k}, Attempt: 1 << 62, State: fleet.Running})
+		}
+		picture.Machines = append(picture.Machines, m)
+	}
+	for _, m := range append([]any{picture}, messages...) {
+		b, err := Encode("me", m)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		if from, got, err := Decode(bytes.NewReader(b)); err != nil || from != "me" || !reflect.DeepEqual(got, m) {
+			t.Errorf("%T comes as %+v, %v", m, got, err)
+		}
+	}
+}
+
 // Whatever arrives, a frame is read, refused or cut short: nothing panics and
 // nothing larger than a frame is ever held.
 func FuzzDecode(f *testing.F) {
