Machines that have just come up are handed on too: nothing can be on them

In a fleet that boots, each hand-over waited 1.05 s for the few machines that had not yet shown the token.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -65,7 +65,9 @@
 	}
 	for _, name := range sortedKeys(bl.machines) {
 		m := bl.machines[name]
-		if !m.Accounted || m.Leaving || m.Lost {
+		// One that has just come up has not shown the token yet; as all that earlier holders
+		// left is accounted for, nothing can be on it, unless nobody knows who rented it.
+		if m.Leaving || m.Lost || !m.Record.Up || !m.Accounted && isStray(m.Group) {
 			continue
 		}
 		p := MachinePicture{Name: name, Addr: m.Addr, Session: m.Session, Seq: m.Seq}
