--- a/internal/load/file.go
+++ b/internal/load/file.go
@@ -9,7 +9,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/unit"
@@ -73,14 +72,7 @@
 
 // Read reads and checks a file.
 func Read(path string) (*File, error) {
-	st, err := os.Stat(path)
-	if err != nil {
-		return nil, err
-	}
-	if st.Size() > scenario.MaxFile {
-		return nil, &scenario.Mistake{File: path, Text: fmt.Sprintf("longer than %d bytes", scenario.MaxFile)}
-	}
-	b, err := os.ReadFile(path)
+	b, err := scenario.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -210,8 +210,8 @@
 // MaxFile bounds a file.
 const MaxFile = 4 << 20
 
-// Load reads and checks a file.
-func Load(file string) (*Scenario, error) {
+// ReadFile reads a file that is not too long.
+func ReadFile(file string) ([]byte, error) {
 	st, err := os.Stat(file)
 	if err != nil {
 		return nil, err
@@ -219,7 +219,12 @@
 	if st.Size() > MaxFile {
 		return nil, &Mistake{File: file, Text: fmt.Sprintf("longer than %d bytes", MaxFile)}
 	}
-	b, err := os.ReadFile(file)
+	return os.ReadFile(file)
+}
+
+// Load reads and checks a file.
+func Load(file string) (*Scenario, error) {
+	b, err := ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
