--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -103,7 +103,7 @@
 			c.rebuild(bl)
 			return
 		}
-		pictures := c.takePicture(bl)
+		picture := c.takePicture(bl)
 		for _, key := range sortedKeys(c.groups) {
 			g := c.groups[key]
 			if g.Block != bl.n {
@@ -120,7 +120,7 @@
 				// An earlier holder may have started tasks there, and its last
 				// answer may have been accepted just before this grant.
 				m.LeaseEnd = c.now + c.leaseBound()
-				if _, handed := pictures[name]; !handed {
+				if _, handed := picture.machines[name]; !handed {
 					bl.unaccounted[name] = true
 					bl.hiddenStale = true
 				}
@@ -137,13 +137,7 @@
 				j.Held = len(bl.unaccounted) > 0
 			}
 		}
-		handed := 0
-		for _, name := range sortedKeys(pictures) {
-			if m := bl.machines[name]; m != nil && m.Record.Up {
-				c.adopt(bl, m, pictures[name])
-				handed++
-			}
-		}
+		handed := c.believe(bl, picture)
 		bl.ready = true
 		c.log.Info("picture read", "block", bl.n, "jobs", len(bl.active), "machines", len(bl.machines), "handed_on", handed)
 	})
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -20,6 +20,12 @@
 		Block    int
 		Token    uint64 // under which it was drawn
 		Machines []MachinePicture
+		Done     []TasksDone // and are not stored as done yet
+	}
+	// TasksDone are some tasks of a job that have completed.
+	TasksDone struct {
+		Job   string
+		Tasks []int
 	}
 	// MachinePicture tells what may be on a machine.
 	MachinePicture struct {
@@ -41,6 +47,7 @@
 type picture struct {
 	token    uint64
 	machines map[string]MachinePicture
+	done     []TasksDone
 }
 
 // handOn sends the picture of a block that is being given up to all that can use it: who
@@ -61,7 +68,25 @@
 		for _, n := range to {
 			c.emit(SendPeer{n, part})
 		}
-		part.Machines, size = nil, 0
+		part.Machines, part.Done, size = nil, nil, 0
+	}
+	for _, id := range sortedKeys(bl.active) {
+		// The rest would be done once more: machines show what has ended only with their
+		// next report.
+		j := bl.active[id]
+		for t := 0; j.Finished() > 0 && (j.DirtySince != 0 || j.AllFinished()) && t < j.Record.Tasks; t++ {
+			if !j.IsFinished(t) || j.IsStored(t) {
+				continue
+			}
+			if size >= PictureTasks {
+				send()
+			}
+			if n := len(part.Done); n == 0 || part.Done[n-1].Job != id {
+				part.Done = append(part.Done, TasksDone{Job: id})
+			}
+			d := &part.Done[len(part.Done)-1]
+			d.Tasks, size = append(d.Tasks, t), size+1
+		}
 	}
 	for _, name := range sortedKeys(bl.machines) {
 		m := bl.machines[name]
@@ -89,25 +114,45 @@
 	}
 	p := c.pictures[m.Block]
 	if p == nil || p.token < m.Token {
-		p = &picture{m.Token, map[string]MachinePicture{}}
+		p = &picture{token: m.Token, machines: map[string]MachinePicture{}}
 		c.pictures[m.Block] = p
 	}
-	if p.token != m.Token || len(p.machines)+len(m.Machines) > maxPicture {
+	if p.token != m.Token || len(p.machines)+len(m.Machines)+len(p.done)+len(m.Done) > maxPicture {
 		return
 	}
+	p.done = append(p.done, m.Done...)
 	for _, x := range m.Machines {
 		p.machines[x.Name] = x
 	}
 }
 
 // takePicture returns what was handed on with the grant of a block, and forgets it.
-func (c *Core) takePicture(bl *block) map[string]MachinePicture {
+func (c *Core) takePicture(bl *block) *picture {
 	p := c.pictures[bl.n]
 	delete(c.pictures, bl.n)
 	if from := c.blocks[bl.n].From; p == nil || from == 0 || p.token != from {
-		return nil
+		return &picture{}
+	}
+	return p
+}
+
+// believe takes in a whole picture, and returns of how many machines it tells.
+func (c *Core) believe(bl *block, p *picture) int {
+	n := 0
+	for _, name := range sortedKeys(p.machines) {
+		if m := bl.machines[name]; m != nil && m.Record.Up {
+			c.adopt(bl, m, p.machines[name])
+			n++
+		}
+	}
+	for _, d := range p.done {
+		for _, t := range d.Tasks {
+			if j := bl.active[d.Job]; j != nil && t >= 0 && t < j.Record.Tasks && !j.IsFinished(t) {
+				c.finished(bl, j, t)
+			}
+		}
 	}
-	return p.machines
+	return n
 }
 
 // adopt takes in what may be on a machine by the last holder's word.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -144,6 +144,9 @@
 		return err
 	} else {
 		c.blocks[k] = granted{b, e.Stamp}
+		if b.Node != "" && b.Node != c.cfg.Node {
+			delete(c.pictures, k) // it is another's to use
+		}
 	}
 	if bl := c.held[k]; bl != nil && bl.grant != c.blocks[k].stamp {
 		if g := c.blocks[k]; g.Node == c.cfg.Node && g.Seat == c.seats.ID() && lead.Token(g.Term, g.Number) == bl.token && !bl.free {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -31,7 +31,7 @@
 	sendTimeout = time.Second
 	// readTimeout is several times the interval between statuses.
 	readTimeout = 10 * time.Second
-	queue       = 64
+	queue       = 128 // a picture of some thousand machines
 	maxConns    = 32
 )
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,7 +54,8 @@
 		}
 		picture.Machines = append(picture.Machines, m)
 	}
-	for _, m := range append([]any{picture}, messages...) {
+	done := core.PeerPicture{Done: []core.TasksDone{{Job: "wk-1", Tasks: []int{0, 99_999}}}}
+	for _, m := range append([]any{picture, done}, messages...) {
 		b, err := Encode("me", m)
 		if err != nil {
 			t.Fatalf("%T: %v", m, err)
