--- a/cmd/shalestage/experiment.go
+++ b/cmd/shalestage/experiment.go
@@ -42,10 +42,7 @@
 	if err != nil {
 		return unusable(err)
 	}
-	dir := o.Out
-	if dir == "" {
-		dir = strings.TrimSuffix(o.File, filepath.Ext(o.File))
-	}
+	dir := outDir(o.Out, o.File)
 	runs, err := f.Play(dir, version, func(done, all int, r experiment.Run) {
 		fmt.Fprintf(os.Stderr, "%d of %d: %s, %s, seed %d (%.1f s)\n", done, all, r.Scenario, r.Setting, r.Seed, r.TookS)
 	})
@@ -75,15 +72,20 @@
 	return nil
 }
 
+// outDir is where a report on a file goes: where it is asked for, or beside the file.
+func outDir(asked, file string) string {
+	if asked != "" {
+		return asked
+	}
+	return strings.TrimSuffix(file, filepath.Ext(file))
+}
+
 // paper repeats the paper's tables.
 func (o *experimentCmd) paper() error {
 	if o.Seeds < 1 || o.Seeds > 1000 || !(o.Scale >= 0.02 && o.Scale <= 4) {
 		return unusable(errors.New("want --seeds from 1 to 1000 and --scale from 0.02 to 4"))
 	}
-	dir := o.Out
-	if dir == "" {
-		dir = "paper"
-	}
+	dir := outDir(o.Out, "paper")
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return unusable(err)
 	}
--- a/cmd/shalestage/load.go
+++ b/cmd/shalestage/load.go
@@ -70,10 +70,7 @@
 	if err != nil {
 		return err
 	}
-	dir := o.Out
-	if dir == "" {
-		dir = strings.TrimSuffix(o.File, filepath.Ext(o.File))
-	}
+	dir := outDir(o.Out, o.File)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return unusable(err)
 	}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -74,7 +74,10 @@
 		// The rest would be done once more: machines show what has ended only with their
 		// next report.
 		j := bl.active[id]
-		for t := 0; j.Finished() > 0 && (j.DirtySince != 0 || j.AllFinished()) && t < j.Record.Tasks; t++ {
+		if j.DirtySince == 0 && !j.AllFinished() {
+			continue // all that is done is stored
+		}
+		for t := range j.Record.Tasks {
 			if !j.IsFinished(t) || j.IsStored(t) {
 				continue
 			}
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -89,10 +89,6 @@
 	if len(keys) == 0 {
 		return 0
 	}
-	changes := make([]store.Change, len(keys))
-	for i, k := range keys {
-		changes[i].Key = k
-	}
 	c.blockWrite(bl, true, func(o store.Outcome) {
 		if o == store.OK {
 			for _, k := range keys {
@@ -102,7 +98,7 @@
 		if c.parts.Any(id) {
 			c.untidy[id] = true
 		}
-	}, keys, changes...)
+	}, keys, removals(keys)...)
 	return len(keys)
 }
 
@@ -135,10 +131,6 @@
 		n++
 	}
 	keys = keys[:n]
-	changes := make([]store.Change, n)
-	for i, k := range keys {
-		changes[i].Key = k
-	}
 	c.blockWrite(bl, true, func(o store.Outcome) {
 		if o != store.OK {
 			bl.lone = ""
@@ -149,7 +141,16 @@
 		// may have been stored once more by then, and the others would be taken for ones
 		// without it.
 		c.log.Info("parts of a submission that was given up are cleared", "job", id, "parts", n)
-	}, []string{jobPrefix + id, first}, changes...)
+	}, []string{jobPrefix + id, first}, removals(keys)...)
+}
+
+// removals are changes that remove keys.
+func removals(keys []string) []store.Change {
+	out := make([]store.Change, len(keys))
+	for i, k := range keys {
+		out[i].Key = k
+	}
+	return out
 }
 
 // forgetPart notes that a part is no longer stored.
--- a/internal/experiment/paper/cluster.go
+++ b/internal/experiment/paper/cluster.go
@@ -71,17 +71,16 @@
 
 type jobState struct {
 	*Job
-	index   int
-	stage   int
-	next    int // task of the stage
-	running int
-	done    int // of the stage
-	held    pack.Vec
-	size    float64 // of a task of the stage, as the paper sums it up
-	seen    pack.Vec
-	work    []float64 // normalised demand times seconds, of all tasks of the stages from each on
-	per     []float64 // the same of a task
-	left    float64   // of this stage
+	index int
+	stage int
+	next  int // task of the stage
+	done  int // of the stage
+	held  pack.Vec
+	size  float64 // of a task of the stage, as the paper sums it up
+	seen  pack.Vec
+	work  []float64 // normalised demand times seconds, of all tasks of the stages from each on
+	per   []float64 // the same of a task
+	left  float64   // of this stage
 }
 
 type event struct {
@@ -214,7 +213,6 @@
 	st := &j.Stages[j.stage]
 	t := &running{job: j, left: float64(st.Runs[j.next]), since: c.now}
 	j.next++
-	j.running++
 	j.held = j.held.Add(j.seen)
 	m.held = m.held.Add(j.seen)
 	m.used = m.used.Add(st.Demand)
@@ -267,7 +265,6 @@
 	m.used = m.used.Sub(st.Demand)
 	m.held = m.held.Sub(j.seen)
 	j.held = j.held.Sub(j.seen)
-	j.running--
 	j.done++
 	j.left -= j.per[j.stage]
 	m.freed = true
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -76,10 +75,8 @@
 }
 
 type job struct {
-	id     string
-	final  bool
-	phase  int
-	follow bool
+	id    string
+	final bool
 }
 
 // engine owns all that is known while a load goes on; calls run in goroutines of their
@@ -102,7 +99,6 @@
 	ids     func(n int) string
 	n       int
 	specs   []*ledger.Spec
-	wg      sync.WaitGroup
 }
 
 // newHist holds up to two minutes with three digits.
