--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -8,25 +8,28 @@
 	"runtime/debug"
 	"strings"
 
+	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/pelletier/go-toml/v2"
 
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/sim"
 	"shalestage.example/shalestage/internal/rehearse"
 	"shalestage.example/shalestage/internal/scenario"
 )
 
 type rehearseCmd struct {
-	Files  []string `arg:"" name:"file" help:"Scenarios (TOML), see rehearsals/."`
-	Seed   uint64   `help:"Seed of the first play; by default the file's own."`
-	Plays  int      `default:"1" help:"Plays of each file, with one seed after another."`
-	Real   bool     `help:"Play with real processes over loopback, in real time."`
-	Shrink bool     `help:"Of a play that breaks a rule, print the scenario with all faults and jobs left out that it does not need."`
-	JSON   bool     `name:"json" help:"Print JSON."`
-	JUnit  string   `name:"junit" placeholder:"FILE" help:"Write the verdicts there as JUnit's XML."`
-	Census string   `placeholder:"FILE" help:"Of one play, write there as CSV how many keys and jobs there are, again and again."`
-	Every  float64  `default:"3600" help:"Simulated seconds between two such counts."`
-	Log    string   `enum:",error,warn,info,debug" default:"" help:"Print the controllers' logs of this level, in simulated time."`
+	Files   []string `arg:"" name:"file" help:"Scenarios (TOML), see rehearsals/."`
+	Seed    uint64   `help:"Seed of the first play; by default the file's own."`
+	Plays   int      `default:"1" help:"Plays of each file, with one seed after another."`
+	Real    bool     `help:"Play with real processes over loopback, in real time."`
+	Shrink  bool     `help:"Of a play that breaks a rule, print the scenario with all faults and jobs left out that it does not need."`
+	JSON    bool     `name:"json" help:"Print JSON."`
+	JUnit   string   `name:"junit" placeholder:"FILE" help:"Write the verdicts there as JUnit's XML."`
+	Census  string   `placeholder:"FILE" help:"Of one play, write there as CSV how many keys and jobs there are, again and again."`
+	Every   float64  `default:"3600" help:"Simulated seconds between two such counts."`
+	Account bool     `help:"Say where the money for machines went, by pool and use."`
+	Log     string   `enum:",error,warn,info,debug" default:"" help:"Print the controllers' logs of this level, in simulated time."`
 }
 
 // Help implements kong's long help.
@@ -91,6 +94,9 @@
 		rehearse.Each(len(plays), func(i int) rehearse.Verdict {
 			op := opt
 			op.Seed = plays[i].seed
+			if o.Account {
+				op.Account = account.New()
+			}
 			return rehearse.Play(plays[i].file, plays[i].s, op)
 		}, got)
 	}
@@ -140,6 +146,9 @@
 			fmt.Printf("    %s\n", l)
 		}
 	}
+	if len(v.Account) > 0 {
+		printAccount(v.Account)
+	}
 	for _, m := range v.Missed {
 		fmt.Printf("  %s\n", m)
 	}
@@ -148,6 +157,33 @@
 	}
 }
 
+// printAccount tells in hundredths of all money what each pool's machines cost, by use.
+func printAccount(rows []account.Row) {
+	head := []any{"pool", "machines", "money", "%"}
+	for _, name := range account.Names {
+		head = append(head, name)
+	}
+	t := newTable(os.Stdout, head...)
+	sum := account.Sum(rows)
+	all := sum.Total()
+	line := func(name string, r account.Row) {
+		l := table.Row{name, r.Machines, fmt.Sprintf("%.1f", r.Total()), fmt.Sprintf("%.1f", 100*r.Total()/all)}
+		for _, v := range r.Spent {
+			l = append(l, fmt.Sprintf("%.1f", 100*v/all))
+		}
+		t.AppendRow(l)
+	}
+	for _, r := range rows {
+		kind := "ordinary"
+		if r.Pool.Spot {
+			kind = "spot"
+		}
+		line(strings.Join([]string{r.Pool.Type, r.Pool.Zone, kind}, " "), r)
+	}
+	line("all", sum)
+	t.Render()
+}
+
 func (o *rehearseCmd) writeJUnit(list []rehearse.Verdict) error {
 	f, err := os.Create(o.JUnit)
 	if err != nil {
--- a/internal/emulator/rental/rental.go
+++ b/internal/emulator/rental/rental.go
@@ -22,7 +22,7 @@
 	MaxReturn = 100 // names of one return
 	MaxPage   = 500 // machines of one page of the list
 
-	leastCharge = 60 * unit.Second
+	LeastCharge = 60 * unit.Second // that a deleted machine is charged for
 	deathShows  = 30 * unit.Second // for which a machine that died is still listed as running
 	priceMoves  = 20 * unit.Second // how often spot prices move
 )
@@ -367,7 +367,7 @@
 			continue
 		}
 		alive := m.Died == unit.Never
-		s.remove(now, m, leastCharge)
+		s.remove(now, m, LeastCharge)
 		if alive {
 			s.out = append(s.out, Ended{m})
 		}
@@ -449,6 +449,14 @@
 	return out
 }
 
+// Rate is what a machine costs at present, an hour.
+func (s *Service) Rate(m *Machine) float64 {
+	if m.Spot {
+		return s.types[m.Type].spot
+	}
+	return s.types[m.Type].Price
+}
+
 // Spent returns the money spent by now.
 func (s *Service) Spent(now unit.Micros) float64 {
 	sum := s.spent
--- a/internal/emulator/sim/measure.go
+++ b/internal/emulator/sim/measure.go
@@ -2,8 +2,8 @@
 
 import (
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/meter"
-	"shalestage.example/shalestage/internal/emulator/site"
 	"shalestage.example/shalestage/internal/emulator/user"
 )
 
@@ -34,20 +34,38 @@
 	})
 }
 
+// keepAccount looks at what is paid for, again and again.
+func (w *World) keepAccount() {
+	if w.opt.Account == nil {
+		return
+	}
+	w.after(account.Every, func() {
+		var list []account.Machine
+		for _, m := range w.Site.Cloud.Charged() {
+			x := account.Machine{Machine: m, CPUs: w.Site.CPUs(m), Rate: w.Site.Cloud.Rate(m)}
+			if k := w.Site.Worker(m.Name); k != nil {
+				running, fetching := k.Use()
+				x.Up, x.Running, x.Fetching = true, cpus(running), cpus(fetching)
+			}
+			list = append(list, x)
+		}
+		w.opt.Account.Look(w.now, list)
+		w.keepAccount()
+	})
+}
+
+func cpus(v pack.Vec) float64 { return float64(v[pack.CPU]) / 1000 }
+
 // look counts the CPUs that are rented, and what they do.
 func (w *World) look() meter.Sample {
 	s := meter.Sample{AtS: w.now.Seconds()}
-	cpus := map[string]float64{}
-	for _, t := range w.Site.Cloud.Config().Types {
-		cpus[t.Name] = float64(site.Capacity(t)[pack.CPU]) / 1000
-	}
 	for _, m := range w.Site.Cloud.Charged() {
-		c := cpus[m.Type]
+		c := w.Site.CPUs(m)
 		s.Rented += c
 		if k := w.Site.Worker(m.Name); k != nil {
 			running, fetching := k.Use()
-			s.Running += float64(running[pack.CPU]) / 1000
-			s.Fetching += float64(fetching[pack.CPU]) / 1000
+			s.Running += cpus(running)
+			s.Fetching += cpus(fetching)
 		} else {
 			s.Booting += c
 		}
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/agenda"
 	"shalestage.example/shalestage/internal/emulator/balance"
 	"shalestage.example/shalestage/internal/emulator/check"
@@ -47,6 +48,8 @@
 	// Meter, if set, measures the play, and looks at it again and again.
 	Meter      *meter.Meter
 	MeterEvery unit.Micros
+	// Account, if set, is told what the rented machines do.
+	Account *account.Account
 }
 
 // Broken programs, for showing that the checker notices them. Each field, if set,
@@ -105,6 +108,7 @@
 	}
 	w.count()
 	w.measure()
+	w.keepAccount()
 	w.Faults = slices.Clone(s.Faults)
 	if d := s.Draw; d.ToS > 0 {
 		w.Faults = append(w.Faults, Drawn(s, seed, stream(17))...)
@@ -191,11 +195,17 @@
 			if m := w.opt.Meter; m != nil {
 				m.Began(w.now, e.Machine.Name, e.Task)
 			}
+			if a := w.opt.Account; a != nil {
+				a.Began(e.Machine.Name, e.Task, cpus(w.Site.Book[e.Task.Job].Spec.Demand))
+			}
 		case site.Ended:
 			w.Check.Ended(w.now, machineOf(e.Machine), e.Task, e.Completed)
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
 			}
+			if a := w.opt.Account; a != nil {
+				a.Ended(e.Machine.Name, e.Task, e.Completed)
+			}
 		}
 	}
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -135,6 +135,9 @@
 	return pack.Vec{unit.MilliDown(t.CPUs), unit.MilliDown(t.GPUs), unit.MilliDown(t.MemoryGB)}
 }
 
+// CPUs is how many a machine has.
+func (s *Site) CPUs(m *rental.Machine) float64 { return s.types[m.Type].CPUs }
+
 // settle takes up what a worker did and plans its next look.
 func (s *Site) settle(now unit.Micros, k *member) {
 	s.collect(k)
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/check"
 	"shalestage.example/shalestage/internal/emulator/sim"
 	"shalestage.example/shalestage/internal/scenario"
@@ -34,6 +35,8 @@
 	Money  float64          `json:"money"`
 	Took   float64          `json:"took_s"` // of real time
 	Faults []scenario.Fault `json:"faults,omitempty"`
+	// Account says where the money went, if that was asked for.
+	Account []account.Row `json:"account,omitempty"`
 }
 
 // Broken is a broken rule with the part of the history that concerns it.
@@ -62,9 +65,13 @@
 	if seed == 0 {
 		seed = s.Seed
 	}
-	return Verdict{File: file, Name: s.Name, Seed: seed, Kept: len(r.Broken) == 0 && len(r.Missed) == 0, Broken: Breaks(r.Broken), Missed: r.Missed,
+	v := Verdict{File: file, Name: s.Name, Seed: seed, Kept: len(r.Broken) == 0 && len(r.Missed) == 0, Broken: Breaks(r.Broken), Missed: r.Missed,
 		Digest: r.Digest, Jobs: r.Jobs, Over: r.Over, Starts: r.Starts, Wait: r.MaxWait.Seconds(), Money: r.Money,
 		Took: time.Since(began).Seconds(), Faults: r.Faults}
+	if opt.Account != nil {
+		v.Account = opt.Account.Rows()
+	}
+	return v
 }
 
 // Each calls f for the numbers below n on all processors; the results come in
