Dear machines are rented only for work that would be late without them

Cause, from the account of the money and logs of replays: while a queue stands, the work that will still wait when a machine is up was divided by the least work that makes a new slot worth its price, as if the slots there are did nothing of it. Ordinary machines came up 20 s later to find little left, at 2.6 to 4.4 times the price, and stayed for their least charge.

Change: beyond 1.5 times the cheapest price, no more slots are rented than it takes for what waits to begin in time: waiting work over its mean slack, less the slots that work which comes has not taken lately, over groups that may use the very same pools.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -126,6 +126,36 @@
 	return tooLate
 }
 
+// slack is how long a job's tasks may wait for the next aim that they can still meet.
+func (c *Core) slack(bl *block, j *ledger.Job) unit.Micros {
+	s := j.Spec()
+	run, age := bl.runtime(s), c.wall-j.Since
+	least := unit.Never
+	aim := func(t unit.Micros) {
+		if left := t - age; left >= 0 {
+			least = min(least, left)
+		}
+	}
+	for _, o := range c.cfg.Objectives {
+		if o.Class != s.Class || o.Within <= 0 {
+			continue
+		}
+		switch o.Kind {
+		case "finished":
+			aim(o.Within - run)
+		case "wait":
+			aim(o.Within)
+		}
+	}
+	if due := j.Aims.Due; due != unit.Never {
+		aim(due - j.Since - run)
+		if last := j.Aims.LastDue; last > due {
+			aim(last - j.Since - run)
+		}
+	}
+	return min(least, patience*max(run, unit.Second))
+}
+
 // needs adds up the work at hand, by what pools it may use. A job needs no
 // more room than lets it end in time: where there is time for several tasks
 // one after the other, fewer machines do.
@@ -170,6 +200,7 @@
 		need.Ready += ready
 		run := bl.runtime(s)
 		need.Waiting += run * unit.Micros(ready)
+		need.Slack += c.slack(bl, j) * unit.Micros(ready)
 		if !s.Service {
 			need.Rate += float64(j.Placed()) / max(run.Seconds(), 1)
 		}
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -27,6 +27,12 @@
 	Idle  bool // it uses the room that others leave, and rents what is cheapest only
 }
 
+// anyClass is the group without its class: all that may use the same pools.
+func (g Group) anyClass() Group {
+	g.Class = ""
+	return g
+}
+
 // Need is how much work a group has: tasks that would run at once if there
 // were room and their demands added up; those that wait and the time that they
 // will take, one after the other; and how many of those that run end in a second.
@@ -36,6 +42,7 @@
 	Ready   int // tasks that wait
 	Total   pack.Vec
 	Waiting unit.Micros
+	Slack   unit.Micros // that those that wait may wait and still be in time, added up
 	Rate    float64
 	Types   []string
 }
@@ -162,7 +169,8 @@
 		return x.Name < y.Name
 	})
 	var rents []Rent
-	var sums [2]backlog // of all groups so far, by whether they may use spot
+	var sums [2]backlog           // of all groups so far, by whether they may use spot
+	alike := map[Group]*backlog{} // of those that may use the very same pools
 	for _, g := range groups {
 		us := s.usual[g]
 		need := math.Max(float64(needs[g].Tasks), us.tasks*(1+s.p.Spare))
@@ -196,11 +204,16 @@
 		if g.Spot {
 			kind = 1
 		}
-		sums[kind].add(needs[g], wants-need)
+		sums[kind].add(needs[g], wants-need, us.tasks)
+		same := g.anyClass()
+		if alike[same] == nil {
+			alike[same] = &backlog{}
+		}
+		alike[same].add(needs[g], wants-need, us.tasks)
 		if need < 0.5 {
 			continue
 		}
-		if r, ok := s.offer(now, g, us, need, sums[kind], wants-need < 0.5, types); ok {
+		if r, ok := s.offer(now, g, us, need, sums[kind], alike[same], wants-need < 0.5, types); ok {
 			rents = append(rents, r)
 		}
 	}
@@ -215,12 +228,15 @@
 }
 
 // backlog is the waiting work of several groups and the slots that they have,
-// in average tasks.
+// in average tasks; usual are the slots that were in use lately, on average, and
+// slack the seconds that all that waits may still wait.
 type backlog struct {
-	ready, work, running, rate, slots float64
+	ready, work, running, rate, slots, usual, slack float64
 }
 
-func (b *backlog) add(n Need, slots float64) {
+func (b *backlog) add(n Need, slots, usual float64) {
+	b.usual += usual
+	b.slack += n.Slack.Seconds()
 	b.ready += float64(n.Ready)
 	b.work += n.Waiting.Seconds()
 	b.running += float64(n.Running)
@@ -230,7 +246,7 @@
 
 // after is the work that will still wait after a time in which tasks that run
 // now end and make room, and slots that are empty or boot take what they can.
-func (b backlog) after(t float64) float64 {
+func (b *backlog) after(t float64) float64 {
 	n := b.ready - b.rate*t - math.Max(0, b.slots-b.running)
 	if n <= 0 {
 		return 0
@@ -238,8 +254,20 @@
 	return n * b.work / b.ready
 }
 
+// late is how many slots more would do some work in time that still waits: what waits
+// is shared by all slots but those that are taken by work that comes, as much as lately.
+// Without this, queues that the slots there are would have worked off soon had dear
+// machines rented, which came up to find little left to do.
+func (b *backlog) late(work float64) float64 {
+	if b.ready <= 0 {
+		return math.Inf(1)
+	}
+	return work/math.Max(1, b.slack/b.ready) - math.Max(0, b.slots-b.usual)
+}
+
 // idlePremium is how much dearer than the cheapest offer a machine may be that
-// is rented, or kept, for work that uses what others leave.
+// is rented, or kept, for work that uses what others leave. Beyond it no machine is
+// rented for work that will be in time without.
 const idlePremium = 1.5
 
 // Dear reports whether a pool costs too much for work that uses what others
@@ -272,7 +300,7 @@
 // the time a machine is up, the slots there are will have done part of the
 // work, of this group and those that chose before it, and each new slot must
 // find enough of the rest.
-func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, stranded bool, types map[string]*fleet.Type) (Rent, bool) {
+func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, alike *backlog, stranded bool, types map[string]*fleet.Type) (Rent, bool) {
 	best, bestCost := Rent{}, math.Inf(1)
 	least := cheapest(us.types, g.Spot, types)
 	for _, name := range us.types {
@@ -285,8 +313,7 @@
 			continue
 		}
 		boot := t.Boot.Seconds()
-		// Room below what is usual will find work; room above it must find it waiting.
-		ahead := b.after(boot) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
+		ahead := s.ahead(&b, us, boot)
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
@@ -299,6 +326,9 @@
 					continue
 				}
 				want := math.Min(short, ahead/(s.p.Worth.Seconds()*premium))
+				if premium > idlePremium {
+					want = math.Min(want, alike.late(s.ahead(alike, us, boot)))
+				}
 				if stranded {
 					want = math.Max(want, math.Min(short, 1)) // little work, but nowhere to do it
 				}
@@ -315,6 +345,12 @@
 	return best, best.Count > 0
 }
 
+// ahead is the work that machines will find which are up after a time: room below what is
+// usual will find some, room above it must find it waiting.
+func (s *Scaler) ahead(b *backlog, us *usual, boot float64) float64 {
+	return b.after(boot) + math.Max(0, us.tasks-b.slots)*s.p.Worth.Seconds()
+}
+
 // remember brings the averages up to date.
 func (s *Scaler) remember(now unit.Micros, needs map[Group]Need) {
 	for g, n := range needs {
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -73,6 +73,36 @@
 	}
 }
 
+// No dear machine is rented for work that the slots there are do in time; for work that
+// would be late, or that cannot use those slots, it is.
+func TestDearOnlyForLateWork(t *testing.T) {
+	var have []Machine
+	for range 40 {
+		have = append(have, Machine{Name: "m", Pool: Pool{"small", "b", true}, Booted: true, Age: 100 * second, Idle: second})
+	}
+	for _, c := range []struct {
+		name  string
+		group Group
+		slack unit.Micros
+		rent  bool
+	}{
+		{"done in 100 s, in time", Group{Class: "x", Spot: true}, 150 * second, false},
+		{"done in 100 s, too late", Group{Class: "x", Spot: true}, 10 * second, true},
+		{"none of the slots is for it", Group{Class: "x", Zone: "a", Spot: true}, 10 * second, true},
+	} {
+		other := need(0, second)
+		n := need(200, 20*second)
+		n.Slack = c.slack * 200
+		s := New(knobs)
+		s.Refused(second, Pool{"big", "a", true})
+		s.Refused(second, Pool{"big", "b", true})
+		s.Refused(second, Pool{"small", "b", true})
+		if rents, _ := s.Plan(second, map[Group]Need{{Class: "w", Spot: true}: other, c.group: n}, have, types); (len(rents) > 0 && rents[0].Count > 1) != c.rent {
+			t.Errorf("%s: %+v", c.name, rents)
+		}
+	}
+}
+
 // A machine that has not been paid for in full, that is booting, busy or
 // needed is never returned; nor is any rented of a pool that cannot serve.
 func TestPlanInvariants(t *testing.T) {
