At a change of holders, machines that the cloud lists no more are not waited for

Change: what the list does not show, though it was rented longer ago than twice its lag and 10 s before the list was asked for, is returned as soon as the list is there, unless it lacks more than half of all machines. The answer to the return is the proof, as ever; the list proves nothing.

--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -85,6 +85,50 @@
 	}
 }
 
+// TestMachineThatIsGoneIsNotWaitedFor has machines taken, or returned, while nothing could
+// be stored of it. The list does not show them, so that their addresses are not known and
+// they were never asked: all work that was accepted earlier waited 10 s for them, and 14 s
+// for many. One that is too young to be listed is waited for, and so are all where a list
+// shows hardly any.
+func TestMachineThatIsGoneIsNotWaitedFor(t *testing.T) {
+	names := []string{"n-0", "n-1", "n-2", "n-3", "n-4", "n-5", "n-6"}
+	for _, c := range []struct {
+		gone   int // the last ones
+		rented unit.Micros
+		want   int
+	}{{1, 100 * unit.Second, 1}, {3, 100 * unit.Second, 3}, {3, 2 * unit.Second, 0}, {5, 100 * unit.Second, 0}} {
+		lives := len(names) - c.gone
+		k := holding(t, map[string]any{
+			machPrefix + "r-1": fleet.Group{Type: "big", Zone: "z", Up: names[:lives], Rented: 900 * unit.Second},
+			machPrefix + "r-2": fleet.Group{Type: "big", Zone: "z", Up: names[lives:], Rented: 1000*unit.Second - c.rented},
+		})
+		k.cfg.Lease, k.cfg.ReportEvery, k.cfg.ListLag = 60*unit.Second, 6*unit.Second, 3*unit.Second
+		bl := k.held[0]
+		returned := 0
+		for i := range 40 { // 2 s
+			if i < lives {
+				k.Report(k.now, ReqID(1000+i), &fleet.Report{Machine: names[i], Type: "big", Zone: "z", Session: 1, Seq: 1, Token: bl.token, Notice: unit.Never})
+			}
+			k.Tick(k.now+TickEvery, k.wall+TickEvery)
+			for _, e := range k.Drain() {
+				switch e := e.(type) {
+				case ListHosts:
+					var list []Host
+					for _, n := range names[:lives] {
+						list = append(list, Host{Name: n})
+					}
+					k.OnHosts(k.now, e, store.OK, list)
+				case ReturnHosts:
+					returned += len(e.Names)
+				}
+			}
+		}
+		if returned != c.want || len(bl.unaccounted) != c.gone {
+			t.Errorf("%d gone, rented %.0f s ago: %d given up, %d unaccounted for", c.gone, c.rented.Seconds(), returned, len(bl.unaccounted))
+		}
+	}
+}
+
 // TestLateBoot has a job wait for a machine that does not come up. It waited for as
 // long as the slowest machines take, 160 s: no other was rented for it.
 func TestLateBoot(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,7 +114,7 @@
 		Names []string
 	}
 	// ListHosts reads the machine list (OnHosts).
-	ListHosts struct{}
+	ListHosts struct{ Asked unit.Micros }
 	// CloudShare sets this node's part of the cloud's request budget; no answer.
 	CloudShare struct{ Part float64 }
 )
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -155,6 +155,7 @@
 	Lost      bool        // its lease ran out unheard
 	Sick      bool        // it fails what it starts: nothing more starts there
 	Leaving   bool        // a return is under way
+	Unlisted  bool        // the cloud's list should show it and does not
 	Spare     unit.Micros // since when the work at hand does not need it; 0: it does
 
 	Failed   map[string]bool // jobs of which nothing had worked yet and that failed here, since a task completed
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -24,7 +24,7 @@
 	}
 	if c.now >= bl.hostsAt && bl.n == 0 {
 		bl.hostsAt = c.now + max(5*unit.Second, c.cfg.ListLag)
-		c.emit(ListHosts{})
+		c.emit(ListHosts{Asked: c.now})
 	}
 	if c.now >= bl.planAt {
 		bl.planAt = c.now + unit.Second
@@ -217,6 +217,18 @@
 	}
 }
 
+// unlisted notes which machines a list does not show that were rented long before all that
+// it may leave out. They are most likely gone. That is no proof; see dropUnlisted.
+func (c *Core) unlisted(bl *block, asked unit.Micros, hosts []Host) {
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Name] = true
+	}
+	for name, m := range bl.machines {
+		m.Unlisted = !listed[name] && m.Rented < asked-2*c.cfg.ListLag-strayAfter
+	}
+}
+
 // Host is a machine on the cloud's list.
 type Host struct {
 	Name   string
@@ -228,7 +240,7 @@
 
 // OnHosts takes the machine list. It may be old: it proves only that a machine
 // exists or has failed, never that one is absent.
-func (c *Core) OnHosts(now unit.Micros, o store.Outcome, hosts []Host) {
+func (c *Core) OnHosts(now unit.Micros, e ListHosts, o store.Outcome, hosts []Host) {
 	c.at(now)
 	bl := c.held[0] // machines that nobody knows belong to the first block
 	if o != store.OK || bl == nil || !bl.ready {
@@ -239,6 +251,7 @@
 			delete(bl.gone, n)
 		}
 	}
+	c.unlisted(bl, e.Asked, hosts)
 	for _, h := range hosts {
 		m := bl.machines[h.Name]
 		if _, gone := bl.gone[h.Name]; gone {
--- a/internal/core/silent.go
+++ b/internal/core/silent.go
@@ -94,6 +94,7 @@
 	for _, m := range expired {
 		c.lost(bl, m)
 	}
+	c.dropUnlisted(bl)
 	if n := len(bl.unaccounted); n > 0 && n <= fewOf(len(bl.machines)) && (c.now-bl.began > c.nextReport()+unit.Second || bl.noneAnswers()) {
 		// All work accepted earlier waits for these few. Most likely they are
 		// gone: what they may hold is worth less than what waits.
@@ -109,6 +110,26 @@
 	}
 }
 
+// dropUnlisted returns the machines of earlier holders that the cloud does not list any
+// more and that have not been heard. Without an address they cannot be asked, and there
+// may be many: while the state service is away, a holder cannot store which it returns.
+// Were a list to lack most machines, the list would be at fault.
+func (c *Core) dropUnlisted(bl *block) {
+	var gone []*fleet.Machine
+	for _, name := range sortedKeys(bl.unaccounted) {
+		if m := bl.machines[name]; m != nil && m.Unlisted && !m.Leaving && m.LastSeen == 0 {
+			gone = append(gone, m)
+		}
+	}
+	if len(gone) == 0 || 2*len(gone) > len(bl.machines) {
+		return
+	}
+	c.log.Warn("machines are listed no more since the block was taken over", "machines", len(gone))
+	for _, m := range gone {
+		bl.giveBack(m)
+	}
+}
+
 // patience is how long a machine may be silent.
 func (c *Core) patience() unit.Micros { return 2*c.cfg.ReportEvery + 2*unit.Second }
 
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -310,7 +310,7 @@
 			n.back(life, func() { n.core.OnReturn(n.local(), e, o) })
 		})
 	case core.ListHosts:
-		n.hosts(life, "", nil)
+		n.hosts(life, e, "", nil)
 	case core.Contact:
 		n.contact(life, e)
 	case core.CloudShare:
@@ -550,7 +550,7 @@
 }
 
 // hosts reads the machine list, page by page.
-func (n *Node) hosts(life int, after string, got []core.Host) {
+func (n *Node) hosts(life int, e core.ListHosts, after string, got []core.Host) {
 	w := n.w
 	var list []rental.Listed
 	var more bool
@@ -560,7 +560,7 @@
 		return code
 	}, func(o store.Outcome) {
 		if o != store.OK {
-			n.back(life, func() { n.core.OnHosts(n.local(), o, nil) })
+			n.back(life, func() { n.core.OnHosts(n.local(), e, o, nil) })
 			return
 		}
 		for _, l := range list {
@@ -569,11 +569,11 @@
 		}
 		if more && len(list) > 0 {
 			if n.life == life {
-				n.hosts(life, list[len(list)-1].Name, got)
+				n.hosts(life, e, list[len(list)-1].Name, got)
 			}
 			return
 		}
-		n.back(life, func() { n.core.OnHosts(n.local(), store.OK, got) })
+		n.back(life, func() { n.core.OnHosts(n.local(), e, store.OK, got) })
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,7 @@
 				list = append(list, core.Host{Name: h.ID, Addr: h.Addr, Failed: h.State == wire.HostFailed, Age: unit.Seconds(h.AgeS),
 					Record: fleet.Record{Type: h.Type, Zone: h.Zone, Spot: h.Spot}})
 			}
-			n.tell(func(c *core.Core, now unit.Micros) { c.OnHosts(now, o, list) })
+			n.tell(func(c *core.Core, now unit.Micros) { c.OnHosts(now, e, o, list) })
 		}()
 	}
 }
