A controller's sockets are shared out: users hold a quarter, machines keep theirs

Need: machines and users come through one door, and beyond the last socket connections waited to be accepted. Users who keep connections open, or open them and say nothing, could lock the machines out until their leases end.

Change: internal/gate in place of the bounded listener. Of the connections that are given out users hold a quarter at most; one more is told at once to come back. When all are taken, quiet connections of users and health checks, and those that never asked for anything, make room; machines' never do. What finds no socket is closed at once. Figures on /metrics.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -14,12 +14,13 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
-	"golang.org/x/net/netutil"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/gate"
 	"shalestage.example/shalestage/internal/wire"
 )
 
@@ -34,8 +35,8 @@
 	Stats(ctx context.Context) (core.Stats, bool)
 }
 
-// Handler serves the interface.
-func Handler(n Node, log *slog.Logger) http.Handler {
+// Handler serves the interface; more are further figures.
+func Handler(n Node, log *slog.Logger, more ...prometheus.Collector) http.Handler {
 	r := chi.NewRouter()
 	if log.Enabled(context.Background(), slog.LevelDebug) {
 		r.Use(logRequests(log))
@@ -81,7 +82,7 @@
 		}
 		write(w, core.Reply{Code: http.StatusOK})
 	})
-	r.Method(http.MethodGet, "/metrics", metrics(n))
+	r.Method(http.MethodGet, metricsPath, metrics(n, more...))
 	return r
 }
 
@@ -159,16 +160,29 @@
 	_, _ = w.Write(out) // the client may be gone
 }
 
+// kindOf tells who sends a request.
+func kindOf(r *http.Request) gate.Kind {
+	switch r.URL.Path {
+	case wire.ReportPath:
+		return gate.Machine
+	case wire.ReadyPath, metricsPath:
+		return gate.Probe
+	}
+	return gate.User
+}
+
 // Serve answers requests on a listener. Slow, half-open and idle clients lose
-// their connection, and those beyond maxConns wait to be accepted.
+// their connection; of maxConns, users may hold a part, see package gate.
 func Serve(l net.Listener, n Node, maxConns int, idle unit.Micros, log *slog.Logger) error {
+	g := gate.New(l, maxConns)
 	s := &http.Server{
-		Handler:           Handler(n, log),
+		Handler:           Handler(n, log, g),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      15 * time.Second,
 		IdleTimeout:       time.Duration(idle) * time.Microsecond,
 		MaxHeaderBytes:    16 << 10,
 	}
-	return s.Serve(netutil.LimitListener(l, maxConns))
+	g.Protect(s, kindOf)
+	return s.Serve(g)
 }
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -15,7 +15,10 @@
 // collector asks the controller for its figures whenever they are read.
 type collector struct{ node Node }
 
-const namespace = "shalestage"
+const (
+	namespace   = "shalestage"
+	metricsPath = "/metrics"
+)
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
@@ -84,8 +87,9 @@
 }
 
 // metrics serves the figures in the text form that Prometheus reads.
-func metrics(n Node) http.Handler {
+func metrics(n Node, more ...prometheus.Collector) http.Handler {
 	r := prometheus.NewRegistry()
 	r.MustRegister(collector{n}, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(more...)
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 1})
 }
