No new jobs while a controller's memory is nearly full

Need: nothing but the changes that the state service takes bounded how many unfinished jobs a controller keeps; past its memory limit it is killed, and all others with it, as each keeps every job's record.

Change: internal/memory watches the live heap; beyond three quarters of the runtime's limit, until below 0.65, new jobs get 503 and when to come back. Statuses tell the other controllers (one optional field), which refuse as well. Known jobs, polls, cancellations and reports are answered as ever. memory_full on /metrics. The account of money is held against the cloud's bill by a test, which found that taken machines were charged too much in it.

--- a/cmd/shalestage/serve.go
+++ b/cmd/shalestage/serve.go
@@ -17,6 +17,7 @@
 	"shalestage.example/shalestage/internal/config"
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/memory"
 	"shalestage.example/shalestage/internal/node"
 	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
@@ -42,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	limitResources(s.Deployment.Quota)
+	limit := limitResources(s.Deployment.Quota)
 
 	l, err := net.Listen("tcp4", s.Listen)
 	if err != nil {
@@ -62,6 +63,7 @@
 	n := node.New(core.New(s.Core(log)),
 		state.New(s.Services.State, d.State.RPS/share, d.State.Later().RPS/share, log),
 		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), worker.New(log), link, log)
+	n.WatchMemory(memory.New(limit).Full)
 	go n.Run(context.Background())
 	go link.Serve(pl, n.Hear)
 	log.Info("serving", "node", s.Node, "listen", s.Listen, "version", version)
@@ -92,9 +94,12 @@
 }
 
 // limitResources keeps the process within its quota: one thread runs at a time
-// on a share of a core, and past the memory limit the process is killed.
-func limitResources(q config.Quota) {
+// on a share of a core, and past the memory limit the process is killed. It returns the
+// bytes that the runtime keeps to.
+func limitResources(q config.Quota) int64 {
 	runtime.GOMAXPROCS(max(1, int(q.CPU)))
 	debug.SetGCPercent(200)
-	debug.SetMemoryLimit(int64(q.RAMMB * 0.6 * (1 << 20)))
+	limit := int64(q.RAMMB * 0.6 * (1 << 20))
+	debug.SetMemoryLimit(limit)
+	return limit
 }
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -27,6 +27,7 @@
 var (
 	descSeated      = desc("seated", "1 while the controller has a seat in the state service.")
 	descLeading     = desc("leading", "1 while the controller leases blocks to the others.")
+	descFull        = desc("memory_full", "1 while no new jobs are accepted, as memory is nearly full.")
 	descKnownJobs   = desc("jobs_known", "Jobs in the controller's copy, final ones included.")
 	descKeptDone    = desc("jobs_kept_done", "Jobs that are over and not packed.")
 	descPacked      = desc("jobs_packed", "Packed jobs that the filter holds.")
@@ -43,7 +44,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descSeated, descLeading, descKnownJobs, descKeptDone, descPacked, descLooked, descShed, descActiveJobs, descAwaitJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
+	for _, d := range []*prometheus.Desc{descSeated, descLeading, descFull, descKnownJobs, descKeptDone, descPacked, descLooked, descShed, descActiveJobs, descAwaitJobs, descWrites, descTasks, descUnaccounted, descMachines, descCPUs} {
 		ch <- d
 	}
 }
@@ -60,6 +61,7 @@
 	flag := map[bool]float64{true: 1}
 	put(descSeated, flag[s.Seated])
 	put(descLeading, flag[s.Leading])
+	put(descFull, flag[s.Full])
 	put(descKnownJobs, float64(s.KnownJobs))
 	put(descKeptDone, float64(s.KeptDone))
 	put(descPacked, float64(s.PackedIDs))
--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -129,6 +129,60 @@
 	}
 }
 
+// TestFullMemory has memory run full, here and at another controller: new jobs are sent away
+// with when to come back, known ones are answered as ever, and once there is room again, or
+// the other is heard no more, the next is taken.
+func TestFullMemory(t *testing.T) {
+	c := holding(t, map[string]any{jobPrefix + "wk-000001": pending(job())})
+	c.peers = newPeers([]string{"b"})
+	spec := job()
+	submit := func(req ReqID, id string) { c.Submit(c.now, req, id, spec, "") }
+	for i, set := range []func(full bool){c.SetFull, func(full bool) { c.OnPeer(c.now, "b", PeerStatus{Full: full}) }} {
+		set(true)
+		submit(ReqID(10+i), "wk-000002")
+		if r := replyTo(t, c, ReqID(10+i)); r.Code != 503 || r.RetryAfter != crowdedRetry {
+			t.Errorf("new job: %+v", r)
+		}
+		submit(ReqID(20+i), "wk-000001")
+		code := 0
+		for range 20 {
+			for _, e := range c.Drain() {
+				switch e := e.(type) {
+				case Watch:
+					c.OnChanges(c.now, e, store.OK, 101, nil, false)
+				case Reply:
+					code = e.Code
+				}
+			}
+			c.Tick(c.now+TickEvery, c.wall+TickEvery)
+		}
+		if code != 200 {
+			t.Errorf("known job: %d", code)
+		}
+		set(false)
+		if c.crowded() {
+			t.Error("crowded still")
+		}
+	}
+	c.OnPeer(c.now, "b", PeerStatus{Full: true})
+	if !c.crowded() {
+		t.Error("not crowded while another is full")
+	}
+	c.at(c.now + 2*peerFresh)
+	if c.crowded() {
+		t.Error("crowded by one that is heard no more")
+	}
+	submit(30, "wk-000002")
+	taken := false
+	for _, e := range c.Drain() {
+		w, ok := e.(Commit)
+		taken = taken || ok && w.Txn.Changes[0].Key == jobPrefix+"wk-000002"
+	}
+	if !taken {
+		t.Error("the next job is not stored")
+	}
+}
+
 // TestLateBoot has a job wait for a machine that does not come up. It waited for as
 // long as the slowest machines take, 160 s: no other was rented for it.
 func TestLateBoot(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -195,6 +195,7 @@
 	heardAny  bool             // a report came since a block was last taken over
 	wasDeaf   bool             // this node gave its blocks up as no worker reached it, and none has since
 	deafAt    unit.Micros      // when it last did so
+	full      bool             // this process's memory is nearly full
 	typesAt   unit.Micros
 	cloudPart float64
 	peers     peersState
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -21,6 +21,7 @@
 		Deaf     bool        // no worker has reached the sender for a while
 		Blocks   []BlockStatus
 		Release  int         // what the sender understands; 0: less than 0.3 does
+		Full     bool        // the sender's memory is nearly full
 		Back     unit.Micros // when the sender last noticed that the state service went back; 0: never
 	}
 	// BlockStatus tells of a block that the sender holds.
@@ -136,7 +137,7 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Back: c.mirror.Mark()}
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Full: c.full, Back: c.mirror.Mark()}
 		if c.seats.Valid(c.now) {
 			s.Seat, s.Sent = c.seats.ID(), c.now
 		}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -10,6 +10,7 @@
 type Stats struct {
 	Seated     bool
 	Leading    bool
+	Full       bool   // memory is nearly full
 	KnownJobs  int    // in memory, final ones included
 	Keys       int    // in the copy
 	KeptDone   int    // jobs that are over and not packed
@@ -40,7 +41,7 @@
 
 // Stats answers a request for the present figures.
 func (c *Core) Stats(req ReqID) {
-	s := Stats{Seated: c.seats.ID() != 0, Leading: c.leader != nil, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
+	s := Stats{Seated: c.seats.ID() != 0, Leading: c.leader != nil, Full: c.full, KnownJobs: len(c.jobs), ActiveJobs: len(c.active), AwaitJobs: c.graph.Waiting()}
 	s.Keys, s.KeptDone, s.Looked, s.Shed = c.mirror.Keys(), c.old.packer.Len(), c.old.past.Looked, c.old.past.Shed
 	_, s.PackedIDs = c.old.past.Whole()
 	for _, l := range c.lanes {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -142,9 +142,36 @@
 	return out
 }
 
+// crowdedRetry is when users should come back who were refused for want of memory.
+const crowdedRetry = 5 * unit.Second
+
+// SetFull says whether this process's memory is nearly full.
+func (c *Core) SetFull(full bool) {
+	if full != c.full {
+		c.full = full
+		c.log.Warn("memory", "nearly_full", full, "jobs", len(c.jobs))
+	}
+}
+
+// crowded reports whether a controller that lives has no memory for more jobs. Every
+// controller keeps every job's record, and the block's holder more than that: a job that
+// one accepts fills the memory of all.
+func (c *Core) crowded() bool {
+	for _, v := range c.peers.views {
+		if c.alive(v) && v.status.Full {
+			return true
+		}
+	}
+	return c.full
+}
+
 // accept stores a new job and then answers 201. Where it is not sure that the
 // job is stored the user is told to ask again; asking again does no harm.
 func (c *Core) accept(n newJob) {
+	if c.crowded() {
+		c.send(Reply{Req: n.req, Code: http.StatusServiceUnavailable, Body: Problem{"a controller's memory is nearly full"}, RetryAfter: crowdedRetry})
+		return
+	}
 	c.loads()
 	spec, cancelled, ok := c.settleAwaits(n.spec)
 	// Nothing is accepted without a proof that it is not packed.
--- a/internal/emulator/account/account.go
+++ b/internal/emulator/account/account.go
@@ -161,7 +161,7 @@
 // neither is it paid for.
 func (a *Account) gone(at unit.Micros, m *machine) {
 	m.close()
-	if left := rental.LeastCharge - (at - m.host.Rented); left > 0 && m.host.Died == unit.Never {
+	if left := rental.LeastCharge - (at - m.host.Rented); left > 0 && m.host.Died == unit.Never && !m.host.Taken {
 		m.row.Spent[Least] += m.rate * left.Seconds() / 3600
 	}
 }
--- /dev/null
+++ b/internal/emulator/account/account_test.go
@@ -0,0 +1,33 @@
+package account_test
+
+import (
+	"math"
+	"testing"
+
+	"shalestage.example/shalestage/internal/emulator/account"
+	"shalestage.example/shalestage/internal/emulator/sim"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// TestAccountAddsUp plays a scenario with machines that are lost and taken, and holds the
+// account against the cloud's own bill: all money is somewhere, and none twice.
+func TestAccountAddsUp(t *testing.T) {
+	s, err := scenario.Load("../../../rehearsals/spot-wave.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := account.New()
+	r := sim.New(s, sim.Options{Seed: 3, Account: a}).Play()
+	sum := account.Sum(a.Rows())
+	if sum.Machines != r.Rented || math.Abs(sum.Total()-r.Money) > 0.02*r.Money {
+		t.Errorf("%d machines for %.4f, the bill says %d for %.4f", sum.Machines, sum.Total(), r.Rented, r.Money)
+	}
+	for u, v := range sum.Spent {
+		if v < -1e-9 {
+			t.Errorf("%s: %f", account.Names[u], v)
+		}
+	}
+	if sum.Spent[account.Useful] <= 0 || sum.Spent[account.Boot] <= 0 || sum.Spent[account.Lost] <= 0 {
+		t.Errorf("%+v", sum)
+	}
+}
--- a/internal/emulator/rental/rental.go
+++ b/internal/emulator/rental/rental.go
@@ -72,6 +72,7 @@
 	Up     unit.Micros // when its worker began
 	Died   unit.Micros // when it stopped of its own accord, or was taken back
 	Gone   unit.Micros // when it was deleted or taken
+	Taken  bool        // taken, and not deleted
 	Speed  float64     // of its processors, about 1
 	Fetch  float64     // of its image fetches, about 1
 	Sick   bool        // every task fails
@@ -315,6 +316,7 @@
 		return
 	}
 	died := m.Died
+	m.Taken = true
 	s.remove(now, m, 0)
 	if died == unit.Never {
 		s.out = append(s.out, Ended{m})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	// the cloud is checked against it when it is sent.
 	until atomic.Int64
 
+	full func() bool // memory is nearly full; nil: never
+
 	next    core.ReqID
 	waiting map[core.ReqID]chan core.Reply
 }
@@ -63,6 +65,10 @@
 		waiting: map[core.ReqID]chan core.Reply{}}
 }
 
+// WatchMemory has the core refuse new jobs while memory is nearly full. It is called before
+// Run.
+func (n *Node) WatchMemory(full func() bool) { n.full = full }
+
 // now is the steady clock.
 func (n *Node) now() unit.Micros { return unit.Micros(time.Since(n.began).Microseconds()) }
 
@@ -76,6 +82,9 @@
 	for ticked := n.now(); ctx.Err() == nil; {
 		if now := n.now(); now-ticked >= core.TickEvery {
 			ticked = now
+			if n.full != nil {
+				n.core.SetFull(n.full())
+			}
 			n.core.Tick(now, unit.Micros(time.Now().UnixMicro()))
 		} else if m := n.nextMessage(ctx, tick.C); m != nil {
 			m(n.core, n.now())
