Read once more: one way through a job's aims; machines' reports pass the gate without asking

urgency and slack went through a job's aims each with a loop of its own; both call aims now. Of a machine's connection nothing needs to be known after its first report, so that reports no longer ask the gate's owner three times each. Which machines are listed is looked at only while some are not accounted for.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -84,37 +84,38 @@
 	urgencies
 )
 
-// urgency tells which of a job's aims can still be met. All times are from when
-// the job could first start.
+// aims calls f with each of a job's aims: the time by which it should be done or, with
+// start, its tasks should have begun. All times are from when the job could first start.
+func (c *Core) aims(j *ledger.Job, f func(t unit.Micros, start bool)) {
+	for _, o := range c.cfg.Objectives {
+		if o.Class == j.Spec().Class && (o.Kind == "wait" || o.Kind == "finished") {
+			f(o.Within, o.Kind == "wait")
+		}
+	}
+	if due := j.Aims.Due; due != unit.Never {
+		f(due-j.Since, false)
+		if last := j.Aims.LastDue; last > due {
+			f(last-j.Since, false)
+		}
+	}
+}
+
+// urgency tells which of a job's aims can still be met.
 func (c *Core) urgency(bl *block, j *ledger.Job) int {
-	s := j.Spec()
-	ends := c.wall - j.Since + bl.runtime(s)
+	ends := c.wall - j.Since + bl.runtime(j.Spec())
 	aims, missed := 0, 0
 	first := unit.Never
-	aim := func(t unit.Micros) {
+	c.aims(j, func(t unit.Micros, start bool) {
+		if start {
+			first = 0 // its tasks should start soon: no time to spare
+			return
+		}
 		aims++
 		first = min(first, t)
 		if ends > t {
 			missed++
 		}
-	}
-	for _, o := range c.cfg.Objectives {
-		if o.Class != s.Class {
-			continue
-		}
-		switch o.Kind {
-		case "wait":
-			first = 0 // its tasks should start soon: no time to spare
-		case "finished":
-			aim(o.Within)
-		}
-	}
-	if due := j.Aims.Due; due != unit.Never {
-		aim(due - j.Since)
-		if last := j.Aims.LastDue; last > due {
-			aim(last - j.Since)
-		}
-	}
+	})
 	switch {
 	case missed == 0 && aims > 0 && first-ends > first/2:
 		return easyAim
@@ -128,31 +129,19 @@
 
 // slack is how long a job's tasks may wait for the next aim that they can still meet.
 func (c *Core) slack(bl *block, j *ledger.Job) unit.Micros {
-	s := j.Spec()
-	run, age := bl.runtime(s), c.wall-j.Since
+	run, age := bl.runtime(j.Spec()), c.wall-j.Since
 	least := unit.Never
-	aim := func(t unit.Micros) {
+	c.aims(j, func(t unit.Micros, start bool) {
+		switch {
+		case !start:
+			t -= run
+		case t <= 0:
+			return // no time is given
+		}
 		if left := t - age; left >= 0 {
 			least = min(least, left)
 		}
-	}
-	for _, o := range c.cfg.Objectives {
-		if o.Class != s.Class || o.Within <= 0 {
-			continue
-		}
-		switch o.Kind {
-		case "finished":
-			aim(o.Within - run)
-		case "wait":
-			aim(o.Within)
-		}
-	}
-	if due := j.Aims.Due; due != unit.Never {
-		aim(due - j.Since - run)
-		if last := j.Aims.LastDue; last > due {
-			aim(last - j.Since - run)
-		}
-	}
+	})
 	return min(least, patience*max(run, unit.Second))
 }
 
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -217,15 +217,21 @@
 	}
 }
 
-// unlisted notes which machines a list does not show that were rented long before all that
-// it may leave out. They are most likely gone. That is no proof; see dropUnlisted.
+// unlisted notes which machines that are not accounted for a list does not show, though
+// they were rented long before all that it may leave out. They are most likely gone. That
+// is no proof; see dropUnlisted.
 func (c *Core) unlisted(bl *block, asked unit.Micros, hosts []Host) {
+	if len(bl.unaccounted) == 0 {
+		return // nobody waits for any
+	}
 	listed := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		listed[h.Name] = true
 	}
-	for name, m := range bl.machines {
-		m.Unlisted = !listed[name] && m.Rented < asked-2*c.cfg.ListLag-strayAfter
+	for name := range bl.unaccounted {
+		if m := bl.machines[name]; m != nil {
+			m.Unlisted = !listed[name] && m.Rented < asked-2*c.cfg.ListLag-strayAfter
+		}
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -51,13 +52,16 @@
 	shed  [kinds]uint64     // closed or refused, as sockets ran out
 }
 
-// conn is a connection. What is not net.Conn's belongs to the book.
+// conn is a connection. What is not net.Conn's belongs to the book, but for machine, which
+// is set once: nothing needs to be known of what a machine's connection does next, and
+// reports are most of what a controller answers.
 type conn struct {
 	net.Conn
-	gate *Gate
-	kind Kind
-	at   *list.Element // in its kind's quiet list; nil: somebody waits on it
-	gone bool
+	gate    *Gate
+	machine atomic.Bool
+	kind    Kind
+	at      *list.Element // in its kind's quiet list; nil: somebody waits on it
+	gone    bool
 }
 
 // New returns a gate before a listener that gives out at most so many connections.
@@ -176,7 +180,7 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, key{}, c) }
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
 		c, ok := nc.(*conn)
-		if !ok {
+		if !ok || c.machine.Load() {
 			return
 		}
 		switch state {
@@ -204,9 +208,12 @@
 // enter notes who is at the other end of a connection, and reports whether there is a
 // socket for them.
 func (g *Gate) enter(c *conn, kind Kind) bool {
+	if c.machine.Load() {
+		return true
+	}
 	in := true
 	g.ask(func(b *book) {
-		if c.gone || c.kind == kind || c.kind == Machine {
+		if c.gone || c.kind == kind {
 			return
 		}
 		if kind == User && b.open[User] >= max(g.most/usersPart, 1) && !b.makeRoom(User) {
@@ -217,6 +224,7 @@
 		b.open[c.kind]--
 		c.kind = kind
 		b.open[kind]++
+		c.machine.Store(kind == Machine)
 	})
 	return in
 }
