Rooms of their own for demand, renting and the watch over silent machines

Cause: what a lost zone touches (what to rent, what silence means) stood among the other files of internal/core and wrote to the block's fields. Change: packages demand, renting and watch own their state and say through narrow interfaces what they need; core wires them (rooms.go).

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -6,13 +6,15 @@
 	"slices"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watch"
 )
 
 // block is what a controller knows and does while it holds a block: machines,
@@ -26,14 +28,12 @@
 	freeing  bool // and that is being stored
 	began    unit.Micros
 	attempts uint64
-	requests uint64
 
 	machines    map[string]*fleet.Machine
-	groups      map[string]*group      // stored machines, by key
-	changed     []*group               // to be stored
-	gone        map[string]unit.Micros // machines returned lately: the list may still show them
-	unaccounted map[string]bool        // machines on which earlier holders' tasks may run
-	asking      []string               // those that are to be asked directly
+	groups      map[string]*group // stored machines, by key
+	changed     []*group          // to be stored
+	unaccounted map[string]bool   // machines on which earlier holders' tasks may run
+	asking      []string          // those that are to be asked directly
 	askAt       unit.Micros
 	contacting  int      // requests under way
 	hidden      pack.Vec // capacity of the machines that are unaccounted for
@@ -55,25 +55,20 @@
 	lateAt      unit.Micros   // when late writes are next made
 	dirty       []*ledger.Job // with finished tasks to be stored, the longest first
 
-	runtimes  map[string]*ratio // by class
-	leaving   []string          // about to be returned
-	held      []heldReport      // reports of idle machines that wait for work
-	heldAt    unit.Micros       // when held reports are next looked at
-	newWork   bool              // tasks have become ready since jobs were ranked
-	heldStale bool              // or since held reports were looked at
+	demand    *demand.Book
+	renter    *renting.Renter
+	watch     *watch.Watch
+	held      []heldReport // reports of idle machines that wait for work
+	heldAt    unit.Micros  // when held reports are next looked at
+	newWork   bool         // tasks have become ready since jobs were ranked
+	heldStale bool         // or since held reports were looked at
 	preempted map[string]preemption
-	deafZone  map[string]unit.Micros // when a zone was last silent for the most part
-	scaler    *scale.Scaler
-	hostsAt   unit.Micros
-	planAt    unit.Micros
 	sortAt    unit.Micros
 	sweepAt   unit.Micros
 	moveAt    unit.Micros
 	logAt     unit.Micros
-	lone      string      // job whose parts are being cleared, as it has no record
-	loneAt    unit.Micros // when that goes on
-	cloudWait unit.Micros
-	renting   int
+	lone      string                 // job whose parts are being cleared, as it has no record
+	loneAt    unit.Micros            // when that goes on
 	strays    map[string]unit.Micros // unknown machines that report, since when
 }
 
@@ -83,12 +78,14 @@
 // after the grant was stored has shown everything that earlier holders stored.
 func (c *Core) hold(k int, g granted) {
 	bl := &block{n: k, grant: g.stamp, token: lead.Token(g.Term, g.Number), began: c.now,
-		machines: map[string]*fleet.Machine{}, groups: map[string]*group{}, gone: map[string]unit.Micros{},
+		machines: map[string]*fleet.Machine{}, groups: map[string]*group{},
 		unaccounted: map[string]bool{}, active: map[string]*ledger.Job{}, usage: map[string]pack.Vec{},
-		runtimes: map[string]*ratio{}, preempted: map[string]preemption{}, deafZone: map[string]unit.Micros{},
-		strays: map[string]unit.Micros{}, scaler: scale.New(c.cfg.Scale)}
+		demand: demand.New(c.cfg.Objectives, c.cfg.RoundShare), preempted: map[string]preemption{}, strays: map[string]unit.Micros{}}
+	host := tenancy{c, bl}
+	bl.renter = renting.New(renting.Config{Block: k, Token: bl.token, Began: c.now, ListLag: c.cfg.ListLag, StrayAfter: strayAfter, Scale: c.cfg.Scale, Log: c.log}, host)
+	bl.watch = watch.New(watch.Config{ReportEvery: c.cfg.ReportEvery, Began: c.now, Zones: c.cfg.Zones, Log: c.log}, host, bl.renter)
 	c.held[k] = bl
-	c.silence, c.heardAny = 0, false
+	c.reach.Taken()
 	c.log.Info("holding", "block", k, "token", bl.token)
 	c.setRates()
 	c.rebuild(bl)
@@ -279,7 +276,7 @@
 		return
 	}
 	if c.deaf(bl) {
-		c.deafAt, c.wasDeaf = c.now, true
+		c.reach.GaveUp(c.now)
 		for _, k := range sortedBlocks(c.held) {
 			c.release(c.held[k], "no worker can reach this node")
 		}
@@ -298,7 +295,7 @@
 	}
 	if c.now >= bl.sweepAt {
 		bl.sweepAt = c.now + unit.Second/4
-		c.sweep(bl)
+		bl.watch.Sweep(c.now)
 	}
 	if c.now >= bl.moveAt {
 		bl.moveAt = c.now + unit.Second/2
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
@@ -14,10 +15,12 @@
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
 	"shalestage.example/shalestage/internal/core/recall"
+	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/seats"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watch"
 )
 
 // Team holds a team's guarantee and limit, in thousandths; 0 means none.
@@ -28,12 +31,13 @@
 }
 
 // Objective is one of the users' aims for a class of jobs.
-type Objective struct {
-	Kind   string // "wait", "finished", "deadline" or "guarantee"
-	Class  string
-	Within unit.Micros
-	Times  float64 // of the deadline, for "deadline"
-}
+type Objective = demand.Objective
+
+// Host is a machine on the cloud's list.
+type Host = renting.Listed
+
+// TickEvery is how often the outer layers let time pass.
+const TickEvery = watch.TickEvery
 
 // Config is what the core is told at its start.
 type Config struct {
@@ -100,21 +104,11 @@
 	CloseLease = seats.CloseLease
 	// FetchTypes reads the price list (OnTypes).
 	FetchTypes struct{}
-	// RentHosts asks for machines (OnRent).
-	RentHosts struct {
-		Block   int
-		Grant   uint64
-		Request string
-		Rent    scale.Rent
-	}
-	// ReturnHosts gives machines back (OnReturn).
-	ReturnHosts struct {
-		Block int
-		Grant uint64
-		Names []string
-	}
-	// ListHosts reads the machine list (OnHosts).
-	ListHosts struct{ Asked unit.Micros }
+	// RentHosts, ReturnHosts and ListHosts rent machines, give them back and read the machine
+	// list (OnRent, OnReturn, OnHosts).
+	RentHosts   = renting.RentHosts
+	ReturnHosts = renting.ReturnHosts
+	ListHosts   = renting.ListHosts
 	// CloudShare sets this node's part of the cloud's request budget; no answer.
 	CloudShare struct{ Part float64 }
 )
@@ -190,11 +184,7 @@
 	pictures  map[int]*picture // of blocks, as their last holders have handed them on
 	emptied   unit.Micros      // since when nothing is held by it then
 	retiring  unit.Micros      // since when this node's process is about to end on purpose; 0: it is not
-	ticked    unit.Micros      // last tick
-	silence   unit.Micros      // time awake since a report came
-	heardAny  bool             // a report came since a block was last taken over
-	wasDeaf   bool             // this node gave its blocks up as no worker reached it, and none has since
-	deafAt    unit.Micros      // when it last did so
+	reach     watch.Reach      // whether workers reach this node
 	full      bool             // this process's memory is nearly full
 	typesAt   unit.Micros
 	cloudPart float64
@@ -223,6 +213,7 @@
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
+	c.reach = watch.NewReach(cfg.ReportEvery, c.leaseBound())
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: store.TxnBytes, MaxQueue: 256}
 	}
@@ -271,8 +262,7 @@
 // Tick lets time pass. wall is the time of day.
 func (c *Core) Tick(now, wall unit.Micros) {
 	c.at(now)
-	c.silence += min(c.now-c.ticked, awakeStep)
-	c.ticked = c.now
+	c.reach.Tick(c.now)
 	c.wall = wall
 	c.mirror.Tick(c.now, wall)
 	c.tickPeers()
--- a/internal/core/demand.go
+++ b/internal/core/demand/demand.go
@@ -1,4 +1,7 @@
-package core
+// Package demand tells what the work at hand needs: how long its tasks run, by when they
+// should be done, and so how many machines of which offers they ask for. It owns what was
+// learnt of run times and decides nothing.
+package demand
 
 import (
 	"math"
@@ -10,6 +13,27 @@
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
+// Objective is one of the users' aims for a class of jobs.
+type Objective struct {
+	Kind   string // "wait", "finished", "deadline" or "guarantee"
+	Class  string
+	Within unit.Micros
+	Times  float64 // of the deadline, for "deadline"
+}
+
+// Book is what is known of a block's work: its owners' aims and how long it really runs.
+type Book struct {
+	objectives []Objective
+	roundShare float64
+	runtimes   map[string]*ratio // by class
+}
+
+// New returns a book that has learnt nothing. roundShare is the share of a job's time that
+// renting counts on for tasks one after the other.
+func New(objectives []Objective, roundShare float64) *Book {
+	return &Book{objectives: objectives, roundShare: roundShare, runtimes: map[string]*ratio{}}
+}
+
 // ratio learns how long tasks of a class really run, as a share of what their
 // owners estimate ("earlier runs of the same or similar jobs", 3.3.1).
 type ratio struct {
@@ -25,23 +49,23 @@
 	r.mean += (x - r.mean) / float64(min(r.n, ratioMemory))
 }
 
-// learnRun takes in how long a task ran.
-func (bl *block) learnRun(s *ledger.Spec, took unit.Micros) {
+// Learn takes in how long a task ran.
+func (b *Book) Learn(s *ledger.Spec, took unit.Micros) {
 	if s.Service || s.Estimate <= 0 || took <= 0 {
 		return
 	}
-	r := bl.runtimes[s.Class]
+	r := b.runtimes[s.Class]
 	if r == nil {
 		r = &ratio{}
-		bl.runtimes[s.Class] = r
+		b.runtimes[s.Class] = r
 	}
 	r.add(math.Min(float64(took)/float64(s.Estimate), 10))
 }
 
-// runtime is how long a task of the job is expected to run: the owner's
+// Runtime is how long a task of a job is expected to run: the owner's
 // estimate, corrected by what the class has shown once a few tasks are through.
-func (bl *block) runtime(s *ledger.Spec) unit.Micros {
-	if r := bl.runtimes[s.Class]; r != nil && r.n >= 5 {
+func (b *Book) Runtime(s *ledger.Spec) unit.Micros {
+	if r := b.runtimes[s.Class]; r != nil && r.n >= 5 {
 		return unit.Micros(float64(s.Estimate) * r.mean)
 	}
 	return s.Estimate
@@ -50,13 +74,13 @@
 // patience bounds the time a job without any aim is given, in run times.
 const patience = 8
 
-// timeLeft is the time in which a job should be done, by the earliest deadline
+// TimeLeft is the time in which a job should be done, by the earliest deadline
 // that depends on it or by the strictest aim for its class.
-func (c *Core) timeLeft(bl *block, j *ledger.Job) unit.Micros {
+func (b *Book) TimeLeft(wall unit.Micros, j *ledger.Job) unit.Micros {
 	s := j.Spec()
-	run := bl.runtime(s)
+	run := b.Runtime(s)
 	left := unit.Never
-	for _, o := range c.cfg.Objectives {
+	for _, o := range b.objectives {
 		if o.Class != s.Class || o.Within <= 0 {
 			continue
 		}
@@ -70,7 +94,7 @@
 	if left == unit.Never && j.Aims.Due == unit.Never {
 		left = patience * run
 	}
-	return min(left-(c.wall-j.Since), j.Aims.Due-c.wall)
+	return min(left-(wall-j.Since), j.Aims.Due-wall)
 }
 
 // Urgency of a job within its tier: work that can still meet its first aim
@@ -81,13 +105,13 @@
 	laterAim
 	easyAim
 	firstAim
-	urgencies
+	Urgencies // how many there are
 )
 
 // aims calls f with each of a job's aims: the time by which it should be done or, with
 // start, its tasks should have begun. All times are from when the job could first start.
-func (c *Core) aims(j *ledger.Job, f func(t unit.Micros, start bool)) {
-	for _, o := range c.cfg.Objectives {
+func (b *Book) aims(j *ledger.Job, f func(t unit.Micros, start bool)) {
+	for _, o := range b.objectives {
 		if o.Class == j.Spec().Class && (o.Kind == "wait" || o.Kind == "finished") {
 			f(o.Within, o.Kind == "wait")
 		}
@@ -100,12 +124,12 @@
 	}
 }
 
-// urgency tells which of a job's aims can still be met.
-func (c *Core) urgency(bl *block, j *ledger.Job) int {
-	ends := c.wall - j.Since + bl.runtime(j.Spec())
+// Urgency tells which of a job's aims can still be met.
+func (b *Book) Urgency(wall unit.Micros, j *ledger.Job) int {
+	ends := wall - j.Since + b.Runtime(j.Spec())
 	aims, missed := 0, 0
 	first := unit.Never
-	c.aims(j, func(t unit.Micros, start bool) {
+	b.aims(j, func(t unit.Micros, start bool) {
 		if start {
 			first = 0 // its tasks should start soon: no time to spare
 			return
@@ -127,11 +151,11 @@
 	return tooLate
 }
 
-// slack is how long a job's tasks may wait for the next aim that they can still meet.
-func (c *Core) slack(bl *block, j *ledger.Job) unit.Micros {
-	run, age := bl.runtime(j.Spec()), c.wall-j.Since
+// Slack is how long a job's tasks may wait for the next aim that they can still meet.
+func (b *Book) Slack(wall unit.Micros, j *ledger.Job) unit.Micros {
+	run, age := b.Runtime(j.Spec()), wall-j.Since
 	least := unit.Never
-	c.aims(j, func(t unit.Micros, start bool) {
+	b.aims(j, func(t unit.Micros, start bool) {
 		switch {
 		case !start:
 			t -= run
@@ -145,20 +169,44 @@
 	return min(least, patience*max(run, unit.Second))
 }
 
-// needs adds up the work at hand, by what pools it may use. A job needs no
+// Idle reports whether a job uses the time that others leave: it has the lowest priority,
+// nobody expects it by any time, and it has not waited for long.
+func (b *Book) Idle(wall unit.Micros, j *ledger.Job) bool {
+	s := j.Spec()
+	if j.Aims.Priority != ledger.Low || s.Service || j.Aims.Due != unit.Never {
+		return false
+	}
+	for _, o := range b.objectives {
+		if o.Class == s.Class {
+			return false
+		}
+	}
+	return b.TimeLeft(wall, j) > 0
+}
+
+// Host is what needs are weighed against.
+type Host interface {
+	// Limit is a team's limit, in thousandths; 0: none.
+	Limit(team string) pack.Vec
+	// Fitting names the types of machine that a job's tasks fit on and may use.
+	Fitting(s *ledger.Spec) []string
+}
+
+// Needs adds up the work at hand, by what pools it may use; order are the jobs, the first
+// to have come first. A job needs no
 // more room than lets it end in time: where there is time for several tasks
 // one after the other, fewer machines do.
-func (c *Core) needs(bl *block) map[scale.Group]scale.Need {
+func (b *Book) Needs(now, wall unit.Micros, order []*ledger.Job, host Host) map[scale.Group]scale.Need {
 	needs := map[scale.Group]scale.Need{}
 	perTeam := map[string]pack.Vec{}
-	for _, j := range bl.order {
+	for _, j := range order {
 		s := j.Spec()
-		if s == nil || c.now < j.NotBefore {
+		if s == nil || now < j.NotBefore {
 			continue
 		}
 		n := j.Record.Tasks - j.Finished()
-		if run := bl.runtime(s); !s.Service && run > 0 {
-			rounds := c.cfg.RoundShare * c.timeLeft(bl, j).Seconds() / run.Seconds()
+		if run := b.Runtime(s); !s.Service && run > 0 {
+			rounds := b.roundShare * b.TimeLeft(wall, j).Seconds() / run.Seconds()
 			if rounds > 1 {
 				n = int(math.Ceil(float64(n) / rounds))
 			}
@@ -169,11 +217,9 @@
 			ready = j.Trials()
 			n = j.Placed() + ready
 		}
-		if t := c.teams[s.Team]; t != nil {
-			for i, lim := range t.Limit { // the team's limit bounds what can run at once
-				if lim > 0 && s.Demand[i] > 0 {
-					n = min(n, int(max(0, lim-perTeam[s.Team][i])/s.Demand[i]))
-				}
+		for i, lim := range host.Limit(s.Team) { // the team's limit bounds what can run at once
+			if lim > 0 && s.Demand[i] > 0 {
+				n = min(n, int(max(0, lim-perTeam[s.Team][i])/s.Demand[i]))
 			}
 		}
 		if n <= 0 {
@@ -181,15 +227,15 @@
 		}
 		v := s.Demand.Times(int64(n))
 		perTeam[s.Team] = perTeam[s.Team].Add(v)
-		names := c.fitting(s)
-		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot, Idle: c.idleTime(bl, j)}
+		names := host.Fitting(s)
+		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot, Idle: b.Idle(wall, j)}
 		need := needs[g]
 		need.Tasks += n
 		need.Running += j.Placed()
 		need.Ready += ready
-		run := bl.runtime(s)
+		run := b.Runtime(s)
 		need.Waiting += run * unit.Micros(ready)
-		need.Slack += c.slack(bl, j) * unit.Micros(ready)
+		need.Slack += b.Slack(wall, j) * unit.Micros(ready)
 		if !s.Service {
 			need.Rate += float64(j.Placed()) / max(run.Seconds(), 1)
 		}
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -31,8 +31,8 @@
 	if s := j.Spec(); s != nil {
 		fmt.Fprintf(&b, "; team %s uses %v", s.Team, bl.usage[s.Team])
 	}
-	fmt.Fprintf(&b, "; block %d share %.2f token %d free %v moving %v, unaccounted %d, renting %d, cloud waits until %.1f", bl.n, c.shares[bl.n].share,
-		bl.token, bl.free, j.Moving, len(bl.unaccounted), bl.renting, bl.cloudWait.Seconds())
+	fmt.Fprintf(&b, "; block %d share %.2f token %d free %v moving %v, unaccounted %d, renting %d, cloud may be called %v", bl.n, c.shares[bl.n].share,
+		bl.token, bl.free, j.Moving, len(bl.unaccounted), bl.renter.Open(), bl.renter.Ready(c.now))
 	for _, name := range sortedKeys(bl.machines) {
 		m := bl.machines[name]
 		fmt.Fprintf(&b, "\n  %s %s/%s spot %v: up %v, tasks %d, settled %v (accounted %v stored %v lost %v sick %v leaving %v)",
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -5,6 +5,7 @@
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watch"
 )
 
 // A holder that gives a block up while its seat stands hands on its picture: what may run on
@@ -200,7 +201,7 @@
 	case c.emptied == 0:
 		c.emptied = c.now
 	}
-	return !c.heardAny || now-c.emptied > c.nextReport()
+	return !c.reach.Any() || now-c.emptied > watch.NextReport(c.cfg.ReportEvery)
 }
 
 // Leave gives up the seat, so that nobody waits for its lease to end. The process ends.
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -4,25 +4,11 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
-// idleTime reports whether a job uses the time that others leave: it has the
-// lowest priority, nobody expects it by any time, and it has not waited for long.
-func (c *Core) idleTime(bl *block, j *ledger.Job) bool {
-	s := j.Spec()
-	if j.Aims.Priority != ledger.Low || s.Service || j.Aims.Due != unit.Never {
-		return false
-	}
-	for _, o := range c.cfg.Objectives {
-		if o.Class == s.Class {
-			return false
-		}
-	}
-	return c.timeLeft(bl, j) > 0
-}
-
 // yields reports whether a job uses what room is left, and keeps its progress
 // when it makes room: stopping its tasks costs little.
 func yields(j *ledger.Job) bool { return j.Aims.Priority == ledger.Low && j.Spec().Checkpoint > 0 }
@@ -47,7 +33,7 @@
 	roomy := 2*m.Used()[pack.CPU] <= m.Type.Capacity[pack.CPU]
 	for _, id := range sortedTasks(m.Tasks) {
 		a, j := m.Tasks[id], c.jobs[id.Job]
-		if j == nil || !j.Active() || !yields(j) || !c.idleTime(bl, j) || a.Ran(c.now) < vacateRun ||
+		if j == nil || !j.Active() || !yields(j) || !bl.demand.Idle(c.wall, j) || a.Ran(c.now) < vacateRun ||
 			!roomy && !c.dear(m, j.Spec()) {
 			return nil
 		}
@@ -60,5 +46,5 @@
 
 // dear reports whether a machine costs too much for idle-time work.
 func (c *Core) dear(m *fleet.Machine, s *ledger.Spec) bool {
-	return scale.Dear(poolOf(m), c.fitting(s), s.Spot, c.types)
+	return scale.Dear(renting.PoolOf(m), c.fitting(s), s.Spot, c.types)
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -137,7 +137,7 @@
 	p := &c.peers
 	if c.now >= p.statusAt {
 		p.statusAt = c.now + statusEvery
-		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.deafNow(), Release: release, Full: c.full, Back: c.mirror.Mark()}
+		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.reach.DeafNow(c.now), Release: release, Full: c.full, Back: c.mirror.Mark()}
 		if c.seats.Valid(c.now) {
 			s.Seat, s.Sent = c.seats.ID(), c.now
 		}
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -225,7 +225,7 @@
 			}
 		}
 	}
-	took := unit.Micros(waves) * bl.runtime(s)
+	took := unit.Micros(waves) * bl.demand.Runtime(s)
 	if rate := c.slowestFetch(s); rate > 0 {
 		took += unit.Micros(s.ImageMB) * unit.Second / unit.Micros(rate)
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -67,7 +67,7 @@
 		if v == nil || !v.Active() || a.State == fleet.Saving || !may(v) || !c.mayStop(bl, j, v) {
 			continue
 		}
-		if lost := c.lostWork(v.Spec(), a); lost < bl.runtime(s)/4 {
+		if lost := c.lostWork(v.Spec(), a); lost < bl.demand.Runtime(s)/4 {
 			victims = append(victims, victim{id, a, lost})
 			yielding = yielding && yields(v)
 		}
--- /dev/null
+++ b/internal/core/renting/renting.go
@@ -0,0 +1,347 @@
+// Package renting talks to the cloud for a block: it decides when machines are rented and
+// returned, keeps those that are to be returned, and reads the machine list. It owns what
+// is under way with the cloud; the machines are their block's.
+//
+// It is pure: answers and the time go in by method calls, what is to be done comes out by
+// its host.
+package renting
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/scale"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Effects.
+type (
+	// RentHosts asks for machines (OnRent).
+	RentHosts struct {
+		Block   int
+		Grant   uint64
+		Request string
+		Rent    scale.Rent
+	}
+	// ReturnHosts gives machines back (OnReturn).
+	ReturnHosts struct {
+		Block int
+		Grant uint64
+		Names []string
+	}
+	// ListHosts reads the machine list (OnHosts).
+	ListHosts struct{ Asked unit.Micros }
+)
+
+// Listed is a machine on the cloud's list.
+type Listed struct {
+	Name   string
+	Addr   string
+	Record fleet.Record
+	Failed bool
+	Age    unit.Micros
+}
+
+// Host is the block whose machines are rented.
+type Host interface {
+	// Emit sends an effect.
+	Emit(e any)
+	// Grant is the version of the grant under which the block is held.
+	Grant() uint64
+	// Machines are those of the block, by name.
+	Machines() map[string]*fleet.Machine
+	// Doubtful are those of them on which tasks of earlier holders may run.
+	Doubtful() map[string]bool
+	// Needs is the work at hand; ok: what runs, and so what is needed, is known.
+	Needs() (needs map[scale.Group]scale.Need, ok bool)
+	// Types is the price list.
+	Types() map[string]*fleet.Type
+	// Calls is how many calls a second the cloud takes from this block.
+	Calls() float64
+	// Rented takes in machines that a request has brought.
+	Rented(request string, r fleet.Record, names []string)
+	// Returned says that a machine, and all that ran on it, is gone.
+	Returned(m *fleet.Machine)
+	// Adopt takes in a machine on the list that nobody is known to have rented.
+	Adopt(h Listed)
+	// Elsewhere reports whether a machine belongs to another block.
+	Elsewhere(machine string) bool
+}
+
+// Config says how a block rents.
+type Config struct {
+	Block   int
+	Token   uint64 // under which it is held: names of requests must never come again
+	Began   unit.Micros
+	ListLag unit.Micros
+	// StrayAfter is how long a machine must be unknown to all before it is adopted.
+	StrayAfter unit.Micros
+	Scale      scale.Params
+	Log        *slog.Logger
+}
+
+// Renter is a block's side of what goes on with the cloud.
+type Renter struct {
+	cfg    Config
+	host   Host
+	now    unit.Micros
+	scaler *scale.Scaler
+
+	wait     unit.Micros // no call before
+	planAt   unit.Micros
+	listAt   unit.Micros
+	requests uint64                 // made under this grant
+	open     int                    // of them, those without an answer
+	leaving  []string               // about to be returned
+	gone     map[string]unit.Micros // returned lately: the list may still show them
+}
+
+// New returns a renter that has asked for nothing yet.
+func New(cfg Config, host Host) *Renter {
+	return &Renter{cfg: cfg, host: host, scaler: scale.New(cfg.Scale), gone: map[string]unit.Micros{}}
+}
+
+const (
+	// planEvery is the time between two plans.
+	planEvery = unit.Second
+	// listEvery is the least time between two reads of the machine list.
+	listEvery = 5 * unit.Second
+	// pause is how long the cloud is left alone after it did not answer.
+	pause = 2 * unit.Second
+	// returnsAtOnce bounds the machines of one call.
+	returnsAtOnce = 100
+	// lateBoot is how many times as long as usual a machine may take to come up
+	// before the work at hand no longer counts on it. It takes up to one and a half
+	// times; those that never come up are returned much later. Of many machines only
+	// a few can be late for reasons of their own.
+	lateBoot = 2
+	// keepLost is how long a machine whose lease has run out unheard is kept.
+	keepLost = 10 * unit.Second
+)
+
+// FewOf is how many machines may be given up early, as a part of all.
+func FewOf(n int) int { return max(1, n/20) }
+
+// Ready reports whether the cloud may be called, Open how many rentals have no answer yet.
+func (r *Renter) Ready(now unit.Micros) bool { return now >= r.wait }
+func (r *Renter) Open() int                  { return r.open }
+
+// Gone reports whether the cloud has said that a machine is gone.
+func (r *Renter) Gone(machine string) bool { return r.gone[machine] != 0 }
+
+// GiveBack has a machine returned with the next request.
+func (r *Renter) GiveBack(m *fleet.Machine) {
+	m.Leaving = true
+	r.leaving = append(r.leaving, m.Name)
+}
+
+// Tick rents, has machines returned and reads the machine list. list: this block has the
+// list read, for all.
+func (r *Renter) Tick(now unit.Micros, list bool) {
+	r.now = now
+	if now >= r.listAt && list {
+		r.listAt = now + max(listEvery, r.cfg.ListLag)
+		r.host.Emit(ListHosts{Asked: now})
+	}
+	if now >= r.planAt {
+		r.planAt = now + planEvery
+		r.plan()
+	}
+}
+
+// Flush returns machines that are to be returned.
+func (r *Renter) Flush() {
+	if n := min(len(r.leaving), returnsAtOnce); n > 0 {
+		r.host.Emit(ReturnHosts{r.cfg.Block, r.host.Grant(), r.leaving[:n:n]})
+		r.leaving = r.leaving[n:]
+	}
+}
+
+// plan rents and returns machines.
+func (r *Renter) plan() {
+	needs, ok := r.host.Needs()
+	if !ok {
+		return
+	}
+	machines := r.host.Machines()
+	names := slices.Sorted(maps.Keys(machines))
+	var ms []scale.Machine
+	late := 0
+	for _, name := range names {
+		m := machines[name]
+		if m.Leaving || m.Lost || m.Sick || m.Notice != unit.Never {
+			continue
+		}
+		if m.Type != nil && m.LastSeen == 0 && m.LeaseEnd == 0 && r.now-m.Rented > lateBoot*m.Type.Boot && late < FewOf(len(machines)) {
+			late++ // what waits for it should not wait for that one alone
+			continue
+		}
+		sm := scale.Machine{Name: name, Pool: PoolOf(m), Booted: m.LastSeen != 0, Age: r.now - m.Rented}
+		if len(m.Tasks) == 0 {
+			sm.Idle = r.now - m.IdleSince + 1
+		}
+		ms = append(ms, sm)
+	}
+	rents, back := r.scaler.Plan(r.now, needs, ms, r.host.Types())
+	for _, sm := range ms {
+		if m := machines[sm.Name]; sm.Wanted {
+			m.Spare = 0
+		} else if m.Spare == 0 {
+			m.Spare = r.now
+		}
+	}
+	if r.open == 0 {
+		r.rent(rents)
+	}
+	for _, name := range names {
+		m := machines[name]
+		boot := 30 * unit.Second
+		if m.Type != nil {
+			boot = 6*m.Type.Boot + 10*unit.Second
+		}
+		switch {
+		case m.Leaving:
+		case m.Sick && m.Accounted && len(m.Tasks) == 0,
+			m.Lost && r.now-m.IdleSince > keepLost,
+			m.LastSeen == 0 && m.LeaseEnd == 0 && r.now-m.Rented > boot:
+			back = append(back, name)
+		}
+	}
+	for _, name := range back {
+		r.GiveBack(machines[name])
+	}
+}
+
+// rent asks for machines in as many requests as the cloud takes in a second, a
+// part of them for each of the offers.
+func (r *Renter) rent(rents []scale.Rent) {
+	if len(rents) == 0 {
+		return
+	}
+	each := max(1, int(r.host.Calls()/2)/len(rents))
+	for _, x := range rents {
+		left := x.Count
+		for range each {
+			if left <= 0 {
+				break
+			}
+			x.Count = min(left, fleet.MaxGroup)
+			left -= x.Count
+			r.requests++
+			r.open++
+			// A name that no other grant uses: names must never come again.
+			r.host.Emit(RentHosts{Block: r.cfg.Block, Grant: r.host.Grant(), Request: fmt.Sprintf("r-%d-%d", r.cfg.Token, r.requests), Rent: x})
+		}
+	}
+}
+
+// PoolOf is the offer that a machine was rented by.
+func PoolOf(m *fleet.Machine) scale.Pool {
+	return scale.Pool{Type: m.Record.Type, Zone: m.Record.Zone, Spot: m.Record.Spot}
+}
+
+// OnRent takes a rental's outcome.
+func (r *Renter) OnRent(now unit.Micros, e RentHosts, o store.Outcome, names []string) {
+	r.now = now
+	r.open = max(0, r.open-1)
+	p := e.Rent.Pool
+	switch o {
+	case store.OK:
+		r.scaler.Granted(p)
+		if len(names) < e.Rent.Count {
+			r.scaler.Refused(now, p)
+		}
+		r.host.Rented(e.Request, fleet.Record{Type: p.Type, Zone: p.Zone, Spot: p.Spot}, names)
+		r.cfg.Log.Info("rented", "type", p.Type, "zone", p.Zone, "spot", p.Spot, "asked", e.Rent.Count, "got", len(names))
+	case store.Failed: // no capacity
+		r.scaler.Refused(now, p)
+	default:
+		r.wait = now + pause
+	}
+}
+
+// OnReturn takes a return's outcome: after OK the machines and all that ran on
+// them are gone.
+func (r *Renter) OnReturn(now unit.Micros, e ReturnHosts, o store.Outcome) {
+	r.now = now
+	machines := r.host.Machines()
+	for _, n := range e.Names {
+		m := machines[n]
+		if m == nil {
+			continue
+		}
+		if o != store.OK {
+			m.Leaving = false // the next plan tries again
+			continue
+		}
+		r.host.Returned(m)
+		r.gone[n] = now
+		r.cfg.Log.Info("returned", "machine", n)
+	}
+	if o != store.OK {
+		r.wait = now + pause
+	}
+}
+
+// OnHosts takes the machine list. It may be old: it proves only that a machine
+// exists or has failed, never that one is absent.
+func (r *Renter) OnHosts(now unit.Micros, e ListHosts, hosts []Listed) {
+	r.now = now
+	for n, at := range r.gone {
+		if now-at > 4*r.cfg.ListLag+60*unit.Second {
+			delete(r.gone, n)
+		}
+	}
+	r.unlisted(e.Asked, hosts)
+	machines := r.host.Machines()
+	for _, h := range hosts {
+		m := machines[h.Name]
+		if r.Gone(h.Name) {
+			continue
+		}
+		if m != nil && m.Addr == "" {
+			m.Addr = h.Addr
+		}
+		if r.host.Elsewhere(h.Name) {
+			continue // its holder finds out by itself when it fails
+		}
+		switch {
+		case h.Failed:
+			if m == nil || !m.Leaving {
+				r.leaving = append(r.leaving, h.Name)
+			}
+			if m != nil {
+				m.Leaving = true
+			}
+		case m == nil && h.Age > 2*r.cfg.ListLag+r.cfg.StrayAfter && now-r.cfg.Began > 2*r.cfg.ListLag:
+			// Rented by a request that was carried out late, or whose answer was
+			// lost. Adopted: the next plan uses it or gives it back.
+			r.host.Adopt(h)
+			r.cfg.Log.Info("adopted", "machine", h.Name)
+		}
+	}
+}
+
+// unlisted notes which machines that are not accounted for a list does not show, though
+// they were rented long before all that it may leave out. They are most likely gone. That
+// is no proof; see package watch.
+func (r *Renter) unlisted(asked unit.Micros, hosts []Listed) {
+	doubtful := r.host.Doubtful()
+	if len(doubtful) == 0 {
+		return // nobody waits for any
+	}
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Name] = true
+	}
+	machines := r.host.Machines()
+	for name := range doubtful {
+		if m := machines[name]; m != nil {
+			m.Unlisted = !listed[name] && m.Rented < asked-2*r.cfg.ListLag-r.cfg.StrayAfter
+		}
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -9,23 +9,25 @@
 	"sort"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watch"
 )
 
 // Report takes a worker's report. Only a node whose authority is certain
 // answers 200; any other answer would hold the worker while its lease runs out.
 func (c *Core) Report(now unit.Micros, req ReqID, r *fleet.Report) {
 	c.at(now)
-	c.silence, c.wasDeaf = 0, false
+	c.reach.Heard()
 	bl := c.blockOf(req, r)
 	if bl == nil {
 		return
 	}
-	c.heardAny = true
+	c.reach.Reported()
 	m := bl.machines[r.Machine]
 	if m == nil {
 		m = c.newMachine(bl, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot}, 0)
@@ -110,7 +112,7 @@
 		c.wantSync(nil)
 		return nil
 	}
-	if bl.gone[r.Machine] != 0 {
+	if bl.renter.Gone(r.Machine) {
 		// The cloud has said that it is gone: a cut held the report back. Taken for
 		// alive, it would keep the tasks that it shows from starting elsewhere.
 		c.log.Debug("late report of a returned machine", "machine", r.Machine)
@@ -218,7 +220,7 @@
 			continue
 		}
 		s := j.Spec()
-		if !s.Service && bl.runtime(s)-a.Ran(c.now) <= left {
+		if !s.Service && bl.demand.Runtime(s)-a.Ran(c.now) <= left {
 			continue
 		}
 		grace := unit.Micros(0)
@@ -355,7 +357,7 @@
 		// machines with them.
 		if a, ok := m.Tasks[t.ID]; ok && a.Live > 0 && !a.Adopted {
 			took := c.now - a.Live
-			bl.learnRun(j.Spec(), took)
+			bl.demand.Learn(j.Spec(), took)
 			if m.Ran(took, j.MeanRun) {
 				c.log.Warn("machine is slow", "machine", m.Name)
 			}
@@ -400,12 +402,12 @@
 		if s == nil {
 			continue
 		}
-		if run := bl.runtime(s).Seconds(); run > 0 {
+		if run := bl.demand.Runtime(s).Seconds(); run > 0 {
 			bl.ends += float64(j.Placed()) / run
 		}
 		if j.Ready() > 0 && c.startable(bl, j) {
 			bl.waiting += j.Trials()
-			tier := c.tier(bl, j)*urgencies + c.urgency(bl, j)
+			tier := c.tier(bl, j)*demand.Urgencies + bl.demand.Urgency(c.wall, j)
 			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
 		}
 	}
@@ -423,7 +425,7 @@
 		return x.deficit > y.deficit
 	})
 	for _, m := range bl.machines {
-		if m.Settled() && m.Notice == unit.Never && c.now-m.LastSeen <= c.nextReport() && m.Free()[pack.CPU] > 0 {
+		if m.Settled() && m.Notice == unit.Never && c.now-m.LastSeen <= watch.NextReport(c.cfg.ReportEvery) && m.Free()[pack.CPU] > 0 {
 			bl.roomy = append(bl.roomy, m)
 		}
 	}
@@ -460,7 +462,7 @@
 			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
 			continue
 		}
-		if m.Spare != 0 && c.idleTime(bl, j) {
+		if m.Spare != 0 && bl.demand.Idle(c.wall, j) {
 			continue // the machine would be kept for that alone
 		}
 		pending := j.Ready() - elsewhere.take(j)
@@ -477,7 +479,7 @@
 		views = append(views, pack.Job{
 			Demand:   s.Demand,
 			Pending:  pending,
-			Work:     float64(j.Record.Tasks-j.Finished()) * bl.runtime(s).Seconds(),
+			Work:     float64(j.Record.Tasks-j.Finished()) * bl.demand.Runtime(s).Seconds(),
 			Deficit:  c.deficit(bl, j),
 			Tier:     2*cand.tier + constrained,
 			Cached:   m.HasImage(s.Image),
