One picture of each zone: nothing is rented into a lost one, its machines are kept for as long as that is cheaper

Cause: while a zone was cut off, 428 machines were rented into it and 2 anywhere else; its own were returned 10 s after their leases; and where all that was left stood in the lost zone, its holders found themselves deaf one after the other, for 53 s.

Change: internal/core/zones (serving, in doubt, lost, back) by the silence of a zone's machines and controllers; renting, the watch, placing and deafness ask it. Machines of a lost zone are no room; they are kept while they are missed and while that costs less than to rent them anew. Other controllers are told by an optional field of the status.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -14,7 +14,7 @@
 	d, t := s.Deployment, s.Tuning
 	now, later := d.State.Limits, d.State.Later()
 	c := core.Config{
-		Node: s.Node, Size: d.Size, Zones: d.Zones,
+		Node: s.Node, Size: d.Size, Zones: d.Zones, Home: s.Zone, PeerZones: map[string]string{},
 		Lease: s.LeaseTime(), ReportEvery: unit.Seconds(d.Workers.ReportS),
 		CancelIn:  unit.Seconds(d.Workers.CancelS),
 		LeaderTTL: unit.Seconds(t.LeaseS), ListLag: unit.Seconds(d.Cloud.ListLagS),
@@ -28,6 +28,7 @@
 	}
 	for _, p := range s.Peers {
 		c.Peers = append(c.Peers, p.Node)
+		c.PeerZones[p.Node] = p.Zone
 	}
 	for _, tm := range d.Teams {
 		c.Teams = append(c.Teams, core.Team{Name: tm.Name,
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -82,10 +82,11 @@
 		unaccounted: map[string]bool{}, active: map[string]*ledger.Job{}, usage: map[string]pack.Vec{},
 		demand: demand.New(c.cfg.Objectives, c.cfg.RoundShare), preempted: map[string]preemption{}, strays: map[string]unit.Micros{}}
 	host := tenancy{c, bl}
-	bl.renter = renting.New(renting.Config{Block: k, Token: bl.token, Began: c.now, ListLag: c.cfg.ListLag, StrayAfter: strayAfter, Scale: c.cfg.Scale, Log: c.log}, host)
-	bl.watch = watch.New(watch.Config{ReportEvery: c.cfg.ReportEvery, Began: c.now, Zones: c.cfg.Zones, Log: c.log}, host, bl.renter)
+	bl.renter = renting.New(renting.Config{Block: k, Token: bl.token, Began: c.now, ListLag: c.cfg.ListLag, StrayAfter: strayAfter, Lease: c.leaseBound(), ReportEvery: c.cfg.ReportEvery, Scale: c.cfg.Scale, Log: c.log}, host, c.zones)
+	bl.watch = watch.New(watch.Config{ReportEvery: c.cfg.ReportEvery, Began: c.now, Zones: c.cfg.Zones, Log: c.log}, host, bl.renter, c.zones)
 	c.held[k] = bl
 	c.reach.Taken()
+	c.zones.Taken()
 	c.log.Info("holding", "block", k, "token", bl.token)
 	c.setRates()
 	c.rebuild(bl)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/watch"
+	"shalestage.example/shalestage/internal/core/zones"
 )
 
 // Team holds a team's guarantee and limit, in thousandths; 0 means none.
@@ -45,6 +46,8 @@
 	Size        int
 	Peers       []string
 	Zones       []string
+	Home        string            // this controller's zone
+	PeerZones   map[string]string // of the other controllers, by name
 	Teams       []Team
 	Objectives  []Objective
 	Lease       unit.Micros // a worker's lease
@@ -185,7 +188,8 @@
 	emptied   unit.Micros      // since when nothing is held by it then
 	retiring  unit.Micros      // since when this node's process is about to end on purpose; 0: it is not
 	reach     watch.Reach      // whether workers reach this node
-	full      bool             // this process's memory is nearly full
+	zones     *zones.Picture
+	full      bool // this process's memory is nearly full
 	typesAt   unit.Micros
 	cloudPart float64
 	peers     peersState
@@ -213,6 +217,7 @@
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
+	c.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.Home, ReportEvery: cfg.ReportEvery, Log: cfg.Log})
 	c.reach = watch.NewReach(cfg.ReportEvery, c.leaseBound())
 	for i := range c.lanes {
 		c.lanes[i] = &store.Lane{MaxOps: cfg.TxnOps, MaxBytes: store.TxnBytes, MaxQueue: 256}
@@ -263,6 +268,7 @@
 func (c *Core) Tick(now, wall unit.Micros) {
 	c.at(now)
 	c.reach.Tick(c.now)
+	c.zones.Tick(c.now)
 	c.wall = wall
 	c.mirror.Tick(c.now, wall)
 	c.tickPeers()
--- a/internal/core/demand/demand.go
+++ b/internal/core/demand/demand.go
@@ -188,6 +188,9 @@
 type Host interface {
 	// Limit is a team's limit, in thousandths; 0: none.
 	Limit(team string) pack.Vec
+	// Stranded counts a job's tasks that are placed where nobody hears of them any more: they
+	// will have to start elsewhere.
+	Stranded(j *ledger.Job) int
 	// Fitting names the types of machine that a job's tasks fit on and may use.
 	Fitting(s *ledger.Spec) []string
 }
@@ -211,11 +214,14 @@
 				n = int(math.Ceil(float64(n) / rounds))
 			}
 		}
-		n = max(n, j.Placed())
-		ready := j.Ready()
+		placed, ready := j.Placed(), j.Ready()
+		if lost := host.Stranded(j); lost > 0 {
+			placed, ready = placed-lost, ready+lost
+		}
+		n = max(n, placed)
 		if j.Suspect() {
 			ready = j.Trials()
-			n = j.Placed() + ready
+			n = placed + ready
 		}
 		for i, lim := range host.Limit(s.Team) { // the team's limit bounds what can run at once
 			if lim > 0 && s.Demand[i] > 0 {
@@ -231,13 +237,13 @@
 		g := scale.Group{Class: s.Class, Types: strings.Join(names, ","), Zone: s.Zone, Spot: s.Spot, Idle: b.Idle(wall, j)}
 		need := needs[g]
 		need.Tasks += n
-		need.Running += j.Placed()
+		need.Running += placed
 		need.Ready += ready
 		run := b.Runtime(s)
 		need.Waiting += run * unit.Micros(ready)
 		need.Slack += b.Slack(wall, j) * unit.Micros(ready)
 		if !s.Service {
-			need.Rate += float64(j.Placed()) / max(run.Seconds(), 1)
+			need.Rate += float64(placed) / max(run.Seconds(), 1)
 		}
 		need.Total = need.Total.Add(v)
 		need.Types = names
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -319,6 +319,9 @@
 // Placed returns how many tasks may be running.
 func (j *Job) Placed() int { return len(j.places) }
 
+// PlacedIn returns how many tasks may be running in a zone.
+func (j *Job) PlacedIn(zone string) int { return j.zones[zone] }
+
 // Live returns how many tasks run, as their machines last reported.
 func (j *Job) Live() int {
 	n := 0
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -7,6 +7,7 @@
 
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/zones"
 )
 
 // What controllers tell each other. A status helps to decide whom to send users
@@ -20,9 +21,10 @@
 		Sent     unit.Micros // on the sender's clock
 		Deaf     bool        // no worker has reached the sender for a while
 		Blocks   []BlockStatus
-		Release  int         // what the sender understands; 0: less than 0.3 does
-		Full     bool        // the sender's memory is nearly full
-		Back     unit.Micros // when the sender last noticed that the state service went back; 0: never
+		Release  int            // what the sender understands; 0: less than 0.3 does
+		Full     bool           // the sender's memory is nearly full
+		Back     unit.Micros    // when the sender last noticed that the state service went back; 0: never
+		Zones    []zones.Status // those that do not serve, as a holder of blocks sees it
 	}
 	// BlockStatus tells of a block that the sender holds.
 	BlockStatus struct {
@@ -141,6 +143,10 @@
 		if c.seats.Valid(c.now) {
 			s.Seat, s.Sent = c.seats.ID(), c.now
 		}
+		c.hearZones()
+		if len(c.held) > 0 {
+			s.Zones = c.zones.Tell()
+		}
 		for _, k := range sortedBlocks(c.held) {
 			st := BlockStatus{Block: k, Share: c.shares[k].stamp, Use: -1}
 			if bl := c.held[k]; bl.ready && len(bl.unaccounted) == 0 {
@@ -166,6 +172,21 @@
 	}
 }
 
+// hearZones tells the picture of the zones which controllers are heard.
+func (c *Core) hearZones() {
+	all, alive := map[string]int{}, map[string]int{}
+	for _, n := range c.peers.names {
+		z := c.cfg.PeerZones[n]
+		all[z]++
+		if c.alive(c.peers.views[n]) {
+			alive[z]++
+		}
+	}
+	for z, n := range all {
+		c.zones.Controllers(z, n, alive[z])
+	}
+}
+
 func (c *Core) alive(v *peerView) bool { return v.heard != 0 && c.now-v.heard < peerFresh }
 
 // served returns a peer that is alive and was served lately, or "".
@@ -224,6 +245,9 @@
 	switch m := m.(type) {
 	case PeerStatus:
 		v.status, v.heard = m, now
+		if len(m.Blocks) > 0 && len(c.held) == 0 {
+			c.zones.Told(m.Zones)
+		}
 		c.heardRelease(from, m.Release)
 		c.heardBack(from, v, m.Back)
 		if c.seats.Promise(now, from, m.Seat) {
--- a/internal/core/renting/renting.go
+++ b/internal/core/renting/renting.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/zones"
 )
 
 // Effects.
@@ -80,8 +81,11 @@
 	ListLag unit.Micros
 	// StrayAfter is how long a machine must be unknown to all before it is adopted.
 	StrayAfter unit.Micros
-	Scale      scale.Params
-	Log        *slog.Logger
+	// Lease is the time after which nothing runs on a machine that gets no answer.
+	Lease       unit.Micros
+	ReportEvery unit.Micros
+	Scale       scale.Params
+	Log         *slog.Logger
 }
 
 // Renter is a block's side of what goes on with the cloud.
@@ -90,6 +94,7 @@
 	host   Host
 	now    unit.Micros
 	scaler *scale.Scaler
+	zones  *zones.Picture
 
 	wait     unit.Micros // no call before
 	planAt   unit.Micros
@@ -101,8 +106,8 @@
 }
 
 // New returns a renter that has asked for nothing yet.
-func New(cfg Config, host Host) *Renter {
-	return &Renter{cfg: cfg, host: host, scaler: scale.New(cfg.Scale), gone: map[string]unit.Micros{}}
+func New(cfg Config, host Host, picture *zones.Picture) *Renter {
+	return &Renter{cfg: cfg, host: host, zones: picture, scaler: scale.New(cfg.Scale), gone: map[string]unit.Micros{}}
 }
 
 const (
@@ -121,6 +126,11 @@
 	lateBoot = 2
 	// keepLost is how long a machine whose lease has run out unheard is kept.
 	keepLost = 10 * unit.Second
+	// spareFor is how long nothing must have missed a machine of a lost zone before it is
+	// returned, and leastAgain the least that it costs to return and rent one anew: the
+	// cloud's least charge.
+	spareFor   = 5 * unit.Second
+	leastAgain = 60 * unit.Second
 )
 
 // FewOf is how many machines may be given up early, as a part of all.
@@ -171,22 +181,33 @@
 	names := slices.Sorted(maps.Keys(machines))
 	var ms []scale.Machine
 	late := 0
+	booting := map[string]int{} // by zone
 	for _, name := range names {
 		m := machines[name]
-		if m.Leaving || m.Lost || m.Sick || m.Notice != unit.Never {
+		if !m.Leaving && r.boots(m) {
+			booting[m.Record.Zone]++
+		}
+		away := r.zones.Lost(m.Record.Zone)
+		if m.Leaving || m.Lost && !away || m.Sick || m.Notice != unit.Never {
 			continue
 		}
-		if m.Type != nil && m.LastSeen == 0 && m.LeaseEnd == 0 && r.now-m.Rented > lateBoot*m.Type.Boot && late < FewOf(len(machines)) {
+		if m.Type != nil && !away && r.boots(m) && r.now-m.Rented > lateBoot*m.Type.Boot && late < FewOf(len(machines)) {
 			late++ // what waits for it should not wait for that one alone
 			continue
 		}
-		sm := scale.Machine{Name: name, Pool: PoolOf(m), Booted: m.LastSeen != 0, Age: r.now - m.Rented}
+		sm := scale.Machine{Name: name, Pool: PoolOf(m), Booted: m.LastSeen != 0, Age: r.now - m.Rented, Away: away}
 		if len(m.Tasks) == 0 {
 			sm.Idle = r.now - m.IdleSince + 1
 		}
 		ms = append(ms, sm)
 	}
-	rents, back := r.scaler.Plan(r.now, needs, ms, r.host.Types())
+	rents, back := r.scaler.Plan(r.now, needs, ms, r.host.Types(), func(zone string) int {
+		n := r.zones.Rents(zone)
+		if n > 0 {
+			n = max(0, n-booting[zone])
+		}
+		return n
+	})
 	for _, sm := range ms {
 		if m := machines[sm.Name]; sm.Wanted {
 			m.Spare = 0
@@ -203,8 +224,16 @@
 		if m.Type != nil {
 			boot = 6*m.Type.Boot + 10*unit.Second
 		}
+		zone := m.Record.Zone
 		switch {
 		case m.Leaving:
+		case !r.zones.Reachable(zone) && !(r.boots(m) && r.now-m.Rented < r.zones.For(zone)): // that would be a probe
+			// What runs there may still come to an end; until then it is not for sale.
+			unneeded := m.LeaseEnd == 0 && m.Spare != 0 && r.now-m.Spare > spareFor
+			if !r.zones.Keep(zone, r.cfg.Lease+r.again(m)) || unneeded && !r.zones.Returning(zone) {
+				back = append(back, name)
+			}
+		case r.zones.Again(zone) < r.cfg.ReportEvery+keepLost: // it is about to be heard
 		case m.Sick && m.Accounted && len(m.Tasks) == 0,
 			m.Lost && r.now-m.IdleSince > keepLost,
 			m.LastSeen == 0 && m.LeaseEnd == 0 && r.now-m.Rented > boot:
@@ -239,6 +268,17 @@
 	}
 }
 
+// boots reports whether a machine has not come up yet.
+func (r *Renter) boots(m *fleet.Machine) bool { return m.LastSeen == 0 && m.LeaseEnd == 0 && !m.Lost }
+
+// again is what time a machine takes to be of use that is rented anew: a boot, and images.
+func (r *Renter) again(m *fleet.Machine) unit.Micros {
+	if m.Type == nil {
+		return leastAgain
+	}
+	return max(leastAgain, 3*m.Type.Boot/2+keepLost)
+}
+
 // PoolOf is the offer that a machine was rented by.
 func PoolOf(m *fleet.Machine) scale.Pool {
 	return scale.Pool{Type: m.Record.Type, Zone: m.Record.Zone, Spot: m.Record.Spot}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -23,6 +23,7 @@
 func (c *Core) Report(now unit.Micros, req ReqID, r *fleet.Report) {
 	c.at(now)
 	c.reach.Heard()
+	c.zones.Heard(r.Zone)
 	bl := c.blockOf(req, r)
 	if bl == nil {
 		return
@@ -425,7 +426,7 @@
 		return x.deficit > y.deficit
 	})
 	for _, m := range bl.machines {
-		if m.Settled() && m.Notice == unit.Never && c.now-m.LastSeen <= watch.NextReport(c.cfg.ReportEvery) && m.Free()[pack.CPU] > 0 {
+		if m.Settled() && m.Notice == unit.Never && c.zones.Reachable(m.Record.Zone) && c.now-m.LastSeen <= watch.NextReport(c.cfg.ReportEvery) && m.Free()[pack.CPU] > 0 {
 			bl.roomy = append(bl.roomy, m)
 		}
 	}
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -32,8 +32,17 @@
 // Needs implements renting.Host. While what earlier holders left is not known, neither is
 // what is needed.
 func (t tenancy) Needs() (map[scale.Group]scale.Need, bool) {
+	// What is in a zone that is lost may run on there, and has to be done elsewhere.
 	if len(t.bl.unaccounted) > renting.FewOf(len(t.bl.machines)) && t.now < t.bl.began+t.leaseBound() {
-		return nil, false
+		unknown := 0
+		for name := range t.bl.unaccounted {
+			if m := t.bl.machines[name]; m != nil && !t.zones.Lost(m.Record.Zone) {
+				unknown++
+			}
+		}
+		if unknown > renting.FewOf(len(t.bl.machines)) {
+			return nil, false
+		}
 	}
 	return t.bl.demand.Needs(t.now, t.wall, t.bl.order, t), true
 }
@@ -91,6 +100,17 @@
 	return pack.Vec{}
 }
 
+// Stranded implements demand.Host.
+func (t tenancy) Stranded(j *ledger.Job) int {
+	n := 0
+	for _, z := range t.cfg.Zones {
+		if t.zones.Lost(z) {
+			n += j.PlacedIn(z)
+		}
+	}
+	return n
+}
+
 // Fitting implements demand.Host.
 func (t tenancy) Fitting(s *ledger.Spec) []string { return t.fitting(s) }
 
@@ -153,7 +173,7 @@
 
 // deaf reports whether a block should be given up as no worker reaches this node.
 func (c *Core) deaf(bl *block) bool {
-	if c.cfg.Size == 1 {
+	if c.cfg.Size == 1 || c.zones.Explains() {
 		return false
 	}
 	up := 0
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -54,6 +54,7 @@
 	Idle   unit.Micros // for how long it has held no task; 0: it holds some
 	Booted bool
 	Age    unit.Micros // since it was rented
+	Away   bool        // in a zone that is lost: it does no work for now, and would if the zone came back
 	Wanted bool        // set by Plan: the work at hand needs it
 }
 
@@ -126,8 +127,9 @@
 }
 
 // Plan returns what to rent and what to return, given all work at hand, and
-// notes on the machines which of them that work needs.
-func (s *Scaler) Plan(now unit.Micros, needs map[Group]Need, machines []Machine, types map[string]*fleet.Type) ([]Rent, []string) {
+// notes on the machines which of them that work needs. most tells how many machines may be
+// rented into a zone at present; less than 0: any number.
+func (s *Scaler) Plan(now unit.Micros, needs map[Group]Need, machines []Machine, types map[string]*fleet.Type, most func(zone string) int) ([]Rent, []string) {
 	s.remember(now, needs)
 	groups := make([]Group, 0, len(s.usual))
 	for g := range s.usual {
@@ -184,7 +186,7 @@
 			if need < 0.5 {
 				break
 			}
-			if !usable(g, us.types, m.Pool) {
+			if m.Away || !usable(g, us.types, m.Pool) {
 				continue
 			}
 			if perCore(m.Pool) > dear && wants-need >= 0.5 {
@@ -200,6 +202,7 @@
 				left[i][r] -= int64(n * us.avg[r])
 			}
 		}
+		s.missed(g, us, need, machines, left, order)
 		kind := 0
 		if g.Spot {
 			kind = 1
@@ -213,20 +216,40 @@
 		if need < 0.5 {
 			continue
 		}
-		if r, ok := s.offer(now, g, us, need, sums[kind], alike[same], wants-need < 0.5, types); ok {
+		if r, ok := s.offer(now, g, us, need, sums[kind], alike[same], wants-need < 0.5, types, most); ok {
 			rents = append(rents, r)
 		}
 	}
 	var back []string
 	for _, m := range machines {
 		// Until then it costs the same whether it stays or goes.
-		if !m.Wanted && m.Booted && m.Idle >= s.p.IdleReturn && m.Age >= leastCharge-2*unit.Second {
+		if !m.Wanted && !m.Away && m.Booted && m.Idle >= s.p.IdleReturn && m.Age >= leastCharge-2*unit.Second {
 			back = append(back, m.Name)
 		}
 	}
 	return rents, back
 }
 
+// missed marks the machines of lost zones that a group would use if they were there: what
+// it falls short by is rented elsewhere, but there may be no more to be had.
+func (s *Scaler) missed(g Group, us *usual, short float64, machines []Machine, left []pack.Vec, order []int) {
+	for _, i := range order {
+		if short < 0.5 {
+			return
+		}
+		m := machines[i]
+		n := math.Min(short, slots(left[i], us.avg))
+		if !m.Away || n <= 0 || !usable(g, us.types, m.Pool) {
+			continue
+		}
+		machines[i].Wanted = true
+		short -= n
+		for r := range left[i] {
+			left[i][r] -= int64(n * us.avg[r])
+		}
+	}
+}
+
 // backlog is the waiting work of several groups and the slots that they have,
 // in average tasks; usual are the slots that were in use lately, on average, and
 // slack the seconds that all that waits may still wait.
@@ -300,7 +323,7 @@
 // the time a machine is up, the slots there are will have done part of the
 // work, of this group and those that chose before it, and each new slot must
 // find enough of the rest.
-func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, alike *backlog, stranded bool, types map[string]*fleet.Type) (Rent, bool) {
+func (s *Scaler) offer(now unit.Micros, g Group, us *usual, short float64, b backlog, alike *backlog, stranded bool, types map[string]*fleet.Type, most func(zone string) int) (Rent, bool) {
 	best, bestCost := Rent{}, math.Inf(1)
 	least := cheapest(us.types, g.Spot, types)
 	for _, name := range us.types {
@@ -315,6 +338,10 @@
 		boot := t.Boot.Seconds()
 		ahead := s.ahead(&b, us, boot)
 		for _, z := range t.Zones {
+			limit := most(z)
+			if limit == 0 {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				p := Pool{name, z, spot}
 				if !usable(g, us.types, p) || s.refused[p].until > now {
@@ -336,6 +363,9 @@
 					continue
 				}
 				count := max(int(math.Ceil(want/each-0.05)), 1)
+				if limit > 0 {
+					count = min(count, limit)
+				}
 				if cost := float64(count) * t.Rate(spot) / math.Min(float64(count)*each, want); cost < bestCost-1e-9 {
 					best, bestCost = Rent{p, count}, cost
 				}
--- a/internal/core/scale/scale_test.go
+++ b/internal/core/scale/scale_test.go
@@ -28,19 +28,19 @@
 // cheaper, and a pool that refused is left alone for a while.
 func TestKindAndRefusal(t *testing.T) {
 	s := New(knobs)
-	rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: need(3, 60*second)}, nil, types)
+	rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: need(3, 60*second)}, nil, types, anywhere)
 	if len(rents) != 1 || rents[0].Pool.Spot {
 		t.Fatalf("ordinary work: %+v", rents)
 	}
 	g := Group{Class: "x", Spot: true}
 	s = New(knobs)
-	rents, _ = s.Plan(second, map[Group]Need{g: need(3, 60*second)}, nil, types)
+	rents, _ = s.Plan(second, map[Group]Need{g: need(3, 60*second)}, nil, types, anywhere)
 	if len(rents) != 1 || !rents[0].Pool.Spot {
 		t.Fatalf("spot work: %+v", rents)
 	}
 	refused := rents[0].Pool
 	s.Refused(2*second, refused)
-	rents, _ = s.Plan(3*second, map[Group]Need{g: need(3, 60*second)}, nil, types)
+	rents, _ = s.Plan(3*second, map[Group]Need{g: need(3, 60*second)}, nil, types, anywhere)
 	if len(rents) != 1 || rents[0].Pool == refused {
 		t.Fatalf("after a refusal: %+v", rents)
 	}
@@ -50,7 +50,7 @@
 // all: left alone it would wait for ever.
 func TestStrandedWork(t *testing.T) {
 	s := New(knobs)
-	rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: need(1, second/10)}, nil, types)
+	rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: need(1, second/10)}, nil, types, anywhere)
 	if len(rents) != 1 || rents[0].Count > 2 {
 		t.Fatalf("%+v", rents)
 	}
@@ -67,7 +67,7 @@
 		n := need(12, c.run)
 		n.Running, n.Ready, n.Rate = 4, 8, 4/c.run.Seconds()
 		s := New(knobs)
-		if rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: n}, have, types); (len(rents) > 0) != c.rent {
+		if rents, _ := s.Plan(second, map[Group]Need{{Class: "x"}: n}, have, types, anywhere); (len(rents) > 0) != c.rent {
 			t.Fatalf("run time %v: %+v", c.run.Seconds(), rents)
 		}
 	}
@@ -97,7 +97,7 @@
 		s.Refused(second, Pool{"big", "a", true})
 		s.Refused(second, Pool{"big", "b", true})
 		s.Refused(second, Pool{"small", "b", true})
-		if rents, _ := s.Plan(second, map[Group]Need{{Class: "w", Spot: true}: other, c.group: n}, have, types); (len(rents) > 0 && rents[0].Count > 1) != c.rent {
+		if rents, _ := s.Plan(second, map[Group]Need{{Class: "w", Spot: true}: other, c.group: n}, have, types, anywhere); (len(rents) > 0 && rents[0].Count > 1) != c.rent {
 			t.Errorf("%s: %+v", c.name, rents)
 		}
 	}
@@ -116,7 +116,7 @@
 		}
 		g := Group{Class: "x", Zone: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "may_spot")}
 		n := rapid.IntRange(0, 200).Draw(t, "tasks")
-		rents, back := s.Plan(second, map[Group]Need{g: need(n, 30*second)}, ms, types)
+		rents, back := s.Plan(second, map[Group]Need{g: need(n, 30*second)}, ms, types, anywhere)
 		for _, r := range rents {
 			if r.Count < 1 || r.Count > 2*n || r.Pool.Spot && !g.Spot || g.Zone != "" && r.Pool.Zone != g.Zone {
 				t.Fatalf("%+v for %+v", r, g)
@@ -141,7 +141,7 @@
 		{Name: "cheap", Pool: Pool{"small", "b", true}, Booted: true, Age: 300 * second},
 	}
 	s := New(knobs)
-	rents, back := s.Plan(second, needs, have, types)
+	rents, back := s.Plan(second, needs, have, types, anywhere)
 	if len(back) != 1 || back[0] != "dear" || have[0].Wanted || !have[1].Wanted {
 		t.Fatalf("back %v, machines %+v", back, have)
 	}
@@ -150,15 +150,18 @@
 			t.Fatalf("rents %+v beside a cheap machine", rents)
 		}
 		s.Refused(now, rents[0].Pool)
-		rents, _ = s.Plan(now, needs, have, types)
+		rents, _ = s.Plan(now, needs, have, types, anywhere)
 	}
-	if rents, _ = s.Plan(3*second, needs, nil, types); len(rents) != 1 || rents[0].Pool.Spot {
+	if rents, _ = s.Plan(3*second, needs, nil, types, anywhere); len(rents) != 1 || rents[0].Pool.Spot {
 		t.Fatalf("with no machine and no spot: %+v", rents)
 	}
 	// That one must be kept and used: it was once taken for spare as soon as it
 	// was up, and another rented in its place.
 	alone := []Machine{have[0]}
-	if rents, back = s.Plan(4*second, needs, alone, types); len(rents) > 0 && !rents[0].Pool.Spot || len(back) > 0 || !alone[0].Wanted {
+	if rents, back = s.Plan(4*second, needs, alone, types, anywhere); len(rents) > 0 && !rents[0].Pool.Spot || len(back) > 0 || !alone[0].Wanted {
 		t.Fatalf("one dear machine alone: rents %+v, back %v", rents, back)
 	}
 }
+
+// anywhere is a cloud all of whose zones serve.
+func anywhere(string) int { return -1 }
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -8,6 +8,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/zones"
 )
 
 // Host is the block whose machines are watched.
@@ -35,13 +36,14 @@
 	cfg    Config
 	host   Host
 	renter *renting.Renter
+	zones  *zones.Picture
 	deaf   map[string]unit.Micros // when a zone was last silent for the most part
 }
 
 // New returns a watch over the machines of a block that was just taken over. What is given
 // up goes to the renter.
-func New(cfg Config, host Host, renter *renting.Renter) *Watch {
-	return &Watch{cfg: cfg, host: host, renter: renter, deaf: map[string]unit.Micros{}}
+func New(cfg Config, host Host, renter *renting.Renter, picture *zones.Picture) *Watch {
+	return &Watch{cfg: cfg, host: host, renter: renter, zones: picture, deaf: map[string]unit.Micros{}}
 }
 
 // patience is how long a machine may be silent.
@@ -53,11 +55,19 @@
 // Sweep looks at all machines, a few times a second.
 func (w *Watch) Sweep(now unit.Micros) {
 	var expired, silent []*fleet.Machine
-	heard := map[string]int{}
+	heard, counts := map[string]int{}, map[string]zones.Count{}
 	machines := w.host.Machines()
 	patience, next := w.patience(), NextReport(w.cfg.ReportEvery)
 	for _, name := range slices.Sorted(maps.Keys(machines)) {
 		m := machines[name]
+		if (m.LeaseEnd != 0 || m.Lost) && !m.Leaving && m.Notice == unit.Never {
+			n := counts[m.Record.Zone]
+			n.Up++
+			if m.LastSeen != 0 && now-m.LastSeen < next {
+				n.Heard++
+			}
+			counts[m.Record.Zone] = n
+		}
 		switch {
 		case m.LeaseEnd == 0:
 		case now >= m.LeaseEnd:
@@ -73,6 +83,7 @@
 			silent = append(silent, m)
 		}
 	}
+	w.zones.Look(counts)
 	for _, m := range expired {
 		w.host.Lost(m)
 	}
--- /dev/null
+++ b/internal/core/zones/zones.go
@@ -0,0 +1,433 @@
+// Package zones keeps one picture of each zone: whether it serves, is in doubt, is lost, or
+// is coming back, by what evidence and since when. Whoever rents, watches machines or places
+// work asks it, and nobody else decides what the silence of a zone means.
+//
+// It is pure, and its memory is a few figures for each zone. Time is counted while this
+// process is awake: a process that stood still has heard nobody, which says nothing of zones.
+package zones
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// State of a zone.
+type State int
+
+// States. A zone that was lost is coming back once any of its machines or controllers is
+// heard, and serves again once it has been heard for long enough.
+const (
+	Serving State = iota
+	Doubt         // nothing is heard from it, for longer than chance explains
+	Lost          // and for so long that its work must be done elsewhere
+	Back          // heard again, and not yet trusted
+)
+
+// String names a state for people.
+func (s State) String() string { return [...]string{"serving", "doubt", "lost", "back"}[s] }
+
+// Word is what an operator knows of a zone.
+type Word string
+
+// Words. Without one the picture goes by its evidence.
+const (
+	NoWord  Word = ""
+	Returns Word = "returns" // it will be back: its machines are kept
+	Gone    Word = "gone"    // it will not: its machines are returned
+)
+
+// Words lists what an operator may say.
+var Words = []Word{Returns, Gone}
+
+// Status is what controllers tell each other of a zone that does not serve.
+type Status struct {
+	Zone  string
+	State int
+	For   unit.Micros // since the state began
+	Times int         // how often the zone was lost lately
+}
+
+// Count is what a holder sees of a zone's machines: those that are up, as far as is known,
+// and of them those that have reported lately.
+type Count struct{ Up, Heard int }
+
+// Config says which zones there are.
+type Config struct {
+	Zones       []string
+	Home        string // this controller's zone
+	ReportEvery unit.Micros
+	Log         *slog.Logger
+}
+
+const (
+	// muteQuiet is the silence of a zone's machines that counts where all its controllers are
+	// silent too. Where they are heard, or there are none, each machine must have had the time
+	// to report: those that were rented together, or that came back from a cut, report all at
+	// once, and say nothing in between.
+	muteQuiet = 2 * unit.Second
+	// enough is the share of the other zones' machines that must be heard: where nobody is,
+	// it is this controller that is deaf.
+	enough = 0.5
+	// A zone that was lost is trusted once it has been heard for calm; each further loss
+	// within forget doubles that, up to longestCalm.
+	calm        = 4 * unit.Second
+	longestCalm = 64 * unit.Second
+	forget      = 300 * unit.Second
+	// probe is how many machines are rented at once into a zone that is coming back, and
+	// probeAfter when one is rented into a lost zone in which nothing is left to be heard.
+	probe      = 5
+	probeAfter = 60 * unit.Second
+	// awakeStep is the most that one tick adds to the time awake.
+	awakeStep = unit.Second / 10
+)
+
+// zone is the picture of one zone.
+type zone struct {
+	state State
+	since unit.Micros // when the state began
+	heard unit.Micros // time awake when a machine of the zone last reported
+	away  unit.Micros // when the zone was last not heard from: it is lost since then, if it is
+	times int
+	lost  unit.Micros // when it was last lost
+	again unit.Micros // when it last came back; 0: never
+	count Count
+	peers int         // other controllers of the zone
+	mute  unit.Micros // when one of them was last heard
+	alive int         // of them, those that are heard
+	word  Word
+}
+
+// Picture is what a controller knows of all zones.
+type Picture struct {
+	cfg   Config
+	zones map[string]*zone
+	names []string
+	now   unit.Micros
+	awake unit.Micros
+	taken unit.Micros // time awake when a block was last taken over
+}
+
+// New returns a picture in which all zones serve.
+func New(cfg Config) *Picture {
+	p := &Picture{cfg: cfg, zones: map[string]*zone{}}
+	for _, z := range cfg.Zones {
+		if p.zones[z] == nil {
+			p.zones[z] = &zone{}
+			p.names = append(p.names, z)
+		}
+	}
+	slices.Sort(p.names)
+	return p
+}
+
+// Tick lets time pass.
+func (p *Picture) Tick(now unit.Micros) {
+	p.awake += min(now-p.now, awakeStep)
+	p.now = now
+}
+
+// Heard says that a machine of a zone has reported to this controller.
+func (p *Picture) Heard(name string) {
+	if z := p.zones[name]; z != nil {
+		z.heard = p.awake
+		if z.state == Doubt || z.state == Lost {
+			p.back(name, z, "a machine reports")
+		}
+	}
+}
+
+// Taken says that a block was taken over: whom its machines report to changes, and until
+// they have found this controller their silence says nothing.
+func (p *Picture) Taken() {
+	p.taken = p.awake
+	for _, z := range p.zones {
+		z.count = Count{}
+	}
+}
+
+// Controllers says how many other controllers a zone has, and how many of them are heard.
+func (p *Picture) Controllers(name string, all, alive int) {
+	z := p.zones[name]
+	if z == nil {
+		return
+	}
+	if alive > z.alive && (z.state == Lost || z.state == Doubt) {
+		p.back(name, z, "a controller is heard")
+	}
+	if alive > 0 {
+		z.mute = p.now
+	}
+	z.peers, z.alive = all, alive
+}
+
+// quiet is how long a zone has not been heard, in time awake.
+func (p *Picture) quiet(z *zone) unit.Micros { return p.awake - max(z.heard, p.taken) }
+
+// muted reports whether a zone has controllers and none is heard.
+func (z *zone) muted() bool { return z.peers > 0 && z.alive == 0 }
+
+// bounds are the silence of a zone that puts it in doubt, and that after which its work is
+// done elsewhere. Shorter cuts cost less when they are waited for.
+func (p *Picture) bounds(z *zone) (doubt, lost unit.Micros) {
+	if z.muted() {
+		return muteQuiet, p.cfg.ReportEvery + unit.Second
+	}
+	return p.cfg.ReportEvery + unit.Second, 3*p.cfg.ReportEvery/2 + unit.Second
+}
+
+// Look takes what a holder sees of its machines, a few times a second, and judges.
+func (p *Picture) Look(counts map[string]Count) {
+	for n, z := range p.zones {
+		z.count = counts[n]
+	}
+	for _, n := range p.names {
+		z := p.zones[n]
+		doubt, lost := p.bounds(z)
+		switch z.state {
+		case Serving, Back:
+			if z.count.Up > 0 && p.quiet(z) > doubt && p.othersHeard(n) {
+				z.away = p.now - p.quiet(z)
+				if z.muted() {
+					z.away = min(z.away, z.mute) // its controllers fell silent before this one took over
+				}
+				p.set(n, z, Doubt, "none of its machines reports, others do")
+			} else if z.state == Back && p.now-z.since >= p.calm(z) {
+				p.set(n, z, Serving, "it has been heard for long enough")
+			}
+		case Doubt:
+			if p.quiet(z) > lost && p.othersHeard(n) {
+				if p.now-z.lost > forget {
+					z.times = 0
+				}
+				z.times++
+				z.lost = p.now
+				p.set(n, z, Lost, fmt.Sprintf("nothing for %.0f s; %d of its %d other controllers are heard", p.quiet(z).Seconds(), z.alive, z.peers))
+			}
+		}
+	}
+}
+
+// othersHeard reports whether this controller hears the machines of other zones well enough
+// that the silence of one means something.
+func (p *Picture) othersHeard(name string) bool {
+	// Where no other zone has machines, the controllers tell.
+	up, heard := 0, 0
+	if z := p.zones[name]; p.upElsewhere(name) == 0 {
+		return z.muted() && p.othersAlive(name)
+	}
+	for n, z := range p.zones {
+		if n != name && (z.state == Serving || z.state == Back) {
+			up += z.count.Up
+			heard += z.count.Heard
+		}
+	}
+	return heard > 0 && float64(heard) >= enough*float64(up)
+}
+
+// upElsewhere counts the machines of the other zones, whatever those are thought to do.
+func (p *Picture) upElsewhere(name string) int {
+	n := 0
+	for other, z := range p.zones {
+		if other != name {
+			n += z.count.Up
+		}
+	}
+	return n
+}
+
+// othersAlive reports whether controllers of other zones are heard, or there are none but
+// this one, which is for its host to judge.
+func (p *Picture) othersAlive(name string) bool {
+	all, alive := 0, 0
+	for other, z := range p.zones {
+		if other != name {
+			all += z.peers
+			alive += z.alive
+		}
+	}
+	return alive > 0 || all == 0
+}
+
+// calm is how long a zone must be heard before it is trusted again.
+func (p *Picture) calm(z *zone) unit.Micros { return min(calm<<max(z.times-1, 0), longestCalm) }
+
+func (p *Picture) back(name string, z *zone, why string) { p.set(name, z, Back, why) }
+
+func (p *Picture) set(name string, z *zone, s State, why string) {
+	p.cfg.Log.Warn("zone", "zone", name, "state", s.String(), "was", z.state.String(), "for_s", (p.now - z.since).Seconds(),
+		"why", why, "up", z.count.Up, "times_lost", z.times)
+	if s == Back {
+		z.again = p.now
+	}
+	z.state, z.since = s, p.now
+}
+
+// Told takes what a controller that holds blocks says of the zones that do not serve. One
+// that has machines of its own goes by what it hears itself.
+func (p *Picture) Told(list []Status) {
+	told := map[string]Status{}
+	for _, s := range list {
+		told[s.Zone] = s
+	}
+	for _, n := range p.names {
+		z, s := p.zones[n], told[n]
+		if n == p.cfg.Home || s.State < 0 || s.State > int(Back) {
+			continue // it hears its own zone better than anybody else does
+		}
+		if State(s.State) != z.state {
+			p.set(n, z, State(s.State), "the holder says so")
+		}
+		z.since, z.times = min(z.since, p.now-s.For), max(z.times, s.Times)
+		if z.state == Doubt || z.state == Lost {
+			z.away = z.since
+		}
+	}
+}
+
+// Tell returns what other controllers should know.
+func (p *Picture) Tell() (out []Status) {
+	for _, n := range p.names {
+		if z := p.zones[n]; z.state != Serving {
+			out = append(out, Status{Zone: n, State: int(z.state), For: p.now - z.since, Times: z.times})
+		}
+	}
+	return out
+}
+
+// Say takes an operator's word. A zone that does not exist is an error that names those
+// that do.
+func (p *Picture) Say(name string, w Word) error {
+	z := p.zones[name]
+	if z == nil {
+		return fmt.Errorf("no zone %q; there are %s", name, strings.Join(p.names, ", "))
+	}
+	if w != NoWord && !slices.Contains(Words, w) {
+		return fmt.Errorf("zone %s: %q is none of %v", name, w, Words)
+	}
+	if z.word != w {
+		p.cfg.Log.Warn("zone: an operator's word", "zone", name, "word", string(w))
+	}
+	z.word = w
+	return nil
+}
+
+// State returns a zone's state; a zone that nobody has configured serves.
+func (p *Picture) State(name string) State {
+	if z := p.zones[name]; z != nil {
+		return z.state
+	}
+	return Serving
+}
+
+// Reachable reports whether work may be expected to go on in a zone.
+func (p *Picture) Reachable(name string) bool {
+	s := p.State(name)
+	return s == Serving || s == Back
+}
+
+// Explains reports whether the silence of all machines is that of zones: each that has any
+// is out of reach. Else it is this controller that nobody reaches.
+func (p *Picture) Explains() bool {
+	any := false
+	for _, z := range p.zones {
+		if z.count.Up > 0 {
+			any = true
+			if z.state == Serving || z.state == Back {
+				return false
+			}
+		}
+	}
+	return any
+}
+
+// Lost reports whether a zone's work is to be done elsewhere.
+func (p *Picture) Lost(name string) bool { return p.State(name) == Lost || p.word(name) == Gone }
+
+func (p *Picture) word(name string) Word {
+	if z := p.zones[name]; z != nil {
+		return z.word
+	}
+	return NoWord
+}
+
+// Keep reports whether silent machines of a lost zone should be kept, which are charged for
+// as long: an operator's word counts, else how long the zone has been away. Each second
+// that they are kept costs their price, and to return them costs what it takes to rent
+// them anew once the zone is back: whoever keeps them until that much has been spent since
+// nothing can run on them any more pays at most twice what it would have cost to know how
+// long the cut lasts.
+func (p *Picture) Keep(name string, most unit.Micros) bool {
+	z := p.zones[name]
+	switch {
+	case z == nil || z.state == Serving || z.state == Back:
+		return true
+	case z.word == Returns:
+		return true
+	case z.word == Gone:
+		return false
+	}
+	return p.now-z.away < most
+}
+
+// Returning reports whether an operator has said that a zone will be back.
+func (p *Picture) Returning(name string) bool { return p.word(name) == Returns }
+
+// Rents says how many machines may be rented into a zone at present; -1: any number.
+func (p *Picture) Rents(name string) int {
+	switch z := p.zones[name]; {
+	case z == nil:
+		return -1
+	case z.word == Gone || z.state == Doubt:
+		return 0
+	case z.state == Lost:
+		// With no machine and no controller left there nobody would hear that it is back.
+		if z.count.Up+z.peers == 0 && p.now-z.since >= probeAfter {
+			return 1
+		}
+		return 0
+	case z.state == Back:
+		return probe // in steps, until it has shown that it stays
+	}
+	return -1
+}
+
+// For is how long a zone has been in its state.
+func (p *Picture) For(name string) unit.Micros {
+	if z := p.zones[name]; z != nil {
+		return p.now - z.since
+	}
+	return unit.Never
+}
+
+// Again is how long ago a zone came back; a zone that always served came back long ago.
+func (p *Picture) Again(name string) unit.Micros {
+	if z := p.zones[name]; z != nil && z.again > 0 {
+		return p.now - z.again
+	}
+	return unit.Never
+}
+
+// View is a zone as people see it.
+type View struct {
+	Zone             string
+	State            State
+	For              unit.Micros
+	Up, Heard        int
+	Times            int
+	Word             Word
+	Controllers      int // other ones of the zone
+	ControllersHeard int
+}
+
+// Views returns all zones by name.
+func (p *Picture) Views() (out []View) {
+	for _, n := range p.names {
+		z := p.zones[n]
+		out = append(out, View{n, z.state, p.now - z.since, z.count.Up, z.count.Heard, z.times, z.word, z.peers, z.alive})
+	}
+	return out
+}
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -62,7 +62,7 @@
 		}
 	case scenario.Cut:
 		w.cut(f)
-	case scenario.ZoneApart:
+	case scenario.ZoneApart, scenario.ZoneLost:
 		w.apart(f)
 	case scenario.StateOutage:
 		w.State.Down(w.now, until)
@@ -139,12 +139,16 @@
 	return out
 }
 
-// apart cuts a zone's machines and controllers off from those of the others.
+// apart cuts a zone off; there is the way out of it.
 func (w *World) apart(f scenario.Fault) {
 	t := trouble{w.now + unit.Seconds(f.ForS), f.Mode, unit.Micros(f.DelayMS * 1000)}
-	for _, p := range w.S.ApartFrom(f.Zone) {
-		w.net.cut(p[0], p[1], t)
-		w.net.cut(p[1], p[0], t)
+	for _, p := range w.S.ApartFrom(f.Zone, f.Kind == scenario.ZoneLost) {
+		if f.Direction != "back" {
+			w.net.cut(p[0], p[1], t)
+		}
+		if f.Direction != "there" {
+			w.net.cut(p[1], p[0], t)
+		}
 	}
 }
 
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -425,7 +425,7 @@
 	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
 	r.Jobs = len(w.Crowd.Jobs())
 	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
-	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money)
+	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions()))
 	return r
 }
 
--- a/internal/emulator/user/tell.go
+++ b/internal/emulator/user/tell.go
@@ -1,6 +1,10 @@
 package user
 
 import (
+	"maps"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
 )
@@ -38,3 +42,48 @@
 	}
 	return over, longest
 }
+
+// Served says how many of some jobs got what they asked for.
+type Served struct {
+	What string // "class C done", "team T done", and the same "in time"
+	Good int
+	Of   int
+}
+
+// Share is the part of the jobs that got it.
+func (s Served) Share() float64 { return float64(s.Good) / float64(max(s.Of, 1)) }
+
+// Floor counts, by class and by team, the accepted arrays that nobody cancelled, and of
+// them those that are done; and of those with a deadline, those whose users were told so by
+// then, or at their first poll after it.
+func Floor(jobs []*Job, opt Options) []Served {
+	all := map[string]*Served{}
+	count := func(what string, good bool) {
+		s := all[what]
+		if s == nil {
+			s = &Served{What: what}
+			all[what] = s
+		}
+		s.Of++
+		if good {
+			s.Good++
+		}
+	}
+	for _, j := range jobs {
+		if !j.Accepted || j.Spec.Service || j.CancelAfter > 0 || j.Final == ledger.Cancelled || j.Broken {
+			continue
+		}
+		done := j.Final == ledger.Done
+		for _, who := range []string{"class " + j.Spec.Class, "team " + j.Spec.Team} {
+			count(who+" done", done)
+			if j.Spec.Deadline > 0 {
+				count(who+" in time", done && j.Over-j.At <= j.Spec.Deadline+max(opt.PollEvery, 5*unit.Second))
+			}
+		}
+	}
+	var out []Served
+	for _, what := range slices.Sorted(maps.Keys(all)) {
+		out = append(out, *all[what])
+	}
+	return out
+}
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -502,7 +502,7 @@
 	switch f.Kind {
 	case scenario.Cut:
 		return d.cut(f)
-	case scenario.ZoneApart:
+	case scenario.ZoneApart, scenario.ZoneLost:
 		d.apart(f)
 		return nil
 	case scenario.PollStorm:
@@ -612,10 +612,10 @@
 	return nil
 }
 
-// apart cuts a zone's machines and controllers off from those of the others.
+// apart cuts a zone off.
 func (d *Deployment) apart(f scenario.Fault) {
 	t := link.Trouble{Mode: modes[f.Mode], Until: time.Now().Add(seconds(f.ForS))}
-	for _, p := range d.s.ApartFrom(f.Zone) {
+	for _, p := range d.s.ApartFrom(f.Zone, f.Kind == scenario.ZoneLost) {
 		for _, name := range []string{linkName(p[0], p[1]), linkName(p[1], p[0])} {
 			if l := d.links[name]; l != nil {
 				l.Set(t, true, true)
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -30,6 +30,9 @@
 				for _, b := range v.Broken {
 					t.Errorf("seed %d: %.3f %s: %s", v.Seed, b.At, b.Rule, b.Text)
 				}
+				for _, m := range v.Missed {
+					t.Errorf("seed %d: %s", v.Seed, m)
+				}
 				if v.Starts == 0 {
 					t.Errorf("seed %d: nothing ran", v.Seed)
 				}
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -230,12 +230,17 @@
 }
 
 // Missed says which expectations were not met, beside the rules.
-func (e Expect) Missed(longest unit.Micros, money float64) (out []string) {
+func (e Expect) Missed(longest unit.Micros, money float64, served []user.Served) (out []string) {
 	if e.MaxWaitS > 0 && longest > unit.Seconds(e.MaxWaitS) {
 		out = append(out, fmt.Sprintf("max_wait_s: a job took %.1f s, %g are expected at most", longest.Seconds(), e.MaxWaitS))
 	}
 	if e.MaxMoney > 0 && money > e.MaxMoney {
 		out = append(out, fmt.Sprintf("max_money: %.3f were spent, %g are expected at most", money, e.MaxMoney))
 	}
+	for _, s := range served {
+		if part := s.Share(); part < e.MinServed {
+			out = append(out, fmt.Sprintf("min_served: %.3f of %d of %s, %g are expected at least", part, s.Of, s.What, e.MinServed))
+		}
+	}
 	return out
 }
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -66,6 +66,7 @@
 	SpotWave         = "spot_wave"
 	SpotRate         = "spot_rate"
 	ZoneApart        = "zone_apart"
+	ZoneLost         = "zone_lost"
 	Surge            = "surge"
 	PollStorm        = "poll_storm"
 )
@@ -94,7 +95,8 @@
 	{MachineSlow, []string{"times"}, "machines run their tasks slower"},
 	{SpotWave, []string{"share"}, "spot machines are taken back in a wave"},
 	{SpotRate, []string{"per_hour", "for_s"}, "spot machines are taken back more often"},
-	{ZoneApart, []string{"zone", "for_s"}, "a zone is cut off from the others and from all services"},
+	{ZoneApart, []string{"zone", "for_s"}, "a zone's machines and controllers do not reach those of the others"},
+	{ZoneLost, []string{"zone", "for_s"}, "a zone does not reach the others, the services or users; there is the way out of it"},
 	{Surge, []string{"times", "for_s"}, "jobs of a class come several times as often"},
 	{PollStorm, []string{"times", "for_s"}, "users ask about their jobs many times as often"},
 }
@@ -195,23 +197,32 @@
 func ZoneParty(zone string) string { return "zone " + zone }
 
 // ApartFrom returns the pairs of parties that do not reach each other when a zone is
-// cut off from the others: controllers, and controllers and machines.
-func (s *Scenario) ApartFrom(zone string) [][2]string {
+// cut off, the one inside first: controllers, and controllers and machines; with services,
+// also the zone's controllers and all that serves them or asks them.
+func (s *Scenario) ApartFrom(zone string, services bool) [][2]string {
 	var out [][2]string
 	zones := s.Controllers.Zones
 	zoneOf := func(i int) string { return zones[i%len(zones)] }
 	for i, n := range s.Nodes() {
 		inside := zoneOf(i) == zone
 		for _, z := range zones {
-			if (z == zone) != inside {
+			switch {
+			case inside && z != zone:
 				out = append(out, [2]string{n, ZoneParty(z)})
+			case !inside && z == zone:
+				out = append(out, [2]string{ZoneParty(z), n})
 			}
 		}
-		for k := range i {
-			if (zoneOf(k) == zone) != inside {
+		for k := range s.Nodes() {
+			if inside && zoneOf(k) != zone {
 				out = append(out, [2]string{n, NodeName(k)})
 			}
 		}
+		if inside && services {
+			for _, p := range []string{PartyState, PartyCloud, PartyUsers} {
+				out = append(out, [2]string{n, p})
+			}
+		}
 	}
 	return out
 }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -187,6 +187,9 @@
 	AllOver  bool    `toml:"all_over"`   // every job that was accepted is over at the end
 	MaxWaitS float64 `toml:"max_wait_s"` // longest time from a submission to the answer that the job is over; 0: any
 	MaxMoney float64 `toml:"max_money"`
+	// MinServed is the least share of the jobs of each class and of each team that must be
+	// done, and of those with a deadline in time; 0: any.
+	MinServed float64 `toml:"min_served"`
 }
 
 var priorities = map[string]ledger.Priority{
