A follower knows what a holder has started, and goes on at once when that ends without a word

Cause: when a zone with the holder was cut off, the next holder waited for the leases of half of the fleet (26 to 31 s) before anything that had been accepted went on, as starts were known to the last holder alone.

Change: internal/core/follow. A holder sends its picture, then each machine on which it starts something, to one follower in another zone, and stores who follows. From then on answers with a start wait for the follower's word, until it is stored that nobody follows. Whoever is granted the block next, is named, and has that very stream takes all machines for accounted for. The leader prefers it.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -8,6 +8,7 @@
 
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -58,6 +59,7 @@
 	demand    *demand.Book
 	renter    *renting.Renter
 	watch     *watch.Watch
+	follow    *follow.Source
 	held      []heldReport // reports of idle machines that wait for work
 	heldAt    unit.Micros  // when held reports are next looked at
 	newWork   bool         // tasks have become ready since jobs were ranked
@@ -84,6 +86,7 @@
 	host := tenancy{c, bl}
 	bl.renter = renting.New(renting.Config{Block: k, Token: bl.token, Began: c.now, ListLag: c.cfg.ListLag, StrayAfter: strayAfter, Lease: c.leaseBound(), ReportEvery: c.cfg.ReportEvery, Scale: c.cfg.Scale, Log: c.log}, host, c.zones)
 	bl.watch = watch.New(watch.Config{ReportEvery: c.cfg.ReportEvery, Began: c.now, Zones: c.cfg.Zones, Log: c.log}, host, bl.renter, c.zones)
+	bl.follow = follow.NewSource(k, bl.token, followed{c, bl})
 	c.held[k] = bl
 	c.reach.Taken()
 	c.zones.Taken()
@@ -118,7 +121,7 @@
 				// An earlier holder may have started tasks there, and its last
 				// answer may have been accepted just before this grant.
 				m.LeaseEnd = c.now + c.leaseBound()
-				if _, handed := picture.machines[name]; !handed {
+				if _, handed := picture.machines[name]; !handed && !picture.covers(key) {
 					bl.unaccounted[name] = true
 					bl.hiddenStale = true
 				}
@@ -137,7 +140,7 @@
 		}
 		handed := c.believe(bl, picture)
 		bl.ready = true
-		c.log.Info("picture read", "block", bl.n, "jobs", len(bl.active), "machines", len(bl.machines), "handed_on", handed)
+		c.log.Info("picture read", "block", bl.n, "jobs", len(bl.active), "machines", len(bl.machines), "handed_on", handed, "followed", picture.whole)
 	})
 }
 
@@ -150,6 +153,7 @@
 	}
 	c.log.Warn("releasing a block", "block", bl.n, "why", why)
 	bl.free = true
+	bl.follow.Close(c.now)
 	c.handOn(bl)
 	c.storeRelease(bl)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
@@ -183,11 +184,13 @@
 	mixedAt   map[int]unit.Micros // by release: when another controller was last not known to run it or a later one
 	leader    *leader             // nil unless this node leads
 	claiming  bool
-	held      map[int]*block   // blocks that this node holds
-	pictures  map[int]*picture // of blocks, as their last holders have handed them on
-	emptied   unit.Micros      // since when nothing is held by it then
-	retiring  unit.Micros      // since when this node's process is about to end on purpose; 0: it is not
-	reach     watch.Reach      // whether workers reach this node
+	held      map[int]*block        // blocks that this node holds
+	pictures  map[int]*picture      // of blocks, as their last holders have handed them on
+	follows   map[int]follow.Record // who follows the holder of each block, as stored
+	sink      *follow.Sink          // what this node knows of the starts of holders that it follows
+	emptied   unit.Micros           // since when nothing is held by it then
+	retiring  unit.Micros           // since when this node's process is about to end on purpose; 0: it is not
+	reach     watch.Reach           // whether workers reach this node
 	zones     *zones.Picture
 	full      bool // this process's memory is nearly full
 	typesAt   unit.Micros
@@ -204,6 +207,7 @@
 		types: map[string]*fleet.Type{}, blocks: map[int]granted{}, shares: map[int]shared{},
 		groups: map[string]fleet.Group{}, where: map[string]int{},
 		parts: parts.New(), untidy: map[string]bool{}, releases: map[string]int{}, mixedAt: map[int]unit.Micros{}, pictures: map[int]*picture{},
+		follows: map[int]follow.Record{}, sink: follow.NewSink(),
 		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
 	if c.cfg.ValueMax == 0 {
 		c.cfg.ValueMax = int(cfg.ValueKB * 1024)
@@ -249,6 +253,7 @@
 			bl.heldAt = c.now + unit.Second/20
 			c.answerHeld(bl)
 		}
+		bl.follow.Tick(c.now, len(bl.unaccounted) == 0)
 		c.lateWrites(bl)
 	}
 	for id, l := range c.lanes {
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"shalestage.example/shalestage/internal/core/unit"
 )
 
 // Explain says in a few lines why a job is where it is, for operators' logs
@@ -41,6 +43,22 @@
 	return b.String()
 }
 
+// Unfollow has nobody follow the blocks that this node holds, for a moment.
+func (c *Core) Unfollow(now unit.Micros) {
+	c.at(now)
+	for _, bl := range c.held {
+		bl.follow.Leave(c.now)
+	}
+}
+
+// Follower names who follows a held block.
+func (c *Core) Follower(k int) string {
+	if bl := c.held[k]; bl != nil {
+		return bl.follow.Follower()
+	}
+	return ""
+}
+
 // Leads reports whether this node leases blocks to the controllers.
 func (c *Core) Leads() bool { return c.leader != nil }
 
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/watch"
 )
@@ -23,18 +24,9 @@
 		Machines []MachinePicture
 		Done     []TasksDone // and are not stored as done yet
 	}
-	// TasksDone are some tasks of a job that have completed.
-	TasksDone struct {
-		Job   string
-		Tasks []int
-	}
-	// MachinePicture tells what may be on a machine.
-	MachinePicture struct {
-		Name         string
-		Addr         string
-		Session, Seq uint64 // of the last report
-		Tasks        []fleet.Task
-	}
+	// TasksDone and MachinePicture are parts of a picture.
+	TasksDone      = follow.TasksDone
+	MachinePicture = follow.MachinePicture
 )
 
 const (
@@ -49,6 +41,7 @@
 	token    uint64
 	machines map[string]MachinePicture
 	done     []TasksDone
+	whole    bool // on machines that are not in it, nothing can be
 }
 
 // handOn sends the picture of a block that is being given up to all that can use it: who
@@ -74,22 +67,13 @@
 	for _, id := range sortedKeys(bl.active) {
 		// The rest would be done once more: machines show what has ended only with their
 		// next report.
-		j := bl.active[id]
-		if j.DirtySince == 0 && !j.AllFinished() {
-			continue // all that is done is stored
-		}
-		for t := range j.Record.Tasks {
-			if !j.IsFinished(t) || j.IsStored(t) {
-				continue
-			}
+		for tasks := unstored(bl.active[id]); len(tasks) > 0; {
 			if size >= PictureTasks {
 				send()
 			}
-			if n := len(part.Done); n == 0 || part.Done[n-1].Job != id {
-				part.Done = append(part.Done, TasksDone{Job: id})
-			}
-			d := &part.Done[len(part.Done)-1]
-			d.Tasks, size = append(d.Tasks, t), size+1
+			n := min(len(tasks), PictureTasks-size)
+			part.Done, size = append(part.Done, TasksDone{Job: id, Tasks: tasks[:n:n]}), size+n
+			tasks = tasks[n:]
 		}
 	}
 	for _, name := range sortedKeys(bl.machines) {
@@ -99,10 +83,7 @@
 		if m.Leaving || m.Lost || !m.Record.Up || !m.Accounted && isStray(m.Group) {
 			continue
 		}
-		p := MachinePicture{Name: name, Addr: m.Addr, Session: m.Session, Seq: m.Seq}
-		for _, id := range sortedTasks(m.Tasks) {
-			p.Tasks = append(p.Tasks, fleet.Task{ID: id, Attempt: m.Tasks[id].Number, State: m.Tasks[id].State})
-		}
+		p := drawMachine(m)
 		if size > 0 && size+len(p.Tasks)+4 > PictureTasks {
 			send()
 		}
@@ -134,18 +115,26 @@
 func (c *Core) takePicture(bl *block) *picture {
 	p := c.pictures[bl.n]
 	delete(c.pictures, bl.n)
+	if f := c.takeFollowed(bl); f != nil {
+		return f
+	}
 	if from := c.blocks[bl.n].From; p == nil || from == 0 || p.token != from {
 		return &picture{}
 	}
 	return p
 }
 
+// covers reports whether nothing can be on machines of a group that the picture does not
+// show. On one that nobody is known to have rented, anybody may have started anything.
+func (p *picture) covers(group string) bool { return p.whole && !isStray(group) }
+
 // believe takes in a whole picture, and returns of how many machines it tells.
 func (c *Core) believe(bl *block, p *picture) int {
 	n := 0
-	for _, name := range sortedKeys(p.machines) {
-		if m := bl.machines[name]; m != nil && m.Record.Up {
-			c.adopt(bl, m, p.machines[name])
+	for _, name := range sortedKeys(bl.machines) {
+		m := bl.machines[name]
+		if x, ok := p.machines[name]; m.Record.Up && (ok || p.covers(m.Group)) {
+			c.adopt(bl, m, x)
 			n++
 		}
 	}
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/parts"
@@ -88,6 +89,8 @@
 		if k, err = blockNumber(e.Key, blockPrefix); err == nil {
 			s.blocks[k] = e
 		}
+	case strings.HasPrefix(e.Key, followPrefix):
+		err = json.Unmarshal(e.Value, &follow.Record{})
 	case strings.HasPrefix(e.Key, sharePrefix):
 		err = json.Unmarshal(e.Value, &lead.Share{})
 	case strings.HasPrefix(e.Key, typePrefix), strings.HasPrefix(e.Key, kindPrefix):
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -44,6 +44,8 @@
 	// From is the token of the grant that this one follows on, where its holder gave the
 	// block up by itself and nobody has held it since; 0: not so.
 	From uint64 `json:"from,omitempty"`
+	// After is the token of the grant before this one, however that ended; 0: not told.
+	After uint64 `json:"after,omitempty"`
 }
 
 // DecodeBlock reads a stored block. Releases before 0.2 named its controller
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -226,8 +226,11 @@
 		extra[to]++
 		l.number++
 		b := lead.Block{Term: l.term, Number: l.number, Node: to, Seat: c.seats.Of(to)}
-		if g.Node == "" && g.Left != "" {
-			b.From = lead.Token(g.Term, g.Number) // nobody has held it since
+		if known {
+			b.After = lead.Token(g.Term, g.Number)
+			if g.Node == "" && g.Left != "" {
+				b.From = b.After // nobody has held it since
+			}
 		}
 		guards = append(guards, store.Guard{Key: blockKey(k), Stamp: g.stamp}, store.Guard{Key: seatPrefix + to, Stamp: b.Seat})
 		changes = append(changes, store.Change{Key: blockKey(k), Value: store.Value(b)})
@@ -308,6 +311,9 @@
 		if n != last.Node {
 			cost++
 		}
+		if n == c.followerOf(k) {
+			cost -= 2 // it knows all that runs
+		}
 		if n == last.Left || c.isDeaf(n) {
 			cost += 1000
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -273,6 +273,12 @@
 		if bl := c.held[m.Block]; bl != nil && bl.grant == m.Grant {
 			c.release(bl, "the leader asks for it")
 		}
+	case PeerStarts:
+		c.takeStarts(from, m)
+	case PeerKnown:
+		if bl := c.held[m.Block]; bl != nil {
+			bl.follow.Acked(now, from, m)
+		}
 	case PeerPicture:
 		c.handed(m)
 	case PeerAsk:
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
@@ -27,7 +28,7 @@
 // isAuthority reports whether a key says who may act: it is never written again by
 // others than its owner.
 func isAuthority(key string) bool {
-	return key == leadKeyFirst || key == leadKeyPast || strings.HasPrefix(key, seatPrefix)
+	return key == leadKeyFirst || key == leadKeyPast || strings.HasPrefix(key, seatPrefix) || strings.HasPrefix(key, followPrefix)
 }
 
 // heardBack takes a peer's word that the state service went back: each has its own
@@ -57,12 +58,14 @@
 	}
 	c.mirror.Recover(rev, items, keep)
 	c.doubt()
+	c.sink = follow.NewSink() // who is stored to follow may be as of an earlier time
 	for _, e := range again {
 		c.log.Warn("written again", "key", e.Key, "listed_version", e.Stamp)
 		c.writeAgain(e)
 	}
 	for _, k := range sortedBlocks(c.held) {
 		bl := c.held[k]
+		bl.follow.Leave(c.now)
 		for _, id := range sortedKeys(bl.active) {
 			j := bl.active[id]
 			for lo := 0; lo < j.Record.Tasks && j.Finished() > 0; lo = c.layout.Of(lo, j.Record.Tasks).Hi {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -79,7 +79,7 @@
 			orders.Commands = append(orders.Commands, c.fill(bl, m)...)
 		}
 	}
-	c.reply(req, http.StatusOK, orders)
+	c.giveOrders(bl, m, req, orders)
 }
 
 // blockOf finds the block that a machine belongs to. Where this node does not
@@ -204,7 +204,7 @@
 			continue
 		}
 		h.m.LeaseEnd = c.now + c.leaseBound()
-		c.reply(h.req, http.StatusOK, Orders{Token: bl.token, Commands: cmds})
+		c.giveOrders(bl, h.m, h.req, Orders{Token: bl.token, Commands: cmds})
 	}
 	bl.held = kept
 }
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -85,6 +85,7 @@
 // drop stops holding a block.
 func (c *Core) drop(bl *block) {
 	delete(c.held, bl.n)
+	bl.follow.Close(c.now)
 	c.log.Info("block given up", "block", bl.n)
 	c.sendOn(bl)
 	for _, j := range c.active {
--- a/internal/core/storing.go
+++ b/internal/core/storing.go
@@ -148,6 +148,7 @@
 // finished notes that a task is done.
 func (c *Core) finished(bl *block, j *ledger.Job, task int) {
 	j.Finish(task, c.layout)
+	bl.follow.Done(j.ID, task)
 	if j.AllFinished() {
 		c.closeJob(bl, j) // users wait for it
 		return
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -238,6 +238,9 @@
 			n.sent(func() { f(e) })
 		}
 	case core.SendPeer:
+		if p := w.opt.Break.Peer; p != nil && !p(e.Message) {
+			return
+		}
 		n.sent(func() {
 			o := w.node(e.Node)
 			w.net.send(n.Name, o.Name, func() {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -60,6 +60,7 @@
 	Answer   func(user.Call) *core.Reply // what it answers a user without doing anything; nil: as it should
 	Settings func(*config.Settings)      // what it is told
 	Clock    func(node int) float64      // rate of its steady clock
+	Peer     func(m any) bool            // whether a message to another controller is carried
 }
 
 // World is a scenario that is being played.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,7 +43,7 @@
 }
 
 // messages are all that controllers tell each other.
-var messages = []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerRelease{}, core.PeerAsk{}, core.PeerAnswer{}, core.PeerPicture{}}
+var messages = []any{core.PeerStatus{}, core.PeerPromise{}, core.PeerPermitAsk{}, core.PeerPermit{}, core.PeerRelease{}, core.PeerAsk{}, core.PeerAnswer{}, core.PeerPicture{}, core.PeerStarts{}, core.PeerKnown{}}
 
 func init() {
 	for _, m := range messages {
