A zone cut off with most controllers no longer keeps its blocks for the whole extension

Change: promises of a majority carry a seat for two leases past its last renewal; beyond, those of all peers are needed. So one that the state service serves, has promised nothing that still runs and never will again may end a seat by itself after that. Explored: three new planted mistakes (hasty, few, two-faced) are found by 9 and 10 moves.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -218,7 +218,7 @@
 	}
 	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
-	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Log: cfg.Log}, standing{c})
+	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.peers = newPeers(cfg.Peers)
 	c.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.Home, ReportEvery: cfg.ReportEvery, Log: cfg.Log})
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -90,24 +90,31 @@
 // renewal was sent, less clock drift and a margin. Where the state service does
 // not answer it rests on promises: peers that make up a majority together with
 // this node have promised not to help to give away what the seat holds for a
-// while, and without a majority's help nobody may do so until Extend has passed
-// since the lease was last renewed. See docs/design.md for the argument.
+// while, and without a majority's help nobody may do so until Short has passed
+// since the lease was last renewed, nor with its own help alone until Extend has.
+// Beyond Short it takes the promises of all peers: whoever is out of reach may be
+// the one that the state service serves. See docs/design.md for the argument.
 type Authority struct {
 	TTL    unit.Micros
 	Margin unit.Micros
-	Extend unit.Micros // bound on what promises add, from the last renewal
+	Extend unit.Micros // bound on what promises of all peers add, from the last renewal
+	Short  unit.Micros // and on what those of a majority add; at most Extend
 	Peers  int         // promises that make a majority together with this node
+	All    int         // peers
 
 	until    unit.Micros
 	bound    unit.Micros
+	short    unit.Micros
 	promises map[string]unit.Micros
 	carried  unit.Micros // when the promises of a majority end
+	whole    unit.Micros // and when those of all do
 }
 
 // Renewed records that a renewal sent at the given time was granted.
 func (a *Authority) Renewed(sent unit.Micros) {
 	a.until = max(a.until, sent+unit.Shortest(a.TTL)-a.Margin)
 	a.bound = max(a.bound, sent+unit.Shortest(a.Extend)-a.Margin)
+	a.short = max(a.short, sent+unit.Shortest(a.Short)-a.Margin)
 }
 
 // Promised records a peer's promise, asked for at the given time.
@@ -117,7 +124,11 @@
 	}
 	a.promises[peer] = max(a.promises[peer], asked+unit.Shortest(PromiseTime)-a.Margin)
 	if n := len(a.promises) - a.Peers; a.Peers > 0 && n >= 0 {
-		a.carried = slices.Sorted(maps.Values(a.promises))[n]
+		until := slices.Sorted(maps.Values(a.promises))
+		a.carried = until[n]
+		if len(until) >= a.All {
+			a.whole = until[0]
+		}
 	}
 }
 
@@ -129,7 +140,7 @@
 	if a.Peers == 0 {
 		return max(a.until, a.bound) // this node is a majority by itself
 	}
-	return max(a.until, min(a.carried, a.bound))
+	return max(a.until, min(a.carried, a.short), min(a.whole, a.bound))
 }
 
 // PromiseTime is how long a promise binds.
--- a/internal/core/lead/lead_test.go
+++ b/internal/core/lead/lead_test.go
@@ -51,7 +51,8 @@
 		for i := range ns {
 			start(i, 1)
 		}
-		auth := Authority{TTL: 3 * unit.Second, Margin: unit.Second / 10, Extend: 20 * unit.Second, Peers: nodes / 2}
+		const short = 8 * unit.Second
+		auth := Authority{TTL: 3 * unit.Second, Margin: unit.Second / 10, Extend: 20 * unit.Second, Short: short, Peers: nodes / 2, All: nodes - 1}
 		auth.Renewed(0)
 		type promise struct {
 			from int
@@ -62,13 +63,17 @@
 		permits := map[int]bool{}
 		names := []string{"0", "1", "2", "3", "4"}
 		gone := false // the seat's record
+		var goneAt unit.Micros
+		alone := false // one has taken the seat for over without the others' help
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) { now += unit.Seconds(rapid.Float64Range(0, 1.5).Draw(t, "dt")) },
 			"record gone": func(t *rapid.T) {
 				if now < 103*unit.Second {
 					t.Skip() // the service keeps the record for the lease's time, by its own clock
 				}
-				gone = true
+				if !gone {
+					gone, goneAt = true, now
+				}
 				ns[rapid.IntRange(1, nodes-1).Draw(t, "sees")].seen = 0
 			},
 			"ask": func(t *rapid.T) {
@@ -110,9 +115,15 @@
 					permits[i] = true
 				}
 			},
+			"alone": func(t *rapid.T) {
+				i := rapid.IntRange(1, nodes-1).Draw(t, "by")
+				if n := ns[i]; gone && n.seen == 0 && now-goneAt > unit.Longest(short) && n.v.Permit(n.local(now), 1) {
+					alone = true
+				}
+			},
 			"": func(t *rapid.T) {
-				if len(permits) > nodes/2 && auth.Valid(ns[0].local(now)) {
-					t.Fatal("a majority helps another while the first holder's authority is valid")
+				if (alone || len(permits) > nodes/2) && auth.Valid(ns[0].local(now)) {
+					t.Fatal("another may take over while the first holder's authority is valid")
 				}
 			},
 		})
@@ -125,7 +136,8 @@
 func TestUntil(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		second := func(name string) unit.Micros { return unit.Seconds(rapid.Float64Range(0, 30).Draw(t, name)) }
-		a := Authority{TTL: 3 * unit.Second, Margin: unit.Second / 10, Extend: second("extend"), Peers: rapid.IntRange(0, 3).Draw(t, "peers")}
+		a := Authority{TTL: 3 * unit.Second, Margin: unit.Second / 10, Extend: second("extend"), Peers: rapid.IntRange(0, 3).Draw(t, "peers"), All: 4}
+		a.Short = min(a.Extend, second("short"))
 		a.Renewed(second("renewed"))
 		promised := map[string]unit.Micros{}
 		for _, p := range []string{"a", "b", "c", "d"} {
@@ -142,7 +154,7 @@
 				running++
 			}
 		}
-		want := now < a.until || running >= a.Peers && now < a.bound
+		want := now < a.until || running >= a.Peers && now < a.short || running >= a.All && now < a.bound || a.Peers == 0 && now < a.bound
 		if a.Valid(now) != want || (now < a.Until()) != want {
 			t.Fatalf("valid %v, until %v, now %v, want %v: %+v", a.Valid(now), a.Until(), now, want, a)
 		}
--- a/internal/core/lead/trace.go
+++ b/internal/core/lead/trace.go
@@ -19,6 +19,7 @@
 func (a *Authority) Trace(b []byte, now unit.Micros) []byte {
 	b = left(b, "until ", a.until, now)
 	b = left(b, " bound ", a.bound, now)
+	b = left(b, " short ", a.short, now)
 	b = left(b, " carried ", a.carried, now)
 	for _, p := range slices.Sorted(maps.Keys(a.promises)) {
 		b = left(append(append(b, ' '), p...), " ", a.promises[p], now)
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -60,6 +60,12 @@
 // Release implements seats.Host.
 func (c standing) Release(node string, release int) { c.heardRelease(node, release) }
 
+// shortFor is how many times its lease a majority's promises may carry a seat past its last
+// renewal. What a zone holds that is cut off with most controllers is free that much later;
+// an outage of the state service during which a controller is missing stops all work that
+// much earlier.
+const shortFor = 2
+
 // extension is how long promises may carry a seat past its last renewal. A
 // holder that is cut off hears of no cancellation: what it runs must still be
 // gone in time, a worker's lease after its last answer.
--- a/internal/core/seats/seats.go
+++ b/internal/core/seats/seats.go
@@ -61,9 +61,10 @@
 	Size    int // controllers, this one included
 	Release int
 	TTL     unit.Micros
-	// Extend is how long promises may carry a seat past its last renewal.
-	Extend unit.Micros
-	Log    *slog.Logger
+	// Extend is how long the promises of all may carry a seat past its last renewal, and
+	// Short how long those of a majority may.
+	Extend, Short unit.Micros
+	Log           *slog.Logger
 }
 
 // Seats is a controller's own seat and its view of the others.
@@ -178,7 +179,7 @@
 				return
 			}
 			s.id, s.pass, s.renewing, s.renewAt = rev, id, false, sent+s.cfg.TTL/5
-			s.auth = lead.Authority{TTL: s.cfg.TTL, Margin: authorityMargin, Extend: s.cfg.Extend, Peers: s.cfg.Size / 2}
+			s.auth = lead.Authority{TTL: s.cfg.TTL, Margin: authorityMargin, Extend: s.cfg.Extend, Short: s.cfg.Short, Peers: s.cfg.Size / 2, All: s.cfg.Size - 1}
 			s.auth.Renewed(sent)
 			s.cfg.Log.Info("seated", "seat", rev)
 			s.host.Seated()
@@ -300,6 +301,11 @@
 	case id == 0:
 		return false // held by an older release that knows no seats
 	}
+	// A majority may carry it no longer, and all do not: this node has promised it nothing
+	// that still runs, and never will again.
+	if now-v.goneAt > unit.Longest(s.cfg.Short) && s.voter(node).Permit(now, id) {
+		return true
+	}
 	p := s.polls[node]
 	if p == nil || p.seat != id || now-p.askedAt > permitFresh {
 		p = &poll{seat: id, askedAt: now, permits: map[string]bool{}}
@@ -354,6 +360,7 @@
 		number("; "+n+" has ", v.id)
 		if v.id == 0 { // what counts is when it will have been gone for long enough
 			ahead(" gone ", v.goneAt+unit.Longest(s.cfg.Extend)+s.cfg.TTL)
+			ahead(" short ", v.goneAt+unit.Longest(s.cfg.Short))
 		}
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.voters)) {
--- a/internal/explore/authority/authority.go
+++ b/internal/explore/authority/authority.go
@@ -37,10 +37,13 @@
 	LongLease  Fault = "long-lease"  // a lease is taken for longer than the state service keeps it
 	FastClock  Fault = "fast-clock"  // a clock runs off by more than the bound
 	Torn       Fault = "torn"        // controllers read who holds the block before they read the seats of that time
+	Hasty      Fault = "hasty"       // controllers take a seat for over before a majority's promises can be
+	Few        Fault = "few"         // a majority's promises count as those of all
+	TwoFaced   Fault = "two-faced"   // a controller goes on promising to a seat that it has helped to end
 )
 
 // Faults lists all that can be planted.
-var Faults = []Fault{FromAnswer, Forgetful, Minority, Unguarded, LongLease, FastClock, Torn}
+var Faults = []Fault{FromAnswer, Forgetful, Minority, Unguarded, LongLease, FastClock, Torn, Hasty, Few, TwoFaced}
 
 // Options say what may happen.
 type Options struct {
@@ -48,13 +51,22 @@
 	Mail    int // messages under way at once
 	Crashes int // of controllers, in a history
 	Twice   int // messages that come twice
+	// Alone lets promises of all carry a seat for much longer than those of a majority, so
+	// that the seat may be ended by one alone.
+	Alone bool
+}
+
+// times are a lease's, and for how long promises of all and of a majority carry it.
+func (o Options) times() (ttl, extend, short unit.Micros) {
+	if o.Alone {
+		return second, 8 * second, second
+	}
+	return 2 * second, 4 * second, 4 * second
 }
 
 const (
 	count   = 3
 	second  = unit.Second
-	ttl     = 2 * second
-	extend  = 4 * second
 	started = 10 * second // of the processes that are there at the beginning
 )
 
@@ -137,6 +149,7 @@
 // World is the state of everything.
 type World struct {
 	o      Options
+	ttl    unit.Micros
 	now    unit.Micros
 	rev    uint64
 	seats  [count]record
@@ -163,6 +176,7 @@
 // New returns a world in which all controllers have seats, and the first holds the block.
 func New(o Options) *World {
 	w := &World{o: o, now: started, leases: map[uint64]unit.Micros{}}
+	w.ttl, _, _ = o.times()
 	for i := range int8(count) {
 		w.start(i, 0)
 		p := w.nodes[i]
@@ -198,9 +212,15 @@
 	if w.o.Fault == Minority {
 		size = 1
 	}
-	lease := ttl
+	lease, extend, carries := w.o.times()
 	if w.o.Fault == LongLease {
-		lease = 2 * ttl
+		lease *= 2
+	}
+	if w.o.Fault == Hasty && i == 0 {
+		carries *= 5
+	}
+	if w.o.Fault == Few && i == 0 {
+		carries = extend
 	}
 	if w.o.Fault == FastClock && i > 0 {
 		p.rate = 2
@@ -208,7 +228,7 @@
 	if w.o.Fault == Forgetful {
 		p.born -= 10 * second
 	}
-	p.s = seats.New(seats.Config{Node: name(i), Size: size, TTL: lease, Extend: extend, Log: slog.New(slog.DiscardHandler)}, p)
+	p.s = seats.New(seats.Config{Node: name(i), Size: size, TTL: lease, Extend: extend, Short: carries, Log: slog.New(slog.DiscardHandler)}, p)
 	w.nodes[i] = p
 }
 
@@ -348,7 +368,7 @@
 			out = append(out, Move{crashes, i, 0})
 		}
 	}
-	if r := w.seats[0]; r.stamp != 0 && w.now-w.leases[r.lease] >= ttl {
+	if r := w.seats[0]; r.stamp != 0 && w.now-w.leases[r.lease] >= w.ttl {
 		out = append(out, Move{Kind: expires})
 	}
 	for k, m := range w.mail {
@@ -528,7 +548,7 @@
 		}
 	case askPromise:
 		to := w.nodes[m.to]
-		if to.s.Promise(to.local(), name(m.from), m.seat) {
+		if to.s.Promise(to.local(), name(m.from), m.seat) || w.o.Fault == TwoFaced {
 			w.post(mail{kind: promise, from: m.from, to: m.to, life: m.life, seat: m.seat, sent: m.sent})
 		}
 	case promise:
@@ -570,7 +590,7 @@
 	for _, r := range w.seats {
 		add(r.stamp, r.lease)
 		if r.stamp != 0 {
-			add(uint64(min(w.now-w.leases[r.lease], ttl)))
+			add(uint64(min(w.now-w.leases[r.lease], w.ttl)))
 		}
 	}
 	add(w.block.stamp, w.block.seat, uint64(w.ended), uint64(w.twice))
--- a/internal/explore/authority/authority_test.go
+++ b/internal/explore/authority/authority_test.go
@@ -6,15 +6,21 @@
 	"shalestage.example/shalestage/internal/explore"
 )
 
-func search(f Fault, depth int) explore.Result[Move] {
-	o := Options{Fault: f, Mail: 2, Crashes: 1}
+func search(o Options, depth int) explore.Result[Move] {
 	return explore.Search(func() explore.World[Move] { return New(o) }, explore.Options{Depth: depth})
 }
 
 // TestOneHolder visits all histories of a few moves: no two controllers hold the block. A
 // longer search is "shalestage explore"; docs/results.md has what it visited.
 func TestOneHolder(t *testing.T) {
-	if r := search(None, 6); r.Broken != "" || r.Depth != 6 || r.States < 2000 {
+	if r := search(Options{Mail: 2, Crashes: 1}, 6); r.Broken != "" || r.Depth != 6 || r.States < 2000 {
+		t.Errorf("%d states up to depth %d: %s\n%v", r.States, r.Depth, r.Broken, r.History)
+	}
+}
+
+// TestAlone visits those in which one controller may end a seat without the others' help.
+func TestAlone(t *testing.T) {
+	if r := search(Options{Mail: 1, Crashes: 1, Alone: true}, 7); r.Broken != "" || r.Depth != 7 || r.States < 2000 {
 		t.Errorf("%d states up to depth %d: %s\n%v", r.States, r.Depth, r.Broken, r.History)
 	}
 }
@@ -22,13 +28,17 @@
 // TestPlantedFaults has the search find mistakes, each by a history of as few moves as it
 // takes.
 func TestPlantedFaults(t *testing.T) {
-	for f, moves := range map[Fault]int{Minority: 5, LongLease: 5, Unguarded: 5, FastClock: 6, Forgetful: 7, FromAnswer: 7, Torn: 8} {
-		r := search(f, 8)
+	for f, moves := range map[Fault]int{Minority: 5, LongLease: 5, Unguarded: 5, FastClock: 6, Forgetful: 7, FromAnswer: 7, Torn: 8, Hasty: 9, Few: 9, TwoFaced: 10} {
+		o := Options{Fault: f, Mail: 2, Crashes: 1}
+		if f == Hasty || f == Few || f == TwoFaced {
+			o = Options{Fault: f, Alone: true}
+		}
+		r := search(o, 10)
 		if r.Broken == "" || len(r.History) != moves {
 			t.Errorf("%s: %q after %d moves, want %d", f, r.Broken, len(r.History), moves)
 			continue
 		}
-		if lines := Tell(Options{Fault: f, Mail: 2, Crashes: 1}, r.History); len(lines) != moves {
+		if lines := Tell(o, r.History); len(lines) != moves {
 			t.Errorf("%s is told in %d lines", f, len(lines))
 		}
 	}
