--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -13,7 +13,7 @@
 	"shalestage.example/shalestage/internal/explore/authority"
 )
 
-const version = "0.6.0"
+const version = "0.7.0"
 
 // Exit statuses. Those of status tell a job's state to scripts.
 const (
