Zones that do not reach each other are not lost while the state service has their controllers' seats; gone empties a zone

Cause: a holder that alone heard no worker, as its zone and the others did not reach each other, took the others for lost and kept its block, where it had let their controllers have it before. And gone, said of a zone that serves, left its machines where they were.

Change: a controller counts as heard while its seat stands in a fresh copy.

--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -172,13 +172,15 @@
 	}
 }
 
-// hearZones tells the picture of the zones which controllers are heard.
+// hearZones tells the picture of the zones which controllers are heard: by this one, or by
+// the state service, where their seats stand. Two zones that do not reach each other are
+// not lost while both reach that.
 func (c *Core) hearZones() {
 	all, alive := map[string]int{}, map[string]int{}
 	for _, n := range c.peers.names {
 		z := c.cfg.PeerZones[n]
 		all[z]++
-		if c.alive(c.peers.views[n]) {
+		if c.alive(c.peers.views[n]) || c.seats.Of(n) != 0 && c.stateAge() < stateFresh {
 			alive[z]++
 		}
 	}
--- a/internal/core/renting/renting.go
+++ b/internal/core/renting/renting.go
@@ -233,6 +233,10 @@
 			if !r.zones.Keep(zone, r.cfg.Lease+r.again(m)) || unneeded && !r.zones.Returning(zone) {
 				back = append(back, name)
 			}
+		case r.zones.Gone(zone):
+			if m.Accounted && len(m.Tasks) == 0 {
+				back = append(back, name)
+			}
 		case r.zones.Again(zone) < r.cfg.ReportEvery+keepLost: // it is about to be heard
 		case m.Sick && m.Accounted && len(m.Tasks) == 0,
 			m.Lost && r.now-m.IdleSince > keepLost,
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -458,7 +458,7 @@
 	if c.now >= bl.rankAt || bl.newWork && c.now >= bl.rankedAt+rankGap {
 		c.rank(bl)
 	}
-	if len(bl.ranked) == 0 {
+	if len(bl.ranked) == 0 || c.zones.Gone(m.Record.Zone) {
 		return nil
 	}
 	free := m.Free()
--- a/internal/core/zones/zones.go
+++ b/internal/core/zones/zones.go
@@ -348,7 +348,11 @@
 }
 
 // Lost reports whether a zone's work is to be done elsewhere.
-func (p *Picture) Lost(name string) bool { return p.State(name) == Lost || p.word(name) == Gone }
+func (p *Picture) Lost(name string) bool { return p.State(name) == Lost || p.Gone(name) }
+
+// Gone reports whether an operator has said that a zone will not be back: nothing more is to
+// start there, and what is empty goes.
+func (p *Picture) Gone(name string) bool { return p.word(name) == Gone }
 
 func (p *Picture) word(name string) Word {
 	if z := p.zones[name]; z != nil {
--- a/internal/emulator/sim/zone_test.go
+++ b/internal/emulator/sim/zone_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/scenario"
 )
 
@@ -38,6 +39,37 @@
 	return w, logs.String()
 }
 
+// TestZoneIsEmptied has an operator say that a zone that serves will be gone: nothing starts
+// there any more, and once its tasks have ended its machines are returned.
+func TestZoneIsEmptied(t *testing.T) {
+	s, err := scenario.Load("../../../rehearsals/zones.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.DurationS, s.Expect = 200, scenario.Expect{}
+	w := New(s, Options{Seed: 1})
+	there := func() (n int) {
+		for _, m := range w.Site.Cloud.Alive() {
+			if m.Zone == "b" {
+				n++
+			}
+		}
+		return n
+	}
+	w.Run(80 * second)
+	before := there()
+	r := w.State.Commit(w.now, "operator", kv.Txn{Changes: []kv.Change{{Key: "shalestage/zone/b", Value: []byte(`{"word":"gone"}`)}}})
+	w.takeState()
+	w.Run(170 * second)
+	services := 1 // of a service that is kept apart one replica stays: nothing is stopped for a word
+	if after := there(); r.Code != 200 || before < 10 || after > services {
+		t.Errorf("stored %v: %d machines before, and %d are left", r, before, after)
+	}
+	if b := w.Check.Broken(); len(b) > 0 {
+		t.Error(b)
+	}
+}
+
 // TestReportsThatWereHeldBack has a zone come back just after the leases of its machines
 // have run out: what their last reports showed, which the cut has held back until then, has
 // been started elsewhere, and is not called back (docs/incidents/2026-12-01-held-back.md).
