A block that was given up as nobody reached its holder goes to a controller that is heard

Cause: where the holder's zone and that of all machines do not reach each other, the leader beside the machines gave the block to one deaf controller after the other, of whose deafness it could not hear. Change: of a block that was given up, controllers that the leader does not hear come after those that it does, itself included.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -314,6 +314,11 @@
 		if n == c.followerOf(k) {
 			cost -= 2 // it knows all that runs
 		}
+		if last.Left != "" && n != c.cfg.Node && !c.alive(c.peers.views[n]) {
+			// Given up as no worker reached its holder: whether one reaches this controller is
+			// not known, and its zone and ours may not reach each other.
+			cost += 3
+		}
 		if n == last.Left || c.isDeaf(n) {
 			cost += 1000
 		}
--- a/internal/emulator/sim/zone_test.go
+++ b/internal/emulator/sim/zone_test.go
@@ -70,6 +70,38 @@
 	}
 }
 
+// TestApartFromItsMachines cuts the holder's zone off from that in which all machines stand,
+// while the state service serves both: it is the holder that is deaf, and not the zone that
+// is lost. A controller beside the machines has the block before long.
+func TestApartFromItsMachines(t *testing.T) {
+	s, err := scenario.Load("../../../rehearsals/zones.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.DurationS, s.Expect = 200, scenario.Expect{}
+	s.Capacity = []scenario.Capacity{{Type: "mid", Zone: "b", Count: 40, Spot: 60}}
+	w := New(s, Options{Seed: 1})
+	w.Run(60 * second)
+	for w.Holder(0) == nil || w.Holder(0).zone == "b" {
+		if w.now > 150*second {
+			t.Fatal("no controller elsewhere holds the block")
+		}
+		if n := w.Holder(0); n != nil {
+			n.Crash()
+		}
+		w.Run(w.now + 10*second)
+	}
+	w.Fault(scenario.Fault{Kind: scenario.ZoneApart, Zone: "b", ForS: 60})
+	w.Run(w.now + 20*second)
+	if n := w.Holder(0); n == nil || n.zone != "b" {
+		t.Errorf("held by %v", n)
+	}
+	w.Run(w.now + 60*second)
+	if b := w.Check.Broken(); len(b) > 0 {
+		t.Error(b)
+	}
+}
+
 // TestReportsThatWereHeldBack has a zone come back just after the leases of its machines
 // have run out: what their last reports showed, which the cut has held back until then, has
 // been started elsewhere, and is not called back (docs/incidents/2026-12-01-held-back.md).
