--- a/cmd/shalestage/zone.go
+++ b/cmd/shalestage/zone.go
@@ -31,15 +31,17 @@
 func (o *zoneCmd) Run() error {
 	c, opt := o.client()
 	items := map[string]store.Event{}
-	for after, more := "", true; more; {
-		out, _, page, again := c.List(core.Root, after, core.ListPage)
-		if out != store.OK {
-			return exit{exitFailed, errors.New("the state service does not answer")}
+	for _, prefix := range core.WordPrefixes { // not the jobs
+		for after, more := "", true; more; {
+			out, _, page, again := c.List(prefix, after, core.ListPage)
+			if out != store.OK {
+				return exit{exitFailed, errors.New("the state service does not answer")}
+			}
+			for _, e := range page {
+				items[e.Key], after = e, e.Key
+			}
+			more = again
 		}
-		for _, e := range page {
-			items[e.Key], after = e, e.Key
-		}
-		more = again
 	}
 	words := core.ZoneWords(items)
 	if o.Zone == "" {
--- a/internal/core/demand/demand.go
+++ b/internal/core/demand/demand.go
@@ -196,9 +196,8 @@
 }
 
 // Needs adds up the work at hand, by what pools it may use; order are the jobs, the first
-// to have come first. A job needs no
-// more room than lets it end in time: where there is time for several tasks
-// one after the other, fewer machines do.
+// to have come first. A job needs no more room than lets it end in time: where there is time
+// for several tasks one after the other, fewer machines do.
 func (b *Book) Needs(now, wall unit.Micros, order []*ledger.Job, host Host) map[scale.Group]scale.Need {
 	needs := map[scale.Group]scale.Need{}
 	perTeam := map[string]pack.Vec{}
--- a/internal/core/follow/follow.go
+++ b/internal/core/follow/follow.go
@@ -5,9 +5,9 @@
 // machine on which it starts something, in numbered messages. Once the follower has the
 // whole picture, answers with a start wait; once it also has all that was let out before,
 // the holder stores who follows it. Until it is surely stored that nobody does, no such
-// answer is let out before the follower has said that it knows of it. So whoever is granted the block next, finds itself named,
-// and has that very stream, knows of every start that may ever have been sent: its picture
-// may show more than there is, which costs room, never less.
+// answer is let out before the follower has said that it knows of it. So whoever is granted
+// the block next, finds itself named, and has that very stream, knows of every start that may
+// ever have been sent: its picture may show more than there is, which costs room, never less.
 //
 // It is pure: messages and the time go in by method calls, what is to be done comes out by
 // its host.
--- a/internal/core/scale/scale.go
+++ b/internal/core/scale/scale.go
@@ -181,28 +181,10 @@
 		if g.Idle {
 			dear = idlePremium * cheapest(us.types, g.Spot, types)
 		}
-		for _, i := range order {
-			m := machines[i]
-			if need < 0.5 {
-				break
-			}
-			if m.Away || !usable(g, us.types, m.Pool) {
-				continue
-			}
-			if perCore(m.Pool) > dear && wants-need >= 0.5 {
-				break // the cheaper ones come first; where there is none, one dear machine does
-			}
-			n := math.Min(need, slots(left[i], us.avg))
-			if n <= 0 {
-				continue
-			}
-			machines[i].Wanted = true
-			need -= n
-			for r := range left[i] {
-				left[i][r] -= int64(n * us.avg[r])
-			}
-		}
-		s.missed(g, us, need, machines, left, order)
+		need = take(g, us, need, dear, false, machines, left, order, types)
+		// What it falls short by is rented elsewhere, but there may be no more to be had: the
+		// machines of lost zones that it would use are noted.
+		take(g, us, need, math.Inf(1), true, machines, left, order, types)
 		kind := 0
 		if g.Spot {
 			kind = 1
@@ -230,24 +212,33 @@
 	return rents, back
 }
 
-// missed marks the machines of lost zones that a group would use if they were there: what
-// it falls short by is rented elsewhere, but there may be no more to be had.
-func (s *Scaler) missed(g Group, us *usual, short float64, machines []Machine, left []pack.Vec, order []int) {
+// take has a group take room for so many average tasks, of the machines of lost zones (away)
+// or of the others, as long as a CPU is not too dear, and returns for how many there is none.
+// What it takes is wanted.
+func take(g Group, us *usual, need, dear float64, away bool, machines []Machine, left []pack.Vec, order []int, types map[string]*fleet.Type) float64 {
+	wants := need
 	for _, i := range order {
-		if short < 0.5 {
-			return
-		}
 		m := machines[i]
-		n := math.Min(short, slots(left[i], us.avg))
-		if !m.Away || n <= 0 || !usable(g, us.types, m.Pool) {
+		if need < 0.5 {
+			break
+		}
+		if m.Away != away || !usable(g, us.types, m.Pool) {
+			continue
+		}
+		if perCore(types[m.Pool.Type], m.Pool.Spot) > dear && wants-need >= 0.5 {
+			break // the cheaper ones come first; where there is none, one dear machine does
+		}
+		n := math.Min(need, slots(left[i], us.avg))
+		if n <= 0 {
 			continue
 		}
 		machines[i].Wanted = true
-		short -= n
+		need -= n
 		for r := range left[i] {
 			left[i][r] -= int64(n * us.avg[r])
 		}
 	}
+	return need
 }
 
 // backlog is the waiting work of several groups and the slots that they have,
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/renting"
@@ -52,14 +53,15 @@
 // heardPart is how many silent machines one that is heard speaks against.
 const heardPart = 4
 
+func byName(a, b *fleet.Machine) int { return strings.Compare(a.Name, b.Name) }
+
 // Sweep looks at all machines, a few times a second.
 func (w *Watch) Sweep(now unit.Micros) {
 	var expired, silent []*fleet.Machine
 	heard, counts := map[string]int{}, map[string]zones.Count{}
 	machines := w.host.Machines()
 	patience, next := w.patience(), NextReport(w.cfg.ReportEvery)
-	for _, name := range slices.Sorted(maps.Keys(machines)) {
-		m := machines[name]
+	for _, m := range machines {
 		if (m.LeaseEnd != 0 || m.Lost) && !m.Leaving && m.Notice == unit.Never {
 			n := counts[m.Record.Zone]
 			n.Up++
@@ -84,6 +86,8 @@
 		}
 	}
 	w.zones.Look(counts)
+	slices.SortFunc(expired, byName)
+	slices.SortFunc(silent, byName)
 	for _, m := range expired {
 		w.host.Lost(m)
 	}
--- a/internal/core/word.go
+++ b/internal/core/word.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -17,6 +16,9 @@
 
 const wordPrefix = root + "zone/"
 
+// WordPrefixes are the prefixes of the keys that ZoneWords and SayZone look at.
+var WordPrefixes = []string{typePrefix, kindPrefix, wordPrefix}
+
 // ZoneWord is what an operator has said of a zone.
 type ZoneWord struct {
 	Zone string     `json:"-"`
@@ -61,11 +63,8 @@
 		}
 	}
 	names := slices.Sorted(maps.Keys(known))
-	if !known[zone] {
-		return nil, fmt.Errorf("no zone %q; there are %s", zone, strings.Join(names, ", "))
-	}
-	if word != zones.NoWord && !slices.Contains(zones.Words, word) {
-		return nil, fmt.Errorf("%q is none of %v and clear", word, zones.Words)
+	if err := zones.Check(names, zone, word); err != nil {
+		return nil, err
 	}
 	key := wordPrefix + zone
 	ch := store.Change{Key: key}
--- a/internal/core/zones/zones.go
+++ b/internal/core/zones/zones.go
@@ -137,8 +137,8 @@
 func (p *Picture) Heard(name string) {
 	if z := p.zones[name]; z != nil {
 		z.heard = p.awake
-		if z.state == Doubt || z.state == Lost {
-			p.back(name, z, "a machine reports")
+		if !z.reachable() {
+			p.set(name, z, Back, "a machine reports")
 		}
 	}
 }
@@ -158,8 +158,8 @@
 	if z == nil {
 		return
 	}
-	if alive > z.alive && (z.state == Lost || z.state == Doubt) {
-		p.back(name, z, "a controller is heard")
+	if alive > z.alive && !z.reachable() {
+		p.set(name, z, Back, "a controller is heard")
 	}
 	if alive > 0 {
 		z.mute = p.now
@@ -170,6 +170,9 @@
 // quiet is how long a zone has not been heard, in time awake.
 func (p *Picture) quiet(z *zone) unit.Micros { return p.awake - max(z.heard, p.taken) }
 
+// reachable reports whether a zone is heard.
+func (z *zone) reachable() bool { return z.state == Serving || z.state == Back }
+
 // muted reports whether a zone has controllers and none is heard.
 func (z *zone) muted() bool { return z.peers > 0 && z.alive == 0 }
 
@@ -217,13 +220,12 @@
 // othersHeard reports whether this controller hears the machines of other zones well enough
 // that the silence of one means something.
 func (p *Picture) othersHeard(name string) bool {
-	// Where no other zone has machines, the controllers tell.
-	up, heard := 0, 0
-	if z := p.zones[name]; p.upElsewhere(name) == 0 {
-		return z.muted() && p.othersAlive(name)
+	if p.upElsewhere(name) == 0 { // the controllers tell
+		return p.zones[name].muted() && p.othersAlive(name)
 	}
+	up, heard := 0, 0
 	for n, z := range p.zones {
-		if n != name && (z.state == Serving || z.state == Back) {
+		if n != name && z.reachable() {
 			up += z.count.Up
 			heard += z.count.Heard
 		}
@@ -258,8 +260,6 @@
 // calm is how long a zone must be heard before it is trusted again.
 func (p *Picture) calm(z *zone) unit.Micros { return min(calm<<max(z.times-1, 0), longestCalm) }
 
-func (p *Picture) back(name string, z *zone, why string) { p.set(name, z, Back, why) }
-
 func (p *Picture) set(name string, z *zone, s State, why string) {
 	p.cfg.Log.Warn("zone", "zone", name, "state", s.String(), "was", z.state.String(), "for_s", (p.now - z.since).Seconds(),
 		"why", why, "up", z.count.Up, "times_lost", z.times)
@@ -285,7 +285,7 @@
 			p.set(n, z, State(s.State), "the holder says so")
 		}
 		z.since, z.times = min(z.since, p.now-s.For), max(z.times, s.Times)
-		if z.state == Doubt || z.state == Lost {
+		if !z.reachable() {
 			z.away = z.since
 		}
 	}
@@ -301,16 +301,24 @@
 	return out
 }
 
-// Say takes an operator's word. A zone that does not exist is an error that names those
-// that do.
-func (p *Picture) Say(name string, w Word) error {
-	z := p.zones[name]
-	if z == nil {
-		return fmt.Errorf("no zone %q; there are %s", name, strings.Join(p.names, ", "))
+// Check reports what is wrong with an operator's word about a zone, of those that there are.
+func Check(names []string, name string, w Word) error {
+	if !slices.Contains(names, name) {
+		return fmt.Errorf("no zone %q; there are %s", name, strings.Join(names, ", "))
 	}
 	if w != NoWord && !slices.Contains(Words, w) {
 		return fmt.Errorf("zone %s: %q is none of %v", name, w, Words)
 	}
+	return nil
+}
+
+// Say takes an operator's word. A zone that does not exist is an error that names those
+// that do.
+func (p *Picture) Say(name string, w Word) error {
+	if err := Check(p.names, name, w); err != nil {
+		return err
+	}
+	z := p.zones[name]
 	if z.word != w {
 		p.cfg.Log.Warn("zone: an operator's word", "zone", name, "word", string(w))
 	}
@@ -328,8 +336,8 @@
 
 // Reachable reports whether work may be expected to go on in a zone.
 func (p *Picture) Reachable(name string) bool {
-	s := p.State(name)
-	return s == Serving || s == Back
+	z := p.zones[name]
+	return z == nil || z.reachable()
 }
 
 // Explains reports whether the silence of all machines is that of zones: each that has any
@@ -339,7 +347,7 @@
 	for _, z := range p.zones {
 		if z.count.Up > 0 {
 			any = true
-			if z.state == Serving || z.state == Back {
+			if z.reachable() {
 				return false
 			}
 		}
@@ -370,7 +378,7 @@
 func (p *Picture) Keep(name string, most unit.Micros) bool {
 	z := p.zones[name]
 	switch {
-	case z == nil || z.state == Serving || z.state == Back:
+	case z == nil || z.reachable():
 		return true
 	case z.word == Returns:
 		return true
--- a/internal/core/zones/zones_test.go
+++ b/internal/core/zones/zones_test.go
@@ -168,15 +168,21 @@
 	}
 }
 
-// Machines are kept for as long as that is cheaper than to rent them anew, at most; a word
-// decides otherwise, and one about a zone that does not exist names those that do.
-func TestWords(t *testing.T) {
+// withoutB is a yard of two zones of which the second has been cut off for 30 s.
+func withoutB() *yard {
 	y := newYard("a", "b")
 	y.add("a", 30)
 	y.add("b", 30)
 	y.pass(2*every, nil)
 	y.cut["b"] = true
 	y.pass(30*unit.Second, nil)
+	return y
+}
+
+// Machines are kept for as long as that is cheaper than to rent them anew, at most; a word
+// decides otherwise, and one about a zone that does not exist names those that do.
+func TestWords(t *testing.T) {
+	y := withoutB()
 	if !y.p.Keep("b", 60*unit.Second) || y.p.Keep("b", 20*unit.Second) {
 		t.Error("not kept by how long the cut lasts")
 	}
@@ -199,12 +205,7 @@
 // With nothing left there that could be heard, one machine is rented to find out; what comes
 // back is rented in steps.
 func TestProbes(t *testing.T) {
-	y := newYard("a", "b")
-	y.add("a", 30)
-	y.add("b", 30)
-	y.pass(2*every, nil)
-	y.cut["b"] = true
-	y.pass(30*unit.Second, nil)
+	y := withoutB()
 	y.last["b"] = nil // all were returned
 	y.pass(unit.Second, nil)
 	if n := y.p.Rents("b"); n != 0 {
