A holder's answers rest on what it surely knows of cancellations; others tell it what it lacks

Cause: the time for which promises carry a holder past its last renewal was to keep the cancellation rule, but a renewal tells nothing of cancellations. A holder that is refused alone heard of nothing, and work ended some 20 s and a lease into each outage.

Change: the mirror tells as of when its copy is complete (the sending of the last request whose answer was taken in), and reads when that is older than 2 s though other requests are answered. internal/core/cancels keeps what each controller knows of cancellations; with each promise a controller tells which ones the other lacks. A holder answers workers until cancel_s less a worker's lease less 2 s past the later of its last read and the earliest question to which each of the others has told all. With that the promises of all carry a seat without a bound: whoever could give its blocks away is one of them. A machine whose list has 500 tasks gets no more, as what has ended stays listed while nothing can be stored.

--- a/cmd/shalestage/explore.go
+++ b/cmd/shalestage/explore.go
@@ -10,25 +10,27 @@
 
 	"shalestage.example/shalestage/internal/explore"
 	"shalestage.example/shalestage/internal/explore/authority"
+	"shalestage.example/shalestage/internal/explore/cancelling"
 	"shalestage.example/shalestage/internal/explore/following"
 )
 
 type exploreCmd struct {
-	World   string        `default:"authority" enum:"authority,following" help:"Who holds a block, or what a holder's follower knows."`
+	World   string        `default:"authority" enum:"authority,following,cancelling" help:"Who holds a block, what a holder's follower knows, or which cancellations a holder knows."`
 	Depth   int           `default:"9" help:"Moves in a history at most."`
 	Within  time.Duration `default:"10m" help:"Stop after this time."`
 	Mail    int           `default:"2" help:"Messages under way at once."`
-	Crashes int           `default:"1" help:"Controllers that end, in a history (authority)."`
+	Crashes int           `default:"1" help:"Controllers that end, in a history (authority, cancelling)."`
 	Twice   int           `default:"0" help:"Messages that come twice, in a history (authority)."`
 	Alone   bool          `help:"Let one controller end a seat without the others' help (authority)."`
 	Starts  int           `default:"3" help:"Tasks that may be started (following)."`
+	Jobs    int           `default:"2" help:"Cancellations (cancelling)."`
 	Lost    int           `default:"2" help:"Messages and writes that are lost, or stay without an answer (following)."`
 	Fault   string        `default:"" help:"Plant a mistake (${faults}), to see that it is found."`
 }
 
 // Help implements kong's long help.
 func (*exploreCmd) Help() string {
-	return "Every order of what can happen in a small world, as far as the depth goes, with the service's own code. authority: three controllers, a state service, messages that are late or lost, processes that end, clocks that run off; do two hold a block at once? following: a holder that starts tasks and its follower, which at each moment is asked what it knows; does it miss a start that was let out? Exit status: 0 nothing is broken, 1 something is, and the shortest history is printed; 2 unusable input."
+	return "Every order of what can happen in a small world, as far as the depth goes, with the service's own code. authority: three controllers, a state service, messages that are late or lost, processes that end, clocks that run off; do two hold a block at once? following: a holder that starts tasks and its follower, which at each moment is asked what it knows; does it miss a start that was let out? cancelling: two controllers that confirm cancellations and a holder that hears of them by reads and by their word; does it answer workers for too long without knowing of one? Exit status: 0 nothing is broken, 1 something is, and the shortest history is printed; 2 unusable input."
 }
 
 // Run searches.
@@ -41,6 +43,11 @@
 		return search(o, opt.Fault, following.Faults, func() explore.World[following.Move] { return following.New(opt) },
 			func(h []following.Move) []string { return following.Tell(opt, h) })
 	}
+	if o.World == "cancelling" {
+		opt := cancelling.Options{Fault: cancelling.Fault(o.Fault), Jobs: o.Jobs, Mail: o.Mail, Crashes: o.Crashes}
+		return search(o, opt.Fault, cancelling.Faults, func() explore.World[cancelling.Move] { return cancelling.New(opt) },
+			func(h []cancelling.Move) []string { return cancelling.Tell(opt, h) })
+	}
 	opt := authority.Options{Fault: authority.Fault(o.Fault), Mail: o.Mail, Crashes: o.Crashes, Twice: o.Twice, Alone: o.Alone}
 	return search(o, opt.Fault, authority.Faults, func() explore.World[authority.Move] { return authority.New(opt) },
 		func(h []authority.Move) []string { return authority.Tell(opt, h) })
--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -180,7 +180,7 @@
 // Holds reports whether this node may answer workers of a block at present.
 func (c *Core) Holds(now unit.Micros, k int) bool {
 	bl := c.held[k]
-	return bl != nil && bl.ready && !bl.free && c.seats.Valid(now)
+	return bl != nil && bl.ready && !bl.free && now < c.ValidUntil()
 }
 
 func (bl *block) addJob(j *ledger.Job) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/cancels"
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
@@ -179,6 +180,7 @@
 
 	old       oldJobs
 	memory    *recall.Memory // what may have to be written again
+	cancels   *cancels.Book  // which cancellations are known, and up to when all are
 	seats     *seats.Seats
 	releases  map[string]int      // of the other controllers, as last heard or read
 	mixedAt   map[int]unit.Micros // by release: when another controller was last not known to run it or a later one
@@ -220,6 +222,7 @@
 	c.old = newOldJobs()
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
+	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
 	c.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.Home, ReportEvery: cfg.ReportEvery, Log: cfg.Log})
 	c.reach = watch.NewReach(cfg.ReportEvery, c.leaseBound())
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -151,6 +151,7 @@
 	Handed    bool        // what may be on it was handed on by its last holder
 	Notice    unit.Micros // when the cloud takes it; Never: no notice
 	Tasks     map[ledger.TaskID]Attempt
+	Listed    int // tasks in its last report, those that have exited too
 	IdleSince unit.Micros
 	Lost      bool        // its lease ran out unheard
 	Void      uint64      // the last attempt that surely ended with a lease
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -91,19 +91,17 @@
 // not answer it rests on promises: peers that make up a majority together with
 // this node have promised not to help to give away what the seat holds for a
 // while, and without a majority's help nobody may do so until Short has passed
-// since the lease was last renewed, nor with its own help alone until Extend has.
-// Beyond Short it takes the promises of all peers: whoever is out of reach may be
-// the one that the state service serves. See docs/design.md for the argument.
+// since the lease was last renewed. Beyond Short it takes the promises of all peers:
+// whoever is out of reach may be the one that the state service serves. See
+// docs/design.md for the argument.
 type Authority struct {
 	TTL    unit.Micros
 	Margin unit.Micros
-	Extend unit.Micros // bound on what promises of all peers add, from the last renewal
-	Short  unit.Micros // and on what those of a majority add; at most Extend
+	Short  unit.Micros // bound on what promises of a majority add, from the last renewal
 	Peers  int         // promises that make a majority together with this node
 	All    int         // peers
 
 	until    unit.Micros
-	bound    unit.Micros
 	short    unit.Micros
 	promises map[string]unit.Micros
 	carried  unit.Micros // when the promises of a majority end
@@ -113,7 +111,6 @@
 // Renewed records that a renewal sent at the given time was granted.
 func (a *Authority) Renewed(sent unit.Micros) {
 	a.until = max(a.until, sent+unit.Shortest(a.TTL)-a.Margin)
-	a.bound = max(a.bound, sent+unit.Shortest(a.Extend)-a.Margin)
 	a.short = max(a.short, sent+unit.Shortest(a.Short)-a.Margin)
 }
 
@@ -137,10 +134,10 @@
 
 // Until returns the time until which authority is certain, as known at present.
 func (a *Authority) Until() unit.Micros {
-	if a.Peers == 0 {
-		return max(a.until, a.bound) // this node is a majority by itself
+	if a.All == 0 {
+		return unit.Never // there is nobody to give anything to
 	}
-	return max(a.until, min(a.carried, a.short), min(a.whole, a.bound))
+	return max(a.until, min(a.carried, a.short), a.whole)
 }
 
 // PromiseTime is how long a promise binds.
--- a/internal/core/lead/trace.go
+++ b/internal/core/lead/trace.go
@@ -18,7 +18,6 @@
 // then on.
 func (a *Authority) Trace(b []byte, now unit.Micros) []byte {
 	b = left(b, "until ", a.until, now)
-	b = left(b, " bound ", a.bound, now)
 	b = left(b, " short ", a.short, now)
 	b = left(b, " carried ", a.carried, now)
 	for _, p := range slices.Sorted(maps.Keys(a.promises)) {
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -153,6 +153,9 @@
 			c.linkJob(j)
 		}
 	}
+	if r.Status == ledger.Cancelled && e.Stamp > c.mirror.Rev {
+		c.cancels.Note(e)
+	}
 	if r.Status.Final() {
 		if bl := c.held[j.Record.Block]; bl != nil && j.Active() {
 			bl.jobOver(c, j, r.Status)
--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -28,6 +28,7 @@
 		Known uint64 // the highest revision that was known when it was sent
 		Wait  unit.Micros
 		Fresh bool
+		Sent  unit.Micros
 	}
 )
 
@@ -66,6 +67,9 @@
 	// Heartbeat is how often the service is asked at least, so that every controller
 	// knows, and can tell its peers, whether it is served.
 	Heartbeat = 400 * unit.Second / 1000
+	// freshFor is how old the copy may become before it is read, though the service answers
+	// other requests: a watch may hang, and shows what it brings as of when it was sent.
+	freshFor = 2 * unit.Second
 	// retry is the pause after a listing or a watch that was not served, retryRead that
 	// after a read.
 	retry     = unit.Second / 2
@@ -98,6 +102,8 @@
 	want      bool
 	lastOK    unit.Micros // the service last answered
 	everOK    bool
+	listSent  unit.Micros // when the listing under way, or the last one, was begun
+	asOf      unit.Micros // the copy shows all that was stored before; Never negated: it was never complete
 
 	mark  unit.Micros // time of day at which this node last noticed that the service went back: tells one time from the next
 	due   bool        // the copy is to be taken anew for it
@@ -110,7 +116,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Mirror{Replica: store.NewReplica(host.Learn), host: host, cfg: cfg}
+	return &Mirror{Replica: store.NewReplica(host.Learn), host: host, cfg: cfg, asOf: -unit.Never}
 }
 
 // Loaded reports whether the copy is complete, and LoadedAt since when it was last
@@ -118,6 +124,14 @@
 func (m *Mirror) Loaded() bool          { return m.loaded }
 func (m *Mirror) LoadedAt() unit.Micros { return m.loadedAt }
 
+// AsOf is a time: whatever was stored before it, the copy shows. It is when the last request
+// was sent whose answer has been taken in, as other requests that the service answers, such
+// as renewals, tell nothing of its keys.
+func (m *Mirror) AsOf() unit.Micros { return m.asOf }
+
+// Begun is the revision at which the copy was last begun to be taken.
+func (m *Mirror) Begun() uint64 { return m.pageRev }
+
 // Recovering reports whether the service went back and the copy was not taken anew yet.
 func (m *Mirror) Recovering() bool { return m.due }
 
@@ -182,12 +196,12 @@
 
 // ask sends the listing and the watch that are due.
 func (m *Mirror) ask() {
-	if m.loaded && m.now-m.lastOK > Heartbeat {
+	if m.loaded && (m.now-m.lastOK > Heartbeat || m.now-m.asOf > freshFor) {
 		m.want = true
 	}
 	if !m.loaded && !m.listing && m.now >= m.retryAt {
 		if m.page == "" {
-			m.listKnown, m.pages = m.seen, nil
+			m.listKnown, m.pages, m.listSent = m.seen, nil, m.now
 		}
 		m.listing = true
 		m.host.Emit(List{After: m.page})
@@ -198,7 +212,7 @@
 		m.watching = true
 		// A watch ends with every change, so a third of the budget bounds them.
 		m.nextWatch = m.now + m.every(3)
-		m.host.Emit(Watch{After: m.Rev, Known: m.seen, Wait: watchWait})
+		m.host.Emit(Watch{After: m.Rev, Known: m.seen, Wait: watchWait, Sent: m.now})
 	}
 }
 
@@ -217,7 +231,7 @@
 	m.want, m.reading = false, true
 	m.current, m.waiting = m.waiting, nil
 	m.nextRead = now + m.every(2)
-	m.host.Emit(Watch{After: m.Rev, Known: m.seen, Fresh: true})
+	m.host.Emit(Watch{After: m.Rev, Known: m.seen, Fresh: true, Sent: m.now})
 }
 
 // OnList takes a page of the listing, read at a revision; more says that there are
@@ -271,6 +285,7 @@
 	}
 	m.page, m.pages = "", nil
 	m.loaded, m.loadedAt = true, now
+	m.asOf = max(m.asOf, m.listSent)
 	m.cfg.Log.Info("state loaded", "keys", m.Keys(), "revision", m.pageRev)
 	m.Want(nil)
 	m.ask()
@@ -297,6 +312,9 @@
 				m.host.Removed(e.Key)
 			}
 		}
+		if m.loaded && w.After <= m.Rev {
+			m.asOf = max(m.asOf, w.Sent)
+		}
 		m.Advance(w.After, rev, events)
 	} else if gone {
 		m.loaded, m.page = false, ""
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/mirror/mirror_test.go
@@ -110,12 +110,18 @@
 		same := func() bool {
 			return len(r.has) == len(s.keys) && !slices.ContainsFunc(slices.Collect(maps.Values(s.keys)), func(e store.Event) bool { return r.has[e.Key] != string(e.Value) })
 		}
+		type put struct {
+			at unit.Micros
+			store.Event
+		}
+		var puts []put
 		n := 0
 		change := func(t *rapid.T) {
 			key := fmt.Sprintf("k%d", rapid.IntRange(0, 12).Draw(t, "key"))
 			n++
 			if v := json.RawMessage(fmt.Sprint(n)); rapid.IntRange(0, 3).Draw(t, "remove") > 0 {
 				s.put(key, v)
+				puts = append(puts, put{now, s.keys[key]})
 			} else if _, there := s.keys[key]; there {
 				s.put(key, nil)
 			}
@@ -141,6 +147,14 @@
 					}
 				})
 			},
+			// What the copy claims to show, it shows, whatever other requests were answered.
+			"": func(t *rapid.T) {
+				for _, p := range puts {
+					if !back && p.at < r.m.AsOf() && s.keys[p.Key].Stamp == p.Stamp && r.m.Stamp(p.Key) < p.Stamp {
+						t.Fatalf("at %d the copy is as of %d, and lacks %s, which was stored at %d", now, r.m.AsOf(), p.Key, p.at)
+					}
+				}
+			},
 			"remember": func(*rapid.T) { old = &service{s.rev, maps.Clone(s.keys), slices.Clone(s.changes)} },
 			"go back": func(t *rapid.T) {
 				// Behind what was told, as a loss that nobody has seen is nobody's; and
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/cancels"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/zones"
@@ -25,6 +26,7 @@
 		Full     bool           // the sender's memory is nearly full
 		Back     unit.Micros    // when the sender last noticed that the state service went back; 0: never
 		Zones    []zones.Status // those that do not serve, as a holder of blocks sees it
+		Known    uint64         // the sender knows every cancellation up to this revision
 	}
 	// BlockStatus tells of a block that the sender holds.
 	BlockStatus struct {
@@ -32,10 +34,12 @@
 		Share uint64  // version of the share that the block goes by
 		Use   float64 // largest part of a limit in use; -1: not known yet
 	}
-	// PeerPromise grants what a status asked for.
+	// PeerPromise grants what a status asked for, and tells which cancellations the other
+	// lacks.
 	PeerPromise struct {
 		Seat uint64
 		Sent unit.Micros
+		Told cancels.Told
 	}
 	// PeerPermitAsk asks for help to give away what a controller's seat held;
 	// PeerPermit grants it.
@@ -141,7 +145,7 @@
 		p.statusAt = c.now + statusEvery
 		s := PeerStatus{StateAge: c.stateAge(), Deaf: c.reach.DeafNow(c.now), Release: release, Full: c.full, Back: c.mirror.Mark()}
 		if c.seats.Valid(c.now) {
-			s.Seat, s.Sent = c.seats.ID(), c.now
+			s.Seat, s.Sent, s.Known = c.seats.ID(), c.now, c.cancels.Known(c.mirror.Rev)
 		}
 		c.hearZones()
 		if len(c.held) > 0 {
@@ -254,7 +258,7 @@
 		c.heardRelease(from, m.Release)
 		c.heardBack(from, v, m.Back)
 		if c.seats.Promise(now, from, m.Seat) {
-			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent}})
+			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent, Told: c.tellCancels(m)}})
 		}
 		if l := c.leader; l != nil {
 			for _, b := range m.Blocks {
@@ -265,6 +269,7 @@
 		}
 	case PeerPromise:
 		c.seats.Promised(now, from, m.Seat, m.Sent)
+		c.toldCancels(from, m)
 	case PeerPermitAsk:
 		// Of no controller: whoever asks waits until its time is over.
 		if (m.Node == c.cfg.Node || c.peers.views[m.Node] != nil) && c.seats.PermitAsked(now, m.Node, m.Seat) {
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -250,13 +250,14 @@
 // release numbers tell what a controller understands. It is stored with its seat
 // and told with its status; those before it told none.
 const (
-	release       = 6
+	release       = 7
 	releaseAwaits = 3 // understands jobs that await others
 	releasePast   = 4 // finds packed jobs
 	releaseParts  = 5 // guards the first part of a description
 	releaseHands  = 5 // takes pictures of blocks that are handed on
 
 	releaseFollows = 6 // follows holders
+	releaseTells   = 7 // takes cancellations from others
 )
 
 // noteMixed keeps for how long all controllers have run certain releases.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -55,7 +55,7 @@
 		r = &late
 	}
 	m.Session, m.Seq, m.LastSeen, m.Lost, m.Addr = r.Session, r.Seq, now, false, r.Addr
-	m.LeaseEnd = now + c.leaseBound()
+	m.LeaseEnd, m.Listed = now+c.leaseBound(), len(r.Tasks)
 	if r.Notice != unit.Never {
 		m.Notice = now + r.Notice
 	} else {
@@ -107,7 +107,7 @@
 		c.reply(req, http.StatusMisdirectedRequest, Redirect{c.holderOf(k)})
 		return nil
 	}
-	if bl.free && len(bl.held) < maxHeld && c.seats.Valid(c.now) {
+	if bl.free && len(bl.held) < maxHeld && c.now < c.ValidUntil() {
 		// In a moment the next holder is known; told to go away, the worker would not
 		// report to it for a second.
 		bl.held = append(bl.held, heldReport{req: req, until: c.now + holdFor})
@@ -287,6 +287,9 @@
 	MaxForgets = 200
 	MaxStops   = 100
 	MaxStarts  = 250
+	// MaxListed bounds the tasks that a machine lists, as a report may not be longer than
+	// 64 KiB either: while nothing can be stored, what has ended there stays listed.
+	MaxListed = 500
 )
 
 func atMost(cmds []fleet.Command, n int) []fleet.Command { return cmds[:min(len(cmds), n)] }
@@ -504,7 +507,7 @@
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if len(out) == MaxStarts || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
 			return false
 		}
 		bl.attempts++
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -66,15 +66,18 @@
 // much earlier.
 const shortFor = 3
 
-// extension is how long promises may carry a seat past its last renewal. A
-// holder that is cut off hears of no cancellation: what it runs must still be
-// gone in time, a worker's lease after its last answer.
+// extension is for how long a holder may answer workers after the time up to which it knows
+// every cancellation: what it runs must still be gone in time, a worker's lease after its
+// last answer.
 func (c *Core) extension() unit.Micros {
 	return max(c.cfg.LeaderTTL, c.cfg.CancelIn-c.leaseBound()-2*unit.Second)
 }
 
-// ValidUntil is when the authority of this node's seat ends, as known at present.
-func (c *Core) ValidUntil() unit.Micros { return c.seats.Until() }
+// ValidUntil is when this node may no longer answer workers, as known at present: the
+// authority of its seat ends, or a cancellation may have been told that it has not heard of.
+func (c *Core) ValidUntil() unit.Micros {
+	return min(c.seats.Until(), c.cancels.AsOf(c.now, c.mirror.AsOf())+unit.Shortest(c.extension()))
+}
 
 // OnLease takes a new lease's outcome.
 func (c *Core) OnLease(now unit.Micros, o store.Outcome, id uint64) {
--- a/internal/core/seats/seats.go
+++ b/internal/core/seats/seats.go
@@ -61,8 +61,9 @@
 	Size    int // controllers, this one included
 	Release int
 	TTL     unit.Micros
-	// Extend is how long the promises of all may carry a seat past its last renewal, and
-	// Short how long those of a majority may.
+	// Short is how long the promises of a majority may carry a seat past its last renewal.
+	// Extend is the time after which a seat whose record is gone is over without anybody's
+	// permit: at least as long as Short, and as any promise binds.
 	Extend, Short unit.Micros
 	Log           *slog.Logger
 }
@@ -179,7 +180,7 @@
 				return
 			}
 			s.id, s.pass, s.renewing, s.renewAt = rev, id, false, sent+s.cfg.TTL/5
-			s.auth = lead.Authority{TTL: s.cfg.TTL, Margin: authorityMargin, Extend: s.cfg.Extend, Short: s.cfg.Short, Peers: s.cfg.Size / 2, All: s.cfg.Size - 1}
+			s.auth = lead.Authority{TTL: s.cfg.TTL, Margin: authorityMargin, Short: s.cfg.Short, Peers: s.cfg.Size / 2, All: s.cfg.Size - 1}
 			s.auth.Renewed(sent)
 			s.cfg.Log.Info("seated", "seat", rev)
 			s.host.Seated()
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -100,6 +100,7 @@
 	leaseFrom unit.Micros // when the last report that got an answer was sent
 	noticeAt  unit.Micros // when the cloud takes the machine, by its word; Never: no notice
 	hungTill  unit.Micros
+	deafTill  unit.Micros
 
 	reportAt   unit.Micros // the next report, unless something changes before
 	changed    bool
@@ -210,6 +211,12 @@
 	w.fetched += still
 }
 
+// Deafen lets no answer and no command reach the worker until a time; its reports arrive.
+func (w *Worker) Deafen(until unit.Micros) { w.deafTill = max(w.deafTill, until) }
+
+// Deaf reports whether nothing reaches the worker.
+func (w *Worker) Deaf(now unit.Micros) bool { return now < w.deafTill }
+
 // Hangs reports whether the machine stands still.
 func (w *Worker) Hangs(now unit.Micros) bool { return now < w.hungTill }
 
@@ -426,7 +433,7 @@
 // while a later report is under way, is nobody's.
 func (w *Worker) Answer(now unit.Micros, number int, a Answer) {
 	w.Advance(now)
-	if w.inFlight != number || number == 0 {
+	if w.inFlight != number || number == 0 || w.Deaf(now) {
 		return
 	}
 	w.inFlight = 0
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"math/rand/v2"
 
 	"shalestage.example/shalestage/internal/core/unit"
@@ -38,7 +39,7 @@
 	switch f.Kind {
 	case scenario.ControllerCrash:
 		for _, n := range w.nodesOf(f.Node) {
-			n.Crash()
+			n.crash(last)
 		}
 	case scenario.ControllerRetire:
 		for _, n := range w.nodesOf(f.Node) {
@@ -76,11 +77,13 @@
 	case scenario.StateLimits:
 		w.State.SetLimits(w.S.State.Fallen(f).KV())
 	case scenario.StateLate:
-		w.late = until
+		w.late, w.lateShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateUnanswered:
 		w.unanswered = until
 	case scenario.StateLose:
 		w.State.Lose(w.now, f.LosePrefix(), max(f.Count, 1))
+	case scenario.LateReports:
+		w.copies.until, w.copies.share = until, f.Share
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
@@ -153,6 +156,18 @@
 	}
 }
 
+// settled draws when a fault comes and how long it lasts, where that is left open.
+func settled(f scenario.Fault, rng *rand.Rand) scenario.Fault {
+	if f.AtToS > f.AtS {
+		f.AtS = span(rng, f.AtS, f.AtToS)
+	}
+	if f.ForToS > f.ForS {
+		f.ForS = span(rng, f.ForS, f.ForToS)
+	}
+	f.AtToS, f.ForToS = 0, 0
+	return f
+}
+
 // Drawn draws faults of every kind that the protocol allows. With pairs, two kinds
 // come together a few times; one seed after another goes through all pairs.
 func Drawn(s *scenario.Scenario, seed uint64, rng *rand.Rand) []scenario.Fault {
@@ -207,6 +222,16 @@
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.DelayMS = scenario.StateSlow, span(rng, 50, 600) },
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.ForS = scenario.StateLate, span(rng, 0.5, 5) },
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.ForS = scenario.StateUnanswered, span(rng, 0.5, 5) },
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.StateLate, span(rng, 0.05, 0.5)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.ForS, f.Node = scenario.ControllerCrash, span(rng, 0.02, 0.1), someNode(rng)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Count = scenario.MachineDeaf, 1+rng.IntN(4)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Share = scenario.LateReports, span(rng, 0.1, 0.6) },
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.CloudDown },
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.NoCapacity },
 	func(f *scenario.Fault, rng *rand.Rand) {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -180,7 +180,7 @@
 func (s *Site) Direct(now unit.Micros, name string, token, session uint64, commands []fleet.Command) (r *fleet.Report, saved map[ledger.TaskID]bool, taken, found bool) {
 	s.Advance(now)
 	k := s.workers[name]
-	if k == nil || k.Hangs(now) {
+	if k == nil || k.Hangs(now) || k.Deaf(now) {
 		return nil, nil, false, false
 	}
 	taken = k.Direct(now, token, session, commands)
@@ -251,6 +251,14 @@
 	}
 }
 
+// Deafen lets no answer and no command reach a machine until a time.
+func (s *Site) Deafen(now unit.Micros, m *rental.Machine, until unit.Micros) {
+	s.Advance(now)
+	if k := s.workers[m.Name]; k != nil {
+		k.Deafen(until)
+	}
+}
+
 // Spoil changes what is wrong with a machine.
 func (s *Site) Spoil(now unit.Micros, m *rental.Machine, f machine.Fault) {
 	s.Advance(now)
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -205,6 +205,10 @@
 		for _, m := range pick() {
 			st.Hang(now, m, until)
 		}
+	case MachineDeaf:
+		for _, m := range pick() {
+			st.Deafen(now, m, until)
+		}
 	case MachineSick:
 		for _, m := range pick() {
 			st.Spoil(now, m, machine.Fault{Speed: m.Speed, Sick: true})
