--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -43,6 +43,7 @@
 	active      map[string]*ledger.Job
 	order       []*ledger.Job // active jobs, by when they could first start
 	within      map[string]bool
+	owed        map[string]int64   // CPU of teams that have waited for long for their part of the guarantees
 	share       map[string]float64 // fair share of one job, by team
 	orderStale  bool
 	usage       map[string]pack.Vec
@@ -262,6 +263,7 @@
 			bl.total = bl.total.Add(m.Type.Capacity)
 		}
 	}
+	c.owe(bl)
 }
 
 // tickBlock does what a holder does as time passes.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -137,12 +137,40 @@
 	if bl.within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
+	if s := j.Spec(); bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
+		t += 2 * (int(ledger.Production) + 1)
+	}
 	return t
 }
 
+// owe finds the teams that are owed room, and how much CPU they may have before all others. Where the machines there are cannot give all teams
+// their guarantees at once, each guarantee counts for its part of them: else what has the
+// highest priority, as long as it is within its own team's guarantee, leaves the other teams
+// nothing at all.
+func (c *Core) owe(bl *block) {
+	bl.owed = map[string]int64{}
+	var guaranteed int64
+	for _, t := range c.cfg.Teams {
+		guaranteed += t.Guarantee[pack.CPU]
+	}
+	room := bl.total[pack.CPU]
+	if guaranteed <= room {
+		return
+	}
+	for _, j := range bl.order {
+		s := j.Spec()
+		if t := c.teams[s.Team]; t != nil && j.Ready() > 0 && !j.FailsEverywhere() && c.wall-j.Since > preemptAfter {
+			bl.owed[s.Team] = int64(float64(t.Guarantee[pack.CPU]) * float64(room) / float64(guaranteed))
+		}
+	}
+}
+
 // mayStop reports whether a task of victim may be stopped for a task of j.
 func (c *Core) mayStop(bl *block, j, victim *ledger.Job) bool {
 	s, v := j.Spec(), victim.Spec()
+	if s.Team != v.Team && bl.usage[v.Team][pack.CPU] <= bl.owed[v.Team] {
+		return false
+	}
 	if victim.Aims.Priority < j.Aims.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
 		return true
 	}
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -43,8 +43,12 @@
 var Rules = []string{RanTwice, Quota, WrongPlace, RanCancelled, Forgotten, Invented, NotDone, WentBack, NothingRan, TooEarly,
 	Orphaned, Lost, TwoHolders, TooLarge}
 
-// pollsFail is for how long every poll for a job may fail while most others do not.
-const pollsFail = 90 * unit.Second
+const (
+	// pollsFail is for how long every poll for a job may fail while most others do not.
+	pollsFail = 90 * unit.Second
+	// pollsFailCalm is for how long once all troubles are over, however the others fare.
+	pollsFailCalm = 75 * unit.Second
+)
 
 // Team is a team's limit; 0 means none.
 type Team struct {
@@ -83,6 +87,7 @@
 	toldOff   unit.Micros   // when its user was told that it is cancelled; 0: never
 	final     ledger.Status // as told
 	finalAt   unit.Micros
+	began     unit.Micros // when a task was first on a machine; 0: none was
 	done      ledger.Set
 	on        map[int]Machine // tasks that are on a machine; nil while none is, as a long play has many jobs
 	zones     map[string]int  // how many of them by zone
@@ -105,6 +110,7 @@
 	polls   int
 	polled  int // answered
 	starts  int
+	calm    unit.Micros // when all troubles are over; Never: not known
 	broken  []Break
 	said    map[string]bool
 	history []line
@@ -124,7 +130,7 @@
 
 // New returns a checker that has seen nothing.
 func New(cfg Config) *Checker {
-	c := &Checker{cfg: cfg, limits: map[string]pack.Vec{}, jobs: map[string]*job{}, use: map[string]pack.Vec{}, said: map[string]bool{}, sum: sha256.New()}
+	c := &Checker{cfg: cfg, limits: map[string]pack.Vec{}, jobs: map[string]*job{}, use: map[string]pack.Vec{}, said: map[string]bool{}, sum: sha256.New(), calm: unit.Never}
 	for _, t := range cfg.Teams {
 		c.limits[t.Name] = t.Limit
 	}
@@ -156,6 +162,17 @@
 // Broken returns the broken rules so far.
 func (c *Checker) Broken() []Break { return c.broken }
 
+// Calm says when all troubles are over.
+func (c *Checker) Calm(at unit.Micros) { c.calm = at }
+
+// FirstBegan returns when a task of a job was first on a machine, 0 if none was.
+func (c *Checker) FirstBegan(id string) unit.Micros {
+	if j := c.jobs[id]; j != nil {
+		return j.began
+	}
+	return 0
+}
+
 // Running returns how many tasks of a job are on machines.
 func (c *Checker) Running(id string) int {
 	if j := c.jobs[id]; j != nil {
@@ -313,6 +330,9 @@
 		if at-j.lostSince > pollsFail && j.pollsLost > 2 && 2*ok > all {
 			c.breaks(at, Forgotten, j, "", "every poll for %s has failed since %.1f", id, j.lostSince.Seconds())
 		}
+		if since := max(j.lostSince, c.calm); at-since > pollsFailCalm {
+			c.breaks(at, Forgotten, j, "", "no question about %s was answered since %.1f, and all troubles are over", id, since.Seconds())
+		}
 	}
 }
 
@@ -432,6 +452,9 @@
 	if off, _ := c.off(j, nil); off > 0 && at > off+c.cfg.CancelIn {
 		c.breaks(at, RanCancelled, j, m.Name, "%s begins on %s, and its cancellation was told at %.1f", id, m.Name, off.Seconds())
 	}
+	if j.began == 0 {
+		j.began = at
+	}
 	if j.on == nil {
 		j.on, j.zones = map[int]Machine{}, map[string]int{}
 	}
--- a/internal/emulator/sim/broken_test.go
+++ b/internal/emulator/sim/broken_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+// TestForgottenHoweverOthersFare has polls answered by nobody: while troubles go on, that may
+// be an outage's; once all are over it is not, though every job fares alike.
+func TestForgottenHoweverOthersFare(t *testing.T) {
+	for _, c := range []struct {
+		outage float64
+		want   bool
+	}{{1, true}, {240, false}} {
+		sc := deployment(3, 0)
+		sc.Faults = []scenario.Fault{{Kind: scenario.StateOutage, AtS: 20, ForS: c.outage}}
+		w := New(sc, Options{Seed: 1, Break: Broken{Answer: func(e user.Call) *core.Reply {
+			if e.Kind == user.Poll {
+				return &core.Reply{Code: http.StatusServiceUnavailable}
+			}
+			return nil
+		}}})
+		w.submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 2, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Image: "i", Estimate: 10 * second}, 10*second, 0)
+		w.Run(230 * second)
+		if got := slices.ContainsFunc(w.Check.Broken(), func(b check.Break) bool { return b.Rule == check.Forgotten }); got != c.want {
+			t.Errorf("outage of %g s: forgotten %v, want %v", c.outage, got, c.want)
+		}
+	}
+}
+
 // TestOneSeedOneHistory plays a scenario with faults of every kind twice: the
 // histories are equal to the byte, and differ from another seed's.
 func TestOneSeedOneHistory(t *testing.T) {
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -168,6 +168,15 @@
 	return f
 }
 
+// calm is when all troubles are over. What is done late by them has had its time, too.
+func calm(faults []scenario.Fault) unit.Micros {
+	last := 0.0
+	for _, f := range faults {
+		last = max(last, f.AtS+f.ForS)
+	}
+	return unit.Seconds(last) + 60*unit.Second
+}
+
 // Drawn draws faults of every kind that the protocol allows. With pairs, two kinds
 // come together a few times; one seed after another goes through all pairs.
 func Drawn(s *scenario.Scenario, seed uint64, rng *rand.Rand) []scenario.Fault {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -124,6 +124,7 @@
 		w.Faults = append(w.Faults, Drawn(s, seed, draws)...)
 		w.noise = true
 	}
+	w.Check.Calm(calm(w.Faults))
 	for _, f := range w.Faults {
 		w.after(unit.Seconds(f.AtS), func() { w.Fault(f) })
 	}
@@ -440,7 +441,7 @@
 	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
 	r.Jobs = len(w.Crowd.Jobs())
 	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
-	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions()))
+	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions(), w.Check.FirstBegan))
 	return r
 }
 
--- a/internal/emulator/user/tell.go
+++ b/internal/emulator/user/tell.go
@@ -1,10 +1,12 @@
 package user
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
 )
@@ -53,10 +55,24 @@
 // Share is the part of the jobs that got it.
 func (s Served) Share() float64 { return float64(s.Good) / float64(max(s.Of, 1)) }
 
+const (
+	// One in so many of a class's jobs is among its largest.
+	largest = 5
+	// beginWithin is how soon one of these should begin.
+	beginWithin = 240 * unit.Second
+)
+
+// amount is how much work a job is.
+func amount(j *Job) float64 {
+	return float64(j.Spec.Tasks) * float64(j.Spec.Demand[pack.CPU]) * j.Run.Seconds()
+}
+
 // Floor counts, by class and by team, the accepted arrays that nobody cancelled, and of
 // them those that are done; and of those with a deadline, those whose users were told so by
-// then, or at their first poll after it.
-func Floor(jobs []*Job, opt Options) []Served {
+// then, or at their first poll after it. Of each class's largest jobs, a fifth of them, it
+// counts those that began soon enough; began tells when a job's first task was on a machine,
+// 0 if none was.
+func Floor(jobs []*Job, opt Options, began func(id string) unit.Micros) []Served {
 	all := map[string]*Served{}
 	count := func(what string, good bool) {
 		s := all[what]
@@ -69,11 +85,13 @@
 			s.Good++
 		}
 	}
+	classes := map[string][]*Job{}
 	for _, j := range jobs {
 		if !j.Accepted || j.Spec.Service || j.CancelAfter > 0 || j.Final == ledger.Cancelled || j.Broken {
 			continue
 		}
 		done := j.Final == ledger.Done
+		classes[j.Spec.Class] = append(classes[j.Spec.Class], j)
 		for _, who := range []string{"class " + j.Spec.Class, "team " + j.Spec.Team} {
 			count(who+" done", done)
 			if j.Spec.Deadline > 0 {
@@ -81,6 +99,13 @@
 			}
 		}
 	}
+	for class, of := range classes {
+		slices.SortStableFunc(of, func(a, b *Job) int { return cmp.Compare(amount(b), amount(a)) })
+		for _, j := range of[:len(of)/largest] {
+			at := began(j.ID)
+			count("class "+class+" largest begun", at > 0 && at-j.At <= beginWithin)
+		}
+	}
 	var out []Served
 	for _, what := range slices.Sorted(maps.Keys(all)) {
 		out = append(out, *all[what])
--- a/internal/emulator/user/user_test.go
+++ b/internal/emulator/user/user_test.go
@@ -1,6 +1,7 @@
 package user
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/balance"
 	"shalestage.example/shalestage/internal/emulator/work"
@@ -130,3 +132,21 @@
 		t.Errorf("chosen: %d after the pause", got)
 	}
 }
+
+// TestFloor counts of a class's largest jobs those that began within four minutes.
+func TestFloor(t *testing.T) {
+	var jobs []*Job
+	for i := range 10 {
+		jobs = append(jobs, &Job{Job: &work.Job{ID: fmt.Sprint("j", i), Run: unit.Second, Spec: &ledger.Spec{Class: "c", Team: "t", Tasks: i + 1, Demand: pack.Vec{1000, 0, 0}}}, At: unit.Second, Accepted: true, Final: ledger.Done})
+	}
+	began := map[string]unit.Micros{"j9": 242 * unit.Second, "j8": 200 * unit.Second, "j0": 2 * unit.Second}
+	for _, s := range Floor(jobs, Options{}, func(id string) unit.Micros { return began[id] }) {
+		if s.What == "class c largest begun" {
+			if s.Good != 1 || s.Of != 2 {
+				t.Errorf("%d of %d", s.Good, s.Of)
+			}
+			return
+		}
+	}
+	t.Error("the largest jobs are not counted")
+}
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -429,6 +429,13 @@
 	return d.checker.Broken(), d.checker.Starts()
 }
 
+// FirstBegan returns when a task of a job was first on a machine, 0 if none was.
+func (d *Deployment) FirstBegan(id string) unit.Micros {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.checker.FirstBegan(id)
+}
+
 // Restarts returns how often each controller was started beyond the first time.
 func (d *Deployment) Restarts() int {
 	n := 0
