--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -218,7 +218,7 @@
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
-	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Log: cfg.Log}, copied{c})
+	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log}, standing{c})
 	c.memory = recall.New(recallBytes)
--- a/internal/core/mirror/mirror.go
+++ b/internal/core/mirror/mirror.go
@@ -56,7 +56,10 @@
 	Size     int     // controllers that share the budget
 	Rate     float64 // requests a second
 	NextRate float64 // once the service has refused something as too much; 0: the same
-	Log      *slog.Logger
+	// Fresh is how old the copy may become before it is read though the service answers
+	// other requests: a watch may hang, and shows what it brings as of when it was sent.
+	Fresh unit.Micros
+	Log   *slog.Logger
 }
 
 const (
@@ -67,9 +70,6 @@
 	// Heartbeat is how often the service is asked at least, so that every controller
 	// knows, and can tell its peers, whether it is served.
 	Heartbeat = 400 * unit.Second / 1000
-	// freshFor is how old the copy may become before it is read, though the service answers
-	// other requests: a watch may hang, and shows what it brings as of when it was sent.
-	freshFor = 2 * unit.Second
 	// retry is the pause after a listing or a watch that was not served, retryRead that
 	// after a read.
 	retry     = unit.Second / 2
@@ -196,7 +196,7 @@
 
 // ask sends the listing and the watch that are due.
 func (m *Mirror) ask() {
-	if m.loaded && (m.now-m.lastOK > Heartbeat || m.now-m.asOf > freshFor) {
+	if m.loaded && (m.now-m.lastOK > Heartbeat || m.now-m.asOf > m.cfg.Fresh) {
 		m.want = true
 	}
 	if !m.loaded && !m.listing && m.now >= m.retryAt {
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/mirror/mirror_test.go
@@ -72,7 +72,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := &service{rev: 5, keys: map[string]store.Event{}}
 		r := &reader{has: map[string]string{}}
-		r.m = New(Config{Size: 1, Rate: 100}, r)
+		r.m = New(Config{Size: 1, Rate: 100, Fresh: 2 * unit.Second}, r)
 		now := unit.Second
 		back := rapid.Bool().Draw(t, "goes_back")
 		var old *service // the service as it was some time ago
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -66,6 +66,9 @@
 // much earlier.
 const shortFor = 3
 
+// freshFor is how old the copy of the state service's keys may become before it is read.
+const freshFor = 2 * unit.Second
+
 // extension is for how long a holder may answer workers after the time up to which it knows
 // every cancellation: what it runs must still be gone in time, a worker's lease after its
 // last answer.
