Troubles that are drawn by their meeting

A rehearsal with draw.meet draws the first trouble by the clock, and each other at an event that follows from those before it: a little before, at or after it, some ending at one as well. An unknown event is refused with the list of those there are.

TestOldReportsTaken plants a mistake: each report is taken for the newest. It found nothing at first, as the planted program saw a report when it was sent and not when it arrived; models and programs are apart now, and the first plays break a rule.

--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -110,6 +112,9 @@
 			return unusable(err)
 		}
 	}
+	if !o.JSON {
+		printMet(list)
+	}
 	broken := 0
 	for i, v := range list {
 		if v.Kept {
@@ -132,6 +137,42 @@
 	return nil
 }
 
+// printMet tells which kinds of trouble began at which events, and which never did.
+func printMet(list []rehearse.Verdict) {
+	count, of := map[string]map[string]int{}, 0
+	for _, v := range list {
+		for _, m := range v.Met {
+			if count[m.Kind] == nil {
+				count[m.Kind] = map[string]int{}
+			}
+			count[m.Kind][m.Event]++
+			of++
+		}
+	}
+	if of == 0 {
+		return
+	}
+	t := table.NewWriter()
+	head := table.Row{"begins at"}
+	for _, e := range scenario.Events {
+		head = append(head, strings.ReplaceAll(e, "_", " "))
+	}
+	t.AppendHeader(head)
+	never := 0
+	for _, k := range slices.Sorted(maps.Keys(count)) {
+		row := table.Row{k}
+		for _, e := range scenario.Events {
+			row = append(row, count[k][e])
+			if count[k][e] == 0 {
+				never++
+			}
+		}
+		t.AppendRow(row)
+	}
+	fmt.Println(t.Render())
+	fmt.Printf("%d meetings; %d of these pairs never met\n", of, never)
+}
+
 // print tells a verdict in a line, and what was broken in more.
 func (o *rehearseCmd) print(v rehearse.Verdict) {
 	word := "kept  "
--- /dev/null
+++ b/internal/emulator/sim/events.go
@@ -0,0 +1,66 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/emulator/kv"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// happened tells whoever draws meetings that something has happened.
+func (w *World) happened(event string) {
+	if w.opt.Event != nil {
+		w.opt.Event(w.now, event)
+	}
+}
+
+// sending notes what a controller is about to send.
+func (w *World) sending(e core.Effect) {
+	if w.opt.Event == nil {
+		return
+	}
+	switch e := e.(type) {
+	case core.Reply:
+		if o, ok := e.Body.(core.Orders); ok {
+			for _, c := range o.Commands {
+				if c.Op == fleet.Start {
+					w.happened(scenario.StartSent)
+					return
+				}
+			}
+		}
+	case core.SendPeer:
+		if _, ok := e.Message.(core.PeerPicture); ok {
+			w.happened(scenario.PictureSent)
+		}
+	case core.List:
+		w.happened(scenario.ListingSent)
+	case core.Contact:
+		w.happened(scenario.TokenShown)
+	}
+}
+
+// stored notes what a transaction has stored.
+func (w *World) stored(t kv.Txn) {
+	if w.opt.Event == nil {
+		return
+	}
+	for _, c := range t.Changes {
+		switch {
+		case strings.HasPrefix(c.Key, "shalestage/block/"):
+			w.happened(scenario.GrantStored)
+		case strings.HasPrefix(c.Key, "shalestage/progress/") && c.Value != nil:
+			w.happened(scenario.EndStored)
+		case strings.HasPrefix(c.Key, "shalestage/follow/"):
+			w.happened(scenario.FollowerStored)
+		}
+	}
+}
+
+// DrawFault draws a fault of any kind that comes at a time.
+func DrawFault(rng *rand.Rand, atS float64) scenario.Fault {
+	return draw(rng.IntN(len(shapes)), atS, rng)
+}
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -237,6 +237,7 @@
 
 func (n *Node) effect(e core.Effect) {
 	w, life := n.w, n.life
+	w.sending(e)
 	switch e := e.(type) {
 	case core.Reply:
 		if f := n.asked[e.Req]; f != nil {
@@ -284,6 +285,9 @@
 		}, func(o store.Outcome, _ int) { n.back(life, func() { n.core.OnLease(n.local(), o, id) }) })
 	case core.RenewLease:
 		n.call(callWait, true, func() int { return w.State.Renew(w.now, n.Name, e.ID) }, func(o store.Outcome, _ int) {
+			if o != store.OK {
+				w.happened(scenario.RenewalFailed)
+			}
 			n.back(life, func() { n.core.OnRenew(n.local(), e.ID, o) })
 		})
 	case core.CloseLease:
@@ -484,6 +488,9 @@
 		if res.Code == http.StatusBadRequest && !res.NoLease {
 			w.Check.Break(w.now, check.TooLarge, "%d changes, %d guards, first %s", len(t.Changes), len(t.Guards), t.Changes[0].Key)
 		}
+		if res.Code == http.StatusOK {
+			w.stored(t)
+		}
 		return res.Code
 	}
 	done := func(o store.Outcome, code int) {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"strings"
 
 	"shalestage.example/shalestage/internal/config"
@@ -41,6 +43,8 @@
 	Break Broken
 	// Log returns a controller's log; nil: none.
 	Log func(node string, now func() unit.Micros) *slog.Logger
+	// Event, if set, is told of scenario.Events.
+	Event func(at unit.Micros, event string)
 	// Census, if set, is told what there is, again and again.
 	Census      func(Census)
 	CensusEvery unit.Micros
@@ -211,6 +215,9 @@
 			}
 		case site.Ended:
 			w.Check.Ended(w.now, machineOf(e.Machine), e.Task, e.Completed)
+			if e.Completed {
+				w.happened(scenario.TaskDone)
+			}
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
 			}
@@ -224,8 +231,15 @@
 // report brings a worker's report to a controller and its answer back.
 func (w *World) report(e site.Send) {
 	n := w.node(e.Node)
-	if w.opt.Break.Report != nil {
-		w.opt.Break.Report(e.Body)
+	arrives := func(req core.ReqID) {
+		body := e.Body
+		if f := w.opt.Break.Report; f != nil {
+			seen := *body
+			seen.Tasks = slices.Clone(seen.Tasks)
+			f(&seen)
+			body = &seen
+		}
+		n.core.Report(n.local(), req, body)
 	}
 	zone := scenario.ZoneParty(e.Body.Zone)
 	failed := func() {
@@ -235,7 +249,7 @@
 	lost := w.noise && w.chance(0.003)
 	if w.now < w.copies.until && w.chance(w.copies.share) {
 		w.after(w.span(2, 3*w.S.Workers.LeaseS), func() {
-			n.ask(func(req core.ReqID) { n.core.Report(n.local(), req, e.Body) }, 0, func(core.Reply) {})
+			n.ask(arrives, 0, func(core.Reply) {})
 		})
 	}
 	w.net.request(zone, n.Name, machine.AnswerWithin, func(answer func(func())) {
@@ -244,10 +258,10 @@
 			return
 		}
 		if w.noise && w.chance(0.005) { // it comes late, when nobody waits
-			w.after(w.span(1, 90), func() { n.ask(func(req core.ReqID) { n.core.Report(n.local(), req, e.Body) }, 0, func(core.Reply) {}) })
+			w.after(w.span(1, 90), func() { n.ask(arrives, 0, func(core.Reply) {}) })
 			return
 		}
-		n.ask(func(req core.ReqID) { n.core.Report(n.local(), req, e.Body) }, 4*second, func(r core.Reply) {
+		n.ask(arrives, 4*second, func(r core.Reply) {
 			if lost {
 				return
 			}
@@ -288,6 +302,9 @@
 			w.call(call, nil)
 		} else {
 			user.Tell(w.Check, w.now, e)
+			if t, ok := e.(user.Told); ok && t.Kind == user.Cancel && t.Code == http.StatusOK {
+				w.happened(scenario.CancelTold)
+			}
 			w.meter(e)
 		}
 	}
--- /dev/null
+++ b/internal/rehearse/meet_test.go
@@ -0,0 +1,67 @@
+package rehearse
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/sim"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// TestMeet draws troubles by their meeting: one seed draws the same ones, and each begins close
+// to an event of the kind that is told, which the play with those before it shows.
+func TestMeet(t *testing.T) {
+	s, err := scenario.Load("../../rehearsals/drawn-meet.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for seed := uint64(1); seed <= 4; seed++ {
+		fixed, met := Meet(s, sim.Options{Seed: seed})
+		again, _ := Meet(s, sim.Options{Seed: seed})
+		if !reflect.DeepEqual(fixed.Faults, again.Faults) || len(met) != len(fixed.Faults)-1 || fixed.Draw.Meet != 0 {
+			t.Fatalf("seed %d: %v and %v; met %v", seed, fixed.Faults, again.Faults, met)
+		}
+		for i, m := range met {
+			before := *fixed
+			before.Faults = fixed.Faults[:i+1]
+			at := fixed.Faults[i+1].AtS
+			var moments []float64
+			w := sim.New(&before, sim.Options{Seed: seed, Noise: true, Event: func(at unit.Micros, event string) {
+				if event == m.Event {
+					moments = append(moments, at.Seconds())
+				}
+			}})
+			w.Run(unit.Seconds(at + 1))
+			if !slices.ContainsFunc(moments, func(x float64) bool { return x > at-offBy-0.002 && x < at+offBy+0.002 }) {
+				t.Errorf("seed %d: %s at %g, and there is no %s near", seed, m.Kind, at, m.Event)
+			}
+			seen[m.Kind+m.Event] = true
+		}
+	}
+	if len(seen) < 5 {
+		t.Errorf("only %d different meetings", len(seen))
+	}
+}
+
+// TestOldReportsTaken has every report taken for the newest: the plays must notice that.
+func TestOldReportsTaken(t *testing.T) {
+	s, err := scenario.Load("../../rehearsals/meet-old-reports.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := uint64(1); seed <= 10; seed++ {
+		n := uint64(0)
+		v := Play("meet-old-reports.toml", s, sim.Options{Seed: seed, Break: sim.Broken{Report: func(r *fleet.Report) {
+			n++
+			r.Session, r.Seq = 1, n
+		}}})
+		if len(v.Broken) > 0 {
+			return
+		}
+	}
+	t.Error("ten plays in which old reports are taken for new break nothing")
+}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -35,6 +35,7 @@
 	Money  float64          `json:"money"`
 	Took   float64          `json:"took_s"` // of real time
 	Faults []scenario.Fault `json:"faults,omitempty"`
+	Met    []Met            `json:"met,omitempty"` // of troubles that are drawn by their meeting
 	// Account says where the money went, if that was asked for.
 	Account []account.Row `json:"account,omitempty"`
 }
@@ -59,6 +60,11 @@
 // Play plays a scenario in simulated time.
 func Play(file string, s *scenario.Scenario, opt sim.Options) Verdict {
 	began := time.Now()
+	var met []Met
+	if s.Draw.Meet > 0 {
+		s, met = Meet(s, opt)
+		opt.Noise = true
+	}
 	w := sim.New(s, opt)
 	r := w.Play()
 	seed := opt.Seed
@@ -67,7 +73,7 @@
 	}
 	v := Verdict{File: file, Name: s.Name, Seed: seed, Kept: len(r.Broken) == 0 && len(r.Missed) == 0, Broken: Breaks(r.Broken), Missed: r.Missed,
 		Digest: r.Digest, Jobs: r.Jobs, Over: r.Over, Starts: r.Starts, Wait: r.MaxWait.Seconds(), Money: r.Money,
-		Took: time.Since(began).Seconds(), Faults: r.Faults}
+		Took: time.Since(began).Seconds(), Faults: r.Faults, Met: met}
 	if opt.Account != nil {
 		v.Account = opt.Account.Rows()
 	}
--- /dev/null
+++ b/internal/scenario/event.go
@@ -0,0 +1,42 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Events at which a second trouble may begin, while a first one goes on.
+const (
+	CancelTold     = "cancel_told"     // a user is told that a job is cancelled
+	GrantStored    = "grant_stored"    // a block is granted or released
+	FollowerStored = "follower_stored" // who follows a holder
+	EndStored      = "end_stored"      // tasks are stored as done
+	TaskDone       = "task_done"       // a task completes; that is not stored yet
+	StartSent      = "start_sent"      // an answer with a start goes out
+	PictureSent    = "picture_sent"    // a holder hands on a part of its picture
+	ListingSent    = "listing_sent"    // a controller reads a page of all keys
+	TokenShown     = "token_shown"     // a new holder shows its token to a machine
+	RenewalFailed  = "renewal_failed"  // a lease is not renewed, and about to end
+)
+
+// Events lists them.
+var Events = []string{CancelTold, GrantStored, FollowerStored, EndStored, TaskDone, StartSent, PictureSent, ListingSent, TokenShown, RenewalFailed}
+
+// events checks what is drawn by meeting.
+func (c *checker) events(d Draw) {
+	c.within("draw.meet", float64(d.Meet), 0, 5)
+	if d.Meet > 0 && d.ToS <= d.FromS {
+		c.fail("draw.to_s", "want more than from_s, %g: the first trouble comes between the two", d.FromS)
+	}
+	if d.Meet == 0 && len(d.Events) > 0 {
+		c.fail("draw.events", "nothing is drawn by meeting: draw.meet is missing")
+	}
+	if d.Meet > 0 && d.Pairs {
+		c.fail("draw.pairs", "want either pairs or meet")
+	}
+	for i, e := range d.Events {
+		if !slices.Contains(Events, e) {
+			c.fail(fmt.Sprintf("draw.events[%d]", i), "there is no event %q, but %v", e, Events)
+		}
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -180,6 +180,10 @@
 	ToS   float64 `toml:"to_s"` // 0: none are drawn
 	GapS  float64 `toml:"gap_s"`
 	Pairs bool    `toml:"pairs"` // instead, two kinds at once, a few times: the seed says which
+	// Meet is how many troubles are drawn by their meeting instead: the first between FromS and
+	// ToS, each other at one of Events (none: any) that follows from those before it.
+	Meet   int      `toml:"meet"`
+	Events []string `toml:"events"`
 }
 
 // Expect says what must hold beside the rules.
@@ -416,6 +420,7 @@
 	c.within("draw.from_s", s.Draw.FromS, 0, 1e6)
 	c.within("draw.to_s", s.Draw.ToS, 0, 1e6)
 	c.within("draw.gap_s", s.Draw.GapS, 0, 1e6)
+	c.events(s.Draw)
 	if _, err := s.tuning(); err != nil {
 		c.fail("tuning", "%s", strings.TrimPrefix(err.Error(), "tuning."))
 	}
