--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -34,7 +34,7 @@
 		"fault without time":  {whole("[[fault]]\nkind = \"state_outage\"\n"), lines, 3, "for_s: missing, state_outage needs it"},
 		"no such controller":  {whole("[[fault]]\nkind = \"cut\"\nfor_s = 1\nbetween = [\"node-7\", \"state\"]\n"), lines + 3, 1, "want a controller"},
 		"no such zone":        {whole("[[fault]]\nkind = \"zone_apart\"\nfor_s = 1\nzone = \"east\"\n"), lines + 3, 1, "none of controllers.zones"},
-		"no such event":       {whole("[draw]\nfrom_s = 1\nto_s = 9\nmeet = 2\nevents = [\"task_done\", \"rain\"]\n"), 0, 1, "no event \"rain\", but [cancel_told grant_stored"},
+		"no such event":       {whole("[draw]\nfrom_s = 1\nto_s = 9\nmeet = 2\nevents = [\"task_done\", \"rain\"]\n"), lines + 4, 25, "no event \"rain\", but [cancel_told grant_stored"},
 		"nothing meets":       {whole("[draw]\nto_s = 9\nevents = [\"task_done\"]\n"), lines + 2, 1, "draw.meet is missing"},
 		"ends before":         {whole("[[fault]]\nat_s = 5\nat_to_s = 4\nkind = \"controller_crash\"\n"), lines + 2, 1, "want at least at_s, 5, got 4"},
 		"capacity of nothing": {whole("[[capacity]]\ntype = \"huge\"\nzone = \"north\"\ncount = 1\n"), lines + 1, 1, "there is no machine type"},
