--- a/internal/core/seats/seats.go
+++ b/internal/core/seats/seats.go
@@ -62,8 +62,8 @@
 	Release int
 	TTL     unit.Micros
 	// Short is how long the promises of a majority may carry a seat past its last renewal.
-	// Extend is the time after which a seat whose record is gone is over without anybody's
-	// permit: at least as long as Short, and as any promise binds.
+	// Extend is the time after which a seat that is older or newer than what is known here is
+	// taken for over without the others' permits: at least as long as Short.
 	Extend, Short unit.Micros
 	Log           *slog.Logger
 }
--- a/internal/explore/cancelling/cancelling.go
+++ b/internal/explore/cancelling/cancelling.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -327,18 +328,9 @@
 		}
 		w.Do(m)
 		out = append(out, fmt.Sprintf("%4.0f s  %-50s stored: %v; a knows %v, answers for %.1f s", (w.now-begins).Seconds(), text, w.stored,
-			keys(w.nodes[0].knows), cmp.Or(max(0, w.answersUntil()-w.local(0)).Seconds(), 0)))
+			slices.Sorted(maps.Keys(w.nodes[0].knows)), cmp.Or(max(0, w.answersUntil()-w.local(0)).Seconds(), 0)))
 	}
 	return out
 }
 
-func keys(m map[uint64]bool) []uint64 {
-	var out []uint64
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 var _ explore.World[Move] = (*World)(nil)
