A word on cancellations counts only for the process that asked

A promise that was held up may reach the controller's next process. Its promise was held against the seat, but what it told of cancellations was not: the time at which the process before had asked, by that one's clock, could count as a time at which this one knew all, later than it was. Clocks begin anew with each process.

Change: when it was asked counts only for this process's own seat; the list, which is true in any case, still stops tasks. TestToldCancellations fails without it.

--- a/internal/core/cancelling.go
+++ b/internal/core/cancelling.go
@@ -21,14 +21,17 @@
 	return c.cancels.Tell(c.now, m.Known, c.mirror.Begun(), c.mirror.Rev, c.mirror.Loaded() && !c.mirror.Recovering())
 }
 
-// toldCancels takes what another controller has told.
+// toldCancels takes what another controller has told. When it was asked counts only where this
+// process has asked: a seat is one process's, and clocks begin anew with each.
 func (c *Core) toldCancels(from string, m PeerPromise) {
 	for _, e := range m.Told.List {
 		if !c.toldCancel(from, e) {
 			return // what is not understood is not known either
 		}
 	}
-	c.cancels.Take(c.now, from, m.Sent, m.Told, c.mirror.Rev)
+	if m.Seat != 0 && m.Seat == c.seats.ID() {
+		c.cancels.Take(c.now, from, m.Sent, m.Told, c.mirror.Rev)
+	}
 }
 
 // toldCancel takes a stored cancellation by another controller's word, and reports whether it
--- a/internal/core/cancelling_test.go
+++ b/internal/core/cancelling_test.go
@@ -28,8 +28,9 @@
 		jobPrefix + "wk-000003": ledger.Record{Status: ledger.Done, Tasks: 1},
 	})
 	bl := c.held[0]
+	seat := c.seats.ID()
 	tell := func(list ...store.Event) {
-		c.toldCancels("b", PeerPromise{Sent: c.now, Told: cancels.Told{Since: c.mirror.Rev, Upto: 190, Whole: true, List: list}})
+		c.toldCancels("b", PeerPromise{Seat: seat, Sent: c.now, Told: cancels.Told{Since: c.mirror.Rev, Upto: 190, Whole: true, List: list}})
 	}
 	for _, e := range []store.Event{{}, {Key: jobPrefix + "wk-000001", Value: json.RawMessage(`{"status"`), Stamp: 150}, cancelled("../x", 150),
 		cancelled("wk-000001", 0), {Key: machPrefix + "r-1", Value: cancelled("wk-000001", 150).Value, Stamp: 150}} {
@@ -38,6 +39,13 @@
 			t.Fatalf("%+v is taken for a cancellation", e)
 		}
 	}
+	// A word that was held up, for this controller's process before: its time is that one's.
+	for _, seat = range []uint64{0, seat + 1} {
+		if tell(); c.cancels.Known(c.mirror.Rev) != c.mirror.Rev {
+			t.Fatal("what another process has asked for counts")
+		}
+	}
+	seat = c.seats.ID()
 	tell(cancelled("wk-000003", 150), cancelled("wk-000002", 160), cancelled("wk-000004", 170))
 	if c.jobs["wk-000003"].Record.Status != ledger.Done || c.jobs["wk-000002"].Active() || c.cancels.Known(c.mirror.Rev) != 190 {
 		t.Fatal("the done job is not done, or the other not cancelled")
