Rehearsals can expect events: a fault combination that did not come about is told

A rehearsal that ends well because its faults never met proves nothing. [expect] events = { NAME = N } counts events in simulated time and says which happened too seldom; unknown names are refused with line and list.

--- a/internal/emulator/sim/events.go
+++ b/internal/emulator/sim/events.go
@@ -10,8 +10,9 @@
 	"shalestage.example/shalestage/internal/scenario"
 )
 
-// happened tells whoever draws meetings that something has happened.
+// happened counts an event, and tells whoever draws faults by their events of it.
 func (w *World) happened(event string) {
+	w.eventCounts[event]++
 	if w.opt.Event != nil {
 		w.opt.Event(w.now, event)
 	}
@@ -19,9 +20,6 @@
 
 // sending notes what a controller is about to send.
 func (w *World) sending(e core.Effect) {
-	if w.opt.Event == nil {
-		return
-	}
 	switch e := e.(type) {
 	case core.Reply:
 		if o, ok := e.Body.(core.Orders); ok {
@@ -45,9 +43,6 @@
 
 // stored notes what a transaction has stored.
 func (w *World) stored(t kv.Txn) {
-	if w.opt.Event == nil {
-		return
-	}
 	for _, c := range t.Changes {
 		switch {
 		case strings.HasPrefix(c.Key, "shalestage/block/"):
@@ -60,6 +55,9 @@
 	}
 }
 
+// EventCount returns how often an event has happened so far.
+func (w *World) EventCount(event string) int { return w.eventCounts[event] }
+
 // DrawFault draws a fault of any kind that comes at a time.
 func DrawFault(rng *rand.Rand, atS float64) scenario.Fault {
 	return draw(rng.IntN(len(shapes)), atS, rng)
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -95,14 +95,15 @@
 		until unit.Micros
 		share float64
 	}
-	zoneCut map[string]unit.Micros // until when zones are cut off
+	zoneCut     map[string]unit.Micros // until when zones are cut off
+	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
 }
 
 // New returns a world in which nothing has happened yet.
 func New(s *scenario.Scenario, opt Options) *World {
 	seed := cmp.Or(opt.Seed, s.Seed)
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
-	w := &World{zoneCut: map[string]unit.Micros{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
+	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
 		Crowd: user.New(s.UserOptions(), stream(14)),
 		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}}
 	w.net = network{w: w, ways: map[way]trouble{}}
@@ -459,6 +460,7 @@
 	r.Jobs = len(w.Crowd.Jobs())
 	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
 	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions(), w.Check.FirstBegan))
+	r.Missed = append(r.Missed, w.S.Expect.MissedEvents(w.EventCount)...)
 	return r
 }
 
--- a/internal/rehearse/meet_test.go
+++ b/internal/rehearse/meet_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -47,6 +48,19 @@
 	}
 }
 
+// TestExpectedEvents expects events of a play: those that happen too seldom are told.
+func TestExpectedEvents(t *testing.T) {
+	s, err := scenario.Load("../../rehearsals/base.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Expect.Events = map[string]int{scenario.CancelTold: 2, scenario.StartSent: 100_000}
+	v := Play("base.toml", s, sim.Options{Seed: 1})
+	if v.Kept || len(v.Missed) != 1 || !strings.Contains(v.Missed[0], "events.start_sent: happened ") {
+		t.Errorf("%+v", v)
+	}
+}
+
 // TestOldReportsTaken has every report taken for the newest: the plays must notice that.
 func TestOldReportsTaken(t *testing.T) {
 	s, err := scenario.Load("../../rehearsals/meet-old-reports.toml")
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"shalestage.example/shalestage/internal/config"
 	"shalestage.example/shalestage/internal/core/ledger"
@@ -233,6 +235,17 @@
 	return nil
 }
 
+// MissedEvents says which events happened less often than expected; count tells how often
+// one did.
+func (e Expect) MissedEvents(count func(event string) int) (out []string) {
+	for _, event := range slices.Sorted(maps.Keys(e.Events)) {
+		if got, want := count(event), e.Events[event]; got < want {
+			out = append(out, fmt.Sprintf("events.%s: happened %d times, %d are expected at least", event, got, want))
+		}
+	}
+	return out
+}
+
 // Missed says which expectations were not met, beside the rules.
 func (e Expect) Missed(longest unit.Micros, money float64, served []user.Served) (out []string) {
 	if e.MaxWaitS > 0 && longest > unit.Seconds(e.MaxWaitS) {
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -22,6 +23,20 @@
 // Events lists them.
 var Events = []string{CancelTold, GrantStored, FollowerStored, EndStored, TaskDone, StartSent, PictureSent, ListingSent, TokenShown, RenewalFailed}
 
+// CountedEvents lists all events that are counted, see Expect: those at which a fault may
+// begin, and others.
+var CountedEvents = slices.Concat(Events, []string{})
+
+// expectedEvents checks the events that are expected.
+func (c *checker) expectedEvents(e Expect) {
+	for _, event := range slices.Sorted(maps.Keys(e.Events)) {
+		if !slices.Contains(CountedEvents, event) {
+			c.fail("expect.events."+event, "there is no event %q, but %v", event, CountedEvents)
+		}
+		c.within("expect.events."+event, float64(e.Events[event]), 1, 1e6)
+	}
+}
+
 // events checks what is drawn by meeting.
 func (c *checker) events(d Draw) {
 	c.within("draw.meet", float64(d.Meet), 0, 5)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -194,6 +194,9 @@
 	// MinServed is the least share of the jobs of each class and of each team that must be
 	// done, and of those with a deadline in time; 0: any.
 	MinServed float64 `toml:"min_served"`
+	// Events is how often each of some CountedEvents must happen at least, in simulated
+	// time: a play in which a fault combination did not come about proves nothing.
+	Events map[string]int `toml:"events"`
 }
 
 var priorities = map[string]ledger.Priority{
@@ -421,6 +424,7 @@
 	c.within("draw.to_s", s.Draw.ToS, 0, 1e6)
 	c.within("draw.gap_s", s.Draw.GapS, 0, 1e6)
 	c.events(s.Draw)
+	c.expectedEvents(s.Expect)
 	if _, err := s.tuning(); err != nil {
 		c.fail("tuning", "%s", strings.TrimPrefix(err.Error(), "tuning."))
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -36,6 +36,7 @@
 		"no such zone":        {whole("[[fault]]\nkind = \"zone_apart\"\nfor_s = 1\nzone = \"east\"\n"), lines + 3, 1, "none of controllers.zones"},
 		"no such event":       {whole("[draw]\nfrom_s = 1\nto_s = 9\nmeet = 2\nevents = [\"task_done\", \"rain\"]\n"), lines + 4, 25, "no event \"rain\", but [cancel_told grant_stored"},
 		"nothing meets":       {whole("[draw]\nto_s = 9\nevents = [\"task_done\"]\n"), lines + 2, 1, "draw.meet is missing"},
+		"no such expected":    {whole("[expect.events]\nrain = 2\n"), lines + 1, 1, "no event \"rain\", but [cancel_told grant_stored"},
 		"ends before":         {whole("[[fault]]\nat_s = 5\nat_to_s = 4\nkind = \"controller_crash\"\n"), lines + 2, 1, "want at least at_s, 5, got 4"},
 		"capacity of nothing": {whole("[[capacity]]\ntype = \"huge\"\nzone = \"north\"\ncount = 1\n"), lines + 1, 1, "there is no machine type"},
 	} {
