--- a/cmd/shalestage/up.go
+++ b/cmd/shalestage/up.go
@@ -182,8 +182,7 @@
 		name                    string
 		jobs, done, off, gaveUp int
 		late                    int
-		accepted, over          unit.Micros
-		longest                 unit.Micros
+		over, longest           unit.Micros
 	}
 	var order []string
 	groups := map[string]*group{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,17 +103,20 @@
 		Lane LaneID
 		Txn  *store.Txn
 	}
-	// OpenLease, RenewLease and CloseLease keep a controller's seat (OnLease, OnRenew).
-	OpenLease  = seats.OpenLease
+	// OpenLease asks for the lease of a controller's registration (OnLease).
+	OpenLease = seats.OpenLease
+	// RenewLease extends it (OnRenew).
 	RenewLease = seats.RenewLease
+	// CloseLease ends it; no answer.
 	CloseLease = seats.CloseLease
 	// FetchTypes reads the price list (OnTypes).
 	FetchTypes struct{}
-	// RentHosts, ReturnHosts and ListHosts rent machines, give them back and read the machine
-	// list (OnRent, OnReturn, OnHosts).
-	RentHosts   = renting.RentHosts
+	// RentHosts rents machines (OnRent).
+	RentHosts = renting.RentHosts
+	// ReturnHosts gives machines back (OnReturn).
 	ReturnHosts = renting.ReturnHosts
-	ListHosts   = renting.ListHosts
+	// ListHosts reads a page of the machine list (OnHosts).
+	ListHosts = renting.ListHosts
 	// CloudShare sets this node's part of the cloud's request budget; no answer.
 	CloudShare struct{ Part float64 }
 )
--- a/internal/emulator/sim/sim_test.go
+++ b/internal/emulator/sim/sim_test.go
@@ -279,11 +279,11 @@
 // accepted earlier need not wait for the last of them to find it.
 func TestNewHolderAsks(t *testing.T) {
 	for seed := range uint64(10) {
-		w, before, old := busyUnder(t, seed)
+		w, _, old := busyUnder(t, seed)
 		w.opt.Break.Peer = func(m any) bool { _, starts := m.(core.PeerStarts); return !starts }
 		old.core.Unfollow(old.local())
 		w.Run(w.now + 3*second)
-		before = w.Site.Running()
+		before := w.Site.Running()
 		old.frozen = w.now + 60*second
 		for until := w.now + 10*second; w.now < until && (w.Holder(0) == nil || w.Holder(0) == old); {
 			w.Run(w.now + 50*millis)
--- a/internal/explore/following/following.go
+++ b/internal/explore/following/following.go
@@ -84,7 +84,6 @@
 	on      [2][]fleet.Task // what may be on each machine, as the holder knows
 	out     map[ledger.TaskID]int
 	next    int
-	waits   int
 	mail    []letter
 	writes  []write
 	late    []write
