A zone in doubt with nothing left to be heard is probed, as a lost one is

Cause: nothing is rented into a zone in doubt, and with all machines returned nothing could end the doubt; a lost zone with controllers that were heard all the time had no way out either. One machine is rented after a minute.

--- a/internal/core/zones/zones.go
+++ b/internal/core/zones/zones.go
@@ -81,7 +81,8 @@
 	longestCalm = 64 * unit.Second
 	forget      = 300 * unit.Second
 	// probe is how many machines are rented at once into a zone that is coming back, and
-	// probeAfter when one is rented into a lost zone in which nothing is left to be heard.
+	// probeAfter when one is rented into a zone that is in doubt or lost and in which nothing
+	// is left that could be heard again.
 	probe      = 5
 	probeAfter = 60 * unit.Second
 	// awakeStep is the most that one tick adds to the time awake.
@@ -176,6 +177,11 @@
 // muted reports whether a zone has controllers and none is heard.
 func (z *zone) muted() bool { return z.peers > 0 && z.alive == 0 }
 
+// nothingSilent reports whether nothing of a zone is left that could be heard again: no machine
+// is up there, and none of its controllers is silent. Then only a new machine can show that
+// the zone serves; controllers that were heard all the time show nothing.
+func (z *zone) nothingSilent() bool { return z.count.Up == 0 && !z.muted() }
+
 // bounds are the silence of a zone that puts it in doubt, and that after which its work is
 // done elsewhere. Shorter cuts cost less when they are waited for.
 func (p *Picture) bounds(z *zone) (doubt, lost unit.Micros) {
@@ -396,11 +402,10 @@
 	switch z := p.zones[name]; {
 	case z == nil:
 		return -1
-	case z.word == Gone || z.state == Doubt:
+	case z.word == Gone:
 		return 0
-	case z.state == Lost:
-		// With no machine and no controller left there nobody would hear that it is back.
-		if z.count.Up+z.peers == 0 && p.now-z.since >= probeAfter {
+	case z.state == Doubt || z.state == Lost:
+		if z.nothingSilent() && p.now-z.since >= probeAfter {
 			return 1
 		}
 		return 0
--- a/internal/core/zones/zones_test.go
+++ b/internal/core/zones/zones_test.go
@@ -226,3 +226,36 @@
 		t.Errorf("%v: %d", y.p.State("b"), n)
 	}
 }
+
+// TestDoubtWithNothingLeft has a zone in doubt whose machines are then all returned, and no
+// machine anywhere whose reports would tell more; its controllers are heard all the time, so
+// that nothing is heard again. One machine is rented to find out.
+func TestDoubtWithNothingLeft(t *testing.T) {
+	for _, peers := range [][2]int{{0, 0}, {1, 1}} {
+		y := newYard("a", "b")
+		y.peers["b"] = peers
+		y.add("a", 3)
+		y.add("b", 3)
+		y.pass(2*every, nil)
+		y.cut["b"] = true
+		y.pass(every+unit.Second+unit.Second/2, nil)
+		if s := y.p.State("b"); s != Doubt {
+			t.Fatalf("the zone is %v", s)
+		}
+		y.last["a"], y.last["b"] = nil, nil
+		y.pass(unit.Second, nil)
+		if n := y.p.Rents("b"); n != 0 {
+			t.Errorf("controllers %v: %d are rented at once", peers, n)
+		}
+		y.pass(probeAfter, nil)
+		if n := y.p.Rents("b"); n != 1 {
+			t.Errorf("controllers %v, %v: %d are rented to find out", peers, y.p.State("b"), n)
+		}
+		y.cut["b"] = false
+		y.add("b", 1)
+		y.pass(unit.Second, nil)
+		if s := y.p.State("b"); s != Back {
+			t.Errorf("controllers %v: a machine reports, and the zone is %v", peers, s)
+		}
+	}
+}
