--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -20,8 +20,9 @@
 )
 
 // The rules: those of the protocol and of the page on jobs that await others, and
-// three of our own: nothing accepted is lost, one holder for each block, and
-// nothing is sent that the state service would refuse for its size.
+// some of our own: nothing accepted is lost, one holder for each block, nothing is
+// sent that the state service would refuse for its size, no job is accepted that can
+// never run, and none is left waiting while there is room for it.
 const (
 	RanTwice     = "ran_twice"
 	Quota        = "quota"
@@ -37,11 +38,13 @@
 	Lost         = "lost"
 	TwoHolders   = "two_holders"
 	TooLarge     = "too_large"
+	Impossible   = "accepted_impossible"
+	LeftWaiting  = "left_waiting"
 )
 
 // Rules lists all rules.
 var Rules = []string{RanTwice, Quota, WrongPlace, RanCancelled, Forgotten, Invented, NotDone, WentBack, NothingRan, TooEarly,
-	Orphaned, Lost, TwoHolders, TooLarge}
+	Orphaned, Lost, TwoHolders, TooLarge, Impossible, LeftWaiting}
 
 const (
 	// pollsFail is for how long every poll for a job may fail while most others do not.
@@ -56,9 +59,17 @@
 	Limit pack.Vec
 }
 
+// Type is a machine type: what a machine has, and the zones in which there are any.
+type Type struct {
+	Name     string
+	Capacity pack.Vec
+	Zones    []string
+}
+
 // Config says what the rules are measured by.
 type Config struct {
 	Teams    []Team
+	Types    []Type      // none: jobs that fit no machine are not told apart
 	CancelIn unit.Micros // cancelled work must be gone after this
 }
 
@@ -96,8 +107,11 @@
 	okBefore  int             // polls that were answered, of all jobs, before them
 	allBefore int
 	needs     []*job
-	needed    []*job // by whom
-	lines     []int  // of the history
+	needed    []*job      // by whom
+	lines     []int       // of the history
+	malformed bool        // its submission lacks a field
+	mistaken  bool        // its tasks fail on every machine
+	waits     unit.Micros // since when it is left waiting, see Look; 0: it is not
 }
 
 // Checker keeps the books.
@@ -110,6 +124,10 @@
 	polls   int
 	polled  int // answered
 	starts  int
+	late    int         // starts after the cancellation was told
+	open    []*job      // accepted, and not known to be over when that was last looked at
+	kept    int         // how many were left of them then
+	next    int         // which of them is looked at next, see Look
 	calm    unit.Micros // when all troubles are over; Never: not known
 	broken  []Break
 	said    map[string]bool
@@ -184,6 +202,10 @@
 // Starts returns how many tasks were on a machine.
 func (c *Checker) Starts() int { return c.starts }
 
+// StartsCancelled returns how many tasks began after a user had been told that their job is
+// cancelled. Until cancel_s has passed no rule is broken by that.
+func (c *Checker) StartsCancelled() int { return c.late }
+
 // Break records a broken rule that somebody else has found.
 func (c *Checker) Break(at unit.Micros, rule, format string, args ...any) {
 	c.breaks(at, rule, nil, "", format, args...)
@@ -258,12 +280,69 @@
 	c.note(at, j, "", false, "%s: submitted, %d tasks of team %s, awaits %v", id, spec.Tasks, spec.Team, spec.Awaits)
 }
 
+// Malformed says that a user submits what lacks a field.
+func (c *Checker) Malformed(at unit.Micros, id string) {
+	c.Planned(at, id, &ledger.Spec{})
+	c.jobs[id].malformed = true
+}
+
+// Mistaken says that a job was submitted with a mistake: its tasks fail on every machine, and
+// nobody need go on trying.
+func (c *Checker) Mistaken(id string) { c.jobs[id].mistaken = true }
+
+// impossible says why nobody may accept a job, or "".
+func (c *Checker) impossible(j *job) string {
+	s := j.spec
+	limit, known := c.limits[s.Team]
+	need := s.Demand
+	if s.Service {
+		need = need.Times(int64(s.Tasks))
+	}
+	fits := func(t Type) bool {
+		return s.AllowsType(t.Name) && s.Demand.Fits(t.Capacity) && (s.Zone == "" || slices.Contains(t.Zones, s.Zone))
+	}
+	switch {
+	case j.malformed:
+		return "its submission lacks a field"
+	case !known:
+		return "there is no such team"
+	case len(c.cfg.Types) > 0 && !slices.ContainsFunc(c.cfg.Types, fits):
+		return "a task fits no allowed machine type"
+	case !within(need, limit):
+		return "it needs more than the team's limit"
+	}
+	return ""
+}
+
+// within reports whether a use keeps to a limit, where 0 means none.
+func within(use, limit pack.Vec) bool {
+	for r, most := range limit {
+		if most > 0 && use[r] > most {
+			return false
+		}
+	}
+	return true
+}
+
+// accept notes that a user was told for the first time that a job is accepted.
+func (c *Checker) accept(at unit.Micros, j *job) {
+	if j.accepted {
+		return
+	}
+	j.accepted, j.toldOn = true, at
+	c.open = append(c.open, j)
+	if why := c.impossible(j); why != "" {
+		c.breaks(at, Impossible, j, "", "%s is accepted: %s", j.id, why)
+	}
+}
+
 // Earlier says that a job was accepted before this checker began to look, and which
 // of its tasks had completed. Whether it was cancelled since is not known.
 func (c *Checker) Earlier(at unit.Micros, id string, spec *ledger.Spec, finished func(task int) bool) {
 	c.Planned(at, id, spec)
 	j := c.jobs[id]
 	j.accepted, j.asked = true, true
+	c.open = append(c.open, j)
 	for t := range spec.Tasks {
 		if finished(t) {
 			j.done.Add(t)
@@ -291,8 +370,8 @@
 	c.note(at, j, "", false, "%s: submission answered %d %s", id, code, s)
 	switch {
 	case code == http.StatusOK || code == http.StatusCreated:
-		if !j.accepted {
-			j.accepted, j.toldOn = true, at
+		if code == http.StatusCreated && j.knownTo(at-took) {
+			c.breaks(at, WentBack, j, "", "%s was accepted, and submitted again it is answered as a new job", id)
 		}
 		c.told(at, at-took, j, s)
 	case j.knownTo(at-took) && (code == http.StatusBadRequest || code == http.StatusUnprocessableEntity):
@@ -363,6 +442,7 @@
 // calls that were under way together, the answers may come in any order: only one
 // that was made after its user had been told may not be answered with less.
 func (c *Checker) told(at, made unit.Micros, j *job, s ledger.Status) {
+	c.accept(at, j)
 	if j.final != "" && s != j.final && (s.Final() || made >= j.finalAt) {
 		c.breaks(at, WentBack, j, "", "%s was called %s, and now %s", j.id, j.final, s)
 	}
@@ -449,7 +529,11 @@
 	if !s.Allows(m.Type, m.Zone, m.Spot) {
 		c.breaks(at, WrongPlace, j, m.Name, "%s begins on %s: %s, zone %s, spot %v", id, m.Name, m.Type, m.Zone, m.Spot)
 	}
-	if off, _ := c.off(j, nil); off > 0 && at > off+c.cfg.CancelIn {
+	off, _ := c.off(j, nil)
+	if off > 0 {
+		c.late++
+	}
+	if off > 0 && at > off+c.cfg.CancelIn {
 		c.breaks(at, RanCancelled, j, m.Name, "%s begins on %s, and its cancellation was told at %.1f", id, m.Name, off.Seconds())
 	}
 	if j.began == 0 {
@@ -460,6 +544,7 @@
 	}
 	j.on[id.Task] = m
 	j.zones[m.Zone]++
+	j.waits = 0
 	if s.OneZone && len(j.zones) > 1 || s.Spread && j.zones[m.Zone] > (s.Tasks+1)/2 {
 		c.breaks(at, WrongPlace, j, m.Name, "%s begins on %s: tasks by zone %v", id, m.Name, j.zones)
 	}
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -75,6 +75,9 @@
 	for _, t := range s.Teams {
 		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: pack.Vec{unit.MilliDown(t.CPUsMax), unit.MilliDown(t.GPUsMax)}})
 	}
+	for _, t := range s.Site().Cloud.Types {
+		c.Types = append(c.Types, check.Type{Name: t.Name, Capacity: site.Capacity(t), Zones: t.Zones})
+	}
 	return c
 }
 
@@ -132,7 +135,7 @@
 
 // UserOptions says how the users behave.
 func (s *Scenario) UserOptions() user.Options {
-	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits}
+	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits, Nodes: s.Nodes()}
 }
 
 // Work returns what is true of a job.
