Users' troubles in rehearsals: cancel_now, cancel_at_end, odd_requests, close_looks

Events that the meetings need are counted. Broken programs for each new rule, for older answers to each kind of call, and for tasks of cancelled jobs that go on after their machine hung.

--- a/internal/emulator/kv/kv.go
+++ b/internal/emulator/kv/kv.go
@@ -262,6 +262,9 @@
 
 func (s *Service) late() unit.Micros { return unit.Micros(s.rng.Int64N(int64(maxLate))) }
 
+// Refuses reports whether one client is not served at a time.
+func (s *Service) Refuses(now unit.Micros, client string) bool { return !s.serves(now, client) }
+
 // admit counts a request and returns 200, or the status that refuses it.
 func (s *Service) admit(now unit.Micros, from string) int {
 	s.Advance(now)
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -167,6 +167,39 @@
 	return running, fetching
 }
 
+// Free returns the room that is left, and the tasks that take the rest.
+func (w *Worker) Free() (free pack.Vec, taken []ledger.TaskID) {
+	for _, id := range w.ids() {
+		if w.tasks[id].state != fleet.Exited {
+			taken = append(taken, id)
+		}
+	}
+	return w.free, taken
+}
+
+// Left returns the tasks that are on the machine, in the order of their names, and how much
+// longer each is, while nothing stops it.
+func (w *Worker) Left(now unit.Micros) (out []Remaining) {
+	for _, id := range w.ids() {
+		if t := w.tasks[id]; t.on() {
+			out = append(out, Remaining{id, t.ends - now})
+		}
+	}
+	return out
+}
+
+// Remaining is a task on a machine, and how much longer it takes.
+type Remaining struct {
+	Task ledger.TaskID
+	Time unit.Micros
+}
+
+// Doubtful reports whether something is wrong with the machine, or the cloud is about to take
+// it away.
+func (w *Worker) Doubtful() bool {
+	return w.fault.Sick || w.noticeAt != unit.Never
+}
+
 func (t *task) on() bool { return t.state == fleet.Running || t.state == fleet.Saving }
 
 // SetFault changes what is wrong with the machine.
--- a/internal/emulator/sim/broken_test.go
+++ b/internal/emulator/sim/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"shalestage.example/shalestage/internal/config"
@@ -26,6 +27,13 @@
 	}}
 }
 
+// withoutStarts returns a program that never starts the tasks of a job.
+func withoutStarts(job string) func(node string, o *core.Orders) {
+	return func(_ string, o *core.Orders) {
+		o.Commands = slices.DeleteFunc(slices.Clone(o.Commands), func(c fleet.Command) bool { return c.Op == fleet.Start && c.ID.Job == job })
+	}
+}
+
 // TestBrokenProgramsAreCaught breaks a controller or a neighbour for every rule, and
 // expects the checker to report it. A checker that cannot fail is worth nothing.
 func TestBrokenProgramsAreCaught(t *testing.T) {
@@ -59,6 +67,13 @@
 			b: Broken{Clock: func(node int) float64 { return []float64{0.3, 1, 1}[node] }}},
 		// A state service that takes less than anybody was told.
 		check.TooLarge: {fault: scenario.Fault{Kind: scenario.StateLimits, ValueKB: 0.1}},
+		check.Impossible: {fault: scenario.Fault{Kind: scenario.OddRequests, AtS: 5, ForS: 60}, b: Broken{Answer: func(e user.Call) *core.Reply {
+			if e.Kind == user.Submit && (e.Spec == nil || strings.HasPrefix(e.ID, "wk-8")) {
+				return &core.Reply{Code: http.StatusCreated, Body: core.JobAnswer{ID: e.ID, Status: ledger.Pending}}
+			}
+			return nil
+		}}},
+		check.LeftWaiting: {b: Broken{Orders: withoutStarts("wk-000002")}},
 	}
 	for _, rule := range check.Rules {
 		c, ok := cases[rule]
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -87,6 +87,14 @@
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
+	case scenario.CancelNow:
+		w.cancelNow(f)
+	case scenario.CancelAtEnd:
+		w.users.endUntil, w.users.endShare = until, f.Share
+	case scenario.OddRequests:
+		w.oddRequests(until)
+	case scenario.CloseLooks:
+		w.Crowd.LookClosely(until)
 	case scenario.Surge: // in the jobs' times already
 	default:
 		if err := w.S.SiteFault(w.now, w.Site, f); err != nil {
@@ -258,6 +266,14 @@
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind, f.ForS, f.Node = scenario.ClockJump, 0, "any" },
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Times = scenario.PollStorm, span(rng, 5, 30) },
 	cutTo(scenario.PartyState), cutTo(scenario.PartyCloud), cutTo(scenario.PartyWorkers), cutTo(scenario.PartyPeers), cutTo(scenario.PartyUsers),
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.ForS, f.Count, f.HangS = scenario.CancelNow, 0, 1+rng.IntN(6), float64(rng.IntN(2))*span(rng, 1, 25)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.CancelAtEnd, span(rng, 0.2, 1)
+	},
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.OddRequests },
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.CloseLooks },
 }
 
 func someNode(rng *rand.Rand) string { return pick(rng, "any", "any", "holder", "leader") }
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -240,6 +240,10 @@
 	w.sending(e)
 	switch e := e.(type) {
 	case core.Reply:
+		if o, ok := e.Body.(core.Orders); ok && w.opt.Break.Orders != nil {
+			w.opt.Break.Orders(n.Name, &o)
+			e.Body = o
+		}
 		if f := n.asked[e.Req]; f != nil {
 			delete(n.asked, e.Req)
 			n.sent(func() { f(e) })
@@ -457,6 +461,10 @@
 	if e.Wait > 0 {
 		wait = callWait + e.Wait
 	}
+	if e.Fresh && w.opt.Break.Stale {
+		w.after(millis, func() { finish(store.OK, kv.Changes{Code: http.StatusOK, Rev: e.After}) })
+		return
+	}
 	var id uint64
 	n.sent(func() {
 		w.net.request(n.Name, scenario.PartyState, wait, func(answer func(func())) {
@@ -482,6 +490,9 @@
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
 	t := direct.Txn(e.Txn)
+	if f := w.opt.Break.Commit; f != nil {
+		f(&t)
+	}
 	var res kv.Result
 	run := func() int {
 		res = w.State.Commit(w.now, n.Name, t)
--- /dev/null
+++ b/internal/emulator/sim/users_test.go
@@ -0,0 +1,129 @@
+package sim
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/check"
+	"shalestage.example/shalestage/internal/emulator/user"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// crowded plays a small deployment with short and long jobs and one fault.
+func crowded(seed uint64, f scenario.Fault, b Broken) *World {
+	sc := deployment(3, 0)
+	sc.Users.LateRetries = 0.3
+	sc.Faults = []scenario.Fault{f}
+	w := New(sc, Options{Seed: seed, Break: b})
+	for i := range 24 {
+		length := 4 * second
+		if i%3 == 0 {
+			length = 150 * second
+		}
+		w.submit(unit.Micros(1+i)*second, &ledger.Spec{Class: "x", Team: "blue", Priority: ledger.Normal, Tasks: 1 + i%3, Demand: pack.Vec{1000, 0, 1000}, AnyType: true,
+			Spot: true, Image: "i", Estimate: length}, length, 0)
+	}
+	w.Run(240 * second)
+	return w
+}
+
+// broke reports whether a rule was broken in one of some seeds.
+func broke(rule string, seeds uint64, f scenario.Fault, b Broken) bool {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		if slices.ContainsFunc(crowded(seed, f, b).Check.Broken(), func(x check.Break) bool { return x.Rule == rule }) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers returns a program that answers one kind of calls wrongly after so many.
+func answers(k user.Kind, after, code int, s ledger.Status) Broken {
+	n := 0
+	return Broken{Answer: func(e user.Call) *core.Reply {
+		if e.Kind != k {
+			return nil
+		}
+		if n++; n <= after {
+			return nil
+		}
+		return &core.Reply{Code: code, Body: core.JobAnswer{ID: e.ID, Status: s}}
+	}}
+}
+
+// TestUserTroubles plays each of the users' troubles: it comes about, and breaks nothing.
+func TestUserTroubles(t *testing.T) {
+	for _, c := range []struct {
+		f     scenario.Fault
+		event string
+		least int
+	}{
+		{scenario.Fault{Kind: scenario.CancelNow, AtS: 40, Count: 5, HangS: 20}, scenario.CancelUnreached, 2},
+		{scenario.Fault{Kind: scenario.CancelAtEnd, AtS: 5, ForS: 60, Share: 0.5}, scenario.CancelledAtEnd, 4},
+		{scenario.Fault{Kind: scenario.OddRequests, AtS: 5, ForS: 60}, scenario.OddRequest, 40},
+		{scenario.Fault{Kind: scenario.CloseLooks, AtS: 1, ForS: 60}, scenario.CloseLook, 200},
+	} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			w := crowded(seed, c.f, Broken{})
+			for _, b := range w.Check.Broken() {
+				t.Errorf("%s, seed %d: %s", c.f.Kind, seed, b)
+			}
+			if got := w.EventCount(c.event); got < c.least {
+				t.Errorf("%s, seed %d: %s happened %d times, want %d", c.f.Kind, seed, c.event, got, c.least)
+			}
+		}
+	}
+}
+
+// TestOlderAnswersAreNoticed answers each kind of calls with something older than what users
+// were told, in close looks: the checker must notice.
+func TestOlderAnswersAreNoticed(t *testing.T) {
+	looks := scenario.Fault{Kind: scenario.CloseLooks, AtS: 1, ForS: 60}
+	for name, c := range map[string]struct {
+		rule string
+		b    Broken
+	}{
+		"submission repeated, new":     {check.WentBack, answers(user.Submit, 0, http.StatusCreated, ledger.Pending)},
+		"submission repeated, older":   {check.WentBack, answers(user.Submit, 30, http.StatusOK, ledger.Pending)},
+		"submission repeated, refused": {check.Forgotten, answers(user.Submit, 30, http.StatusUnprocessableEntity, "")},
+		"cancellation, unknown":        {check.Forgotten, answers(user.Cancel, 0, http.StatusNotFound, "")},
+		"cancellation, older":          {check.WentBack, answers(user.Cancel, 0, http.StatusOK, ledger.Running)},
+		"question, unknown":            {check.Forgotten, answers(user.Poll, 30, http.StatusNotFound, "")},
+		"question, older":              {check.WentBack, answers(user.Poll, 100, http.StatusOK, ledger.Pending)},
+		"reads that bring nothing new": {check.Forgotten, Broken{Stale: true}},
+	} {
+		if !broke(c.rule, 3, looks, c.b) {
+			t.Errorf("%s: three plays break no %s", name, c.rule)
+		}
+	}
+}
+
+// TestCancelledOnHangingMachine has tasks of cancelled jobs on machines that hang, go on
+// within their leases and are told no stop: the checker must notice.
+func TestCancelledOnHangingMachine(t *testing.T) {
+	hang := scenario.Fault{Kind: scenario.CancelNow, AtS: 40, Count: 8, HangS: 6}
+	noStops := Broken{Orders: func(_ string, o *core.Orders) {
+		o.Commands = slices.DeleteFunc(slices.Clone(o.Commands), func(c fleet.Command) bool { return c.Op == fleet.Stop })
+	}}
+	if !broke(check.RanCancelled, 3, hang, noStops) {
+		t.Error("three plays with tasks that go on break nothing")
+	}
+}
+
+// TestStartsAfterCancelCounted has tasks start after their job's cancellation was told: they
+// are counted.
+func TestStartsAfterCancelCounted(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w := crowded(seed, scenario.Fault{Kind: scenario.CloseLooks, AtS: 1, ForS: 60}, says(user.Cancel, http.StatusOK, ledger.Cancelled))
+		if w.Check.StartsCancelled() > 0 && w.EventCount(scenario.StartCancelled) == w.Check.StartsCancelled() {
+			return
+		}
+	}
+	t.Error("three plays whose cancellations are not stored start nothing that is cancelled")
+}
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -65,6 +65,9 @@
 	Clock    func(node int) float64      // rate of its steady clock
 	Peer     func(m any) bool            // whether a message to another controller is carried
 	Told     func(m any) any             // what another controller is told in place of a message
+	Commit   func(*kv.Txn)               // what it sends to the state service of a transaction
+	Stale    bool                        // its reads of the state service's keys bring nothing new, though they are answered
+	Orders   func(node string, o *core.Orders)
 }
 
 // World is a scenario that is being played.
@@ -97,6 +100,7 @@
 	}
 	zoneCut     map[string]unit.Micros // until when zones are cut off
 	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
+	users       userTroubles
 }
 
 // New returns a world in which nothing has happened yet.
@@ -121,6 +125,7 @@
 	w.count()
 	w.measure()
 	w.keepAccount()
+	w.lookForWaiting()
 	draws := stream(17)
 	for _, f := range s.Faults {
 		w.Faults = append(w.Faults, settled(f, draws))
@@ -207,7 +212,7 @@
 			w.report(e)
 		case site.Began:
 			w.starts++
-			w.Check.Began(w.now, machineOf(e.Machine), e.Task)
+			w.began(machineOf(e.Machine), e.Task)
 			if m := w.opt.Meter; m != nil {
 				m.Began(w.now, e.Machine.Name, e.Task)
 			}
@@ -218,6 +223,7 @@
 			w.Check.Ended(w.now, machineOf(e.Machine), e.Task, e.Completed)
 			if e.Completed {
 				w.happened(scenario.TaskDone)
+				w.ended(e.Task.Job)
 			}
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
@@ -305,6 +311,12 @@
 			user.Tell(w.Check, w.now, e)
 			if t, ok := e.(user.Told); ok && t.Kind == user.Cancel && t.Code == http.StatusOK {
 				w.happened(scenario.CancelTold)
+				if t.Status == ledger.Cancelled {
+					w.cancelTold(t.ID)
+				}
+			}
+			if _, ok := e.(user.Looked); ok {
+				w.happened(scenario.CloseLook)
 			}
 			w.meter(e)
 		}
@@ -317,6 +329,10 @@
 		w.Crowd.Failed(w.now, e.Number)
 		w.takeCrowd()
 	}
+	if e.Node != "" {
+		w.callNode(e, failed)
+		return
+	}
 	i := w.front.Choose(w.now, tried)
 	if i < 0 {
 		w.after(millis, failed)
@@ -339,6 +355,22 @@
 		return
 	}
 	w.front.Opened(i)
+	w.serveCall(e, n, failed, func() { w.front.Closed(i) })
+}
+
+// callNode brings a user's call to one controller, past the balancer.
+func (w *World) callNode(e user.Call, failed func()) {
+	n := w.node(e.Node)
+	connects := w.net.open("users", n.Name)
+	if n.life == 0 || connects != carried {
+		w.after(millis, failed)
+		return
+	}
+	w.serveCall(e, n, failed, func() {})
+}
+
+// serveCall lets a controller answer a user's call; closed is told when the connection ends.
+func (w *World) serveCall(e user.Call, n *Node, failed, closed func()) {
 	w.net.request("users", n.Name, e.Wait+second, func(answer func(func())) {
 		within := 4 * second
 		if e.Kind == user.Poll {
@@ -354,13 +386,16 @@
 			}
 			switch e.Kind {
 			case user.Submit:
-				spec := e.Spec
-				if f := w.opt.Break.Spec; f != nil {
+				spec, bad := e.Spec, ""
+				if spec == nil {
+					bad = "cores: missing"
+				}
+				if f := w.opt.Break.Spec; f != nil && spec != nil {
 					wrong := *spec
 					f(&wrong)
 					spec = &wrong
 				}
-				n.core.Submit(n.local(), req, e.ID, spec, "")
+				n.core.Submit(n.local(), req, e.ID, spec, bad)
 			case user.Poll:
 				n.core.Query(n.local(), req, e.ID)
 			case user.Cancel:
@@ -377,7 +412,7 @@
 			})
 		})
 	}, func(f func()) {
-		w.front.Closed(i)
+		closed()
 		if f != nil {
 			f()
 		} else {
--- a/internal/emulator/user/tell.go
+++ b/internal/emulator/user/tell.go
@@ -16,6 +16,15 @@
 	switch e := e.(type) {
 	case Planned:
 		c.Planned(at, e.Job.ID, e.Job.Spec)
+		if e.Job.Broken {
+			c.Mistaken(e.Job.ID)
+		}
+	case Odd:
+		if e.Spec == nil {
+			c.Malformed(at, e.ID)
+		} else {
+			c.Planned(at, e.ID, e.Spec)
+		}
 	case CancelAsked:
 		c.CancelAsked(at, e.ID)
 	case Told:
--- a/internal/emulator/user/user.go
+++ b/internal/emulator/user/user.go
@@ -41,8 +41,9 @@
 		Number uint64
 		Kind   Kind
 		ID     string
-		Spec   *ledger.Spec // of a submission
+		Spec   *ledger.Spec // of a submission; nil: it lacks a field
 		Wait   unit.Micros  // for an answer
+		Node   string       // the controller that is asked; "": the one that the load balancer chooses
 	}
 	// Planned says that a job is submitted from now on; CancelAsked that its user
 	// has asked to cancel it.
@@ -85,6 +86,7 @@
 	LateRetries float64     // share of accepted submissions that are sent again later
 	Strangers   float64     // share of polls that are followed by one for a job that nobody submitted
 	Revisits    float64     // and by a call for any earlier job
+	Nodes       []string    // controllers that can be asked without the load balancer, see LookClosely
 }
 
 type step struct {
@@ -92,6 +94,7 @@
 	kind   Kind
 	number uint64 // of the call whose wait is over; 0: a call is due
 	late   bool   // a submission repeated although it was accepted
+	node   string // a close look at this controller
 }
 
 type call struct {
@@ -104,16 +107,19 @@
 
 // Crowd is all users.
 type Crowd struct {
-	opt   Options
-	rng   *rand.Rand
-	plans agenda.Agenda[step]
-	open  map[uint64]call
-	next  uint64
-	begun []*Job // those that were submitted, as they came
-	jobs  []*Job
-	left  int // jobs whose users are not through
-	storm float64
-	out   []any
+	opt     Options
+	rng     *rand.Rand
+	plans   agenda.Agenda[step]
+	open    map[uint64]call
+	next    uint64
+	begun   []*Job // those that were submitted, as they came
+	jobs    []*Job
+	left    int // jobs whose users are not through
+	storm   float64
+	close   lookingClosely
+	byID    map[string]*Job // the first jobs that were added, see Job
+	indexed int             // how many these are
+	out     []any
 }
 
 // New returns a crowd without jobs.
@@ -181,6 +187,10 @@
 
 func (c *Crowd) due(now unit.Micros, s step) {
 	j := s.job
+	if s.node != "" {
+		c.look(now, s)
+		return
+	}
 	switch s.kind {
 	case Submit:
 		if j.first == 0 {
@@ -236,8 +246,11 @@
 }
 
 // once makes a call whose answer leads to nothing further.
-func (c *Crowd) once(now unit.Micros, j *Job, k Kind) {
-	c.call(now, j, k, j.ID)
+func (c *Crowd) once(now unit.Micros, j *Job, k Kind) { c.onceAt(now, j, k, "") }
+
+// onceAt does so at one controller, or at any where node is "".
+func (c *Crowd) onceAt(now unit.Micros, j *Job, k Kind, node string) {
+	c.callAt(now, j, k, j.ID, node)
 	o := c.open[c.next]
 	o.once = true
 	c.open[c.next] = o
@@ -256,10 +269,12 @@
 	}
 }
 
-func (c *Crowd) call(now unit.Micros, j *Job, k Kind, id string) {
+func (c *Crowd) call(now unit.Micros, j *Job, k Kind, id string) { c.callAt(now, j, k, id, "") }
+
+func (c *Crowd) callAt(now unit.Micros, j *Job, k Kind, id, node string) {
 	c.next++
 	c.open[c.next] = call{job: j, kind: k, id: id, sent: now}
-	e := Call{Number: c.next, Kind: k, ID: id, Wait: submitWait}
+	e := Call{Number: c.next, Kind: k, ID: id, Wait: submitWait, Node: node}
 	if k == Poll {
 		e.Wait = pollWait
 	}
@@ -310,6 +325,7 @@
 	case http.StatusOK, http.StatusCreated:
 		if !j.Accepted {
 			j.Accepted = true
+			c.lookAfter(now, j, true)
 			c.pollLater(now, j)
 			if c.rng.Float64() < c.opt.LateRetries {
 				c.plans.Add(now+unit.Micros(c.rng.Int64N(int64(80*unit.Second))), step{job: j, kind: Submit, late: true})
@@ -361,6 +377,7 @@
 func (c *Crowd) heard(now unit.Micros, j *Job, s ledger.Status) {
 	if s.Final() && j.Final == "" {
 		j.Final, j.Over = s, now
+		c.lookAfter(now, j, false)
 		if !j.GaveUp && (!j.Spec.Service || j.CancelAfter > 0) {
 			c.left--
 		}
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -23,9 +23,25 @@
 // Events lists them.
 var Events = []string{CancelTold, GrantStored, FollowerStored, EndStored, TaskDone, StartSent, PictureSent, ListingSent, TokenShown, RenewalFailed}
 
+// Events that are counted only: at each of them troubles of users meet something else.
+const (
+	CloseLook        = "close_look"         // a user asks at one controller within milliseconds of an acceptance, an end or a cancellation
+	CancelledAtEnd   = "cancelled_at_end"   // a job is cancelled at the moment at which its last task ends
+	OddRequest       = "odd_request"        // a user sends a request that makes no sense, or none any more
+	CancelRunning    = "cancel_running"     // a cancellation is told while tasks of the job are on machines
+	CancelUnreached  = "cancel_unreached"   // and one of these machines hangs or is cut off
+	CancelAtLimit    = "cancel_at_limit"    // a cancellation is told while the job's team has no room under its limit
+	CancelInHandover = "cancel_in_handover" // a cancellation is told while a block has no holder, or within seconds after one has got it
+	CancelAlone      = "cancel_alone"       // a cancellation is told while the state service refuses one controller alone
+	StartCancelled   = "start_cancelled"    // a task begins after the cancellation of its job was told
+)
+
+// UserEvents lists these.
+var UserEvents = []string{CloseLook, CancelledAtEnd, OddRequest, CancelRunning, CancelUnreached, CancelAtLimit, CancelInHandover, CancelAlone, StartCancelled}
+
 // CountedEvents lists all events that are counted, see Expect: those at which a fault may
 // begin, and others.
-var CountedEvents = slices.Concat(Events, []string{})
+var CountedEvents = slices.Concat(Events, UserEvents)
 
 // expectedEvents checks the events that are expected.
 func (c *checker) expectedEvents(e Expect) {
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -33,6 +33,7 @@
 	ValueKB   float64  `toml:"value_kb" json:"value_kb,omitempty"`
 	TxnOps    int      `toml:"txn_ops" json:"txn_ops,omitempty"`
 	Prefix    string   `toml:"prefix" json:"prefix,omitempty"` // of the key whose write is lost
+	HangS     float64  `toml:"hang_s" json:"hang_s,omitempty"` // for which machines of cancelled jobs stand still
 }
 
 // KindHelp describes a kind of fault for users; needs are the fields without
@@ -73,6 +74,10 @@
 	ZoneLost         = "zone_lost"
 	Surge            = "surge"
 	PollStorm        = "poll_storm"
+	CancelNow        = "cancel_now"
+	CancelAtEnd      = "cancel_at_end"
+	OddRequests      = "odd_requests"
+	CloseLooks       = "close_looks"
 )
 
 // Kinds lists all kinds of faults.
@@ -105,6 +110,10 @@
 	{ZoneLost, []string{"zone", "for_s"}, "a zone does not reach the others, the services or users; there is the way out of it"},
 	{Surge, []string{"times", "for_s"}, "jobs of a class come several times as often"},
 	{PollStorm, []string{"times", "for_s"}, "users ask about their jobs many times as often"},
+	{CancelNow, nil, "users cancel that many running jobs with long to go within a fifth of a second; with hang_s, up to eight of their machines stand still that long"},
+	{CancelAtEnd, []string{"share", "for_s"}, "a share of the jobs that end is cancelled at that moment"},
+	{OddRequests, []string{"for_s"}, "users repeat submissions of unfinished jobs, cancel jobs that are done, and submit jobs that fit no machine or lack a field"},
+	{CloseLooks, []string{"for_s"}, "users ask at all controllers, again and again within milliseconds, and repeat the submission, right after a job was accepted, ended or confirmed as cancelled; some cancel at once"},
 }
 
 // Parties that a cut can be between, beside controllers by name, "holder",
@@ -137,6 +146,7 @@
 	put("times", f.Times, f.Times != 0)
 	put("every_s", f.EveryS, f.EveryS != 0)
 	put("delay_ms", f.DelayMS, f.DelayMS != 0)
+	put("hang_s", f.HangS, f.HangS != 0)
 	return b.String()
 }
 
@@ -159,7 +169,8 @@
 		v, lo, hi float64
 	}{{"at_s", f.AtS, 0, 1e7}, {"for_s", f.ForS, 0, 1e6}, {"at_to_s", f.AtToS, 0, 1e7}, {"for_to_s", f.ForToS, 0, 1e6}, {"count", float64(f.Count), 0, 1e6}, {"share", f.Share, 0, 1}, {"every_s", f.EveryS, 0, 1e6},
 		{"times", f.Times, 0, 1e4}, {"per_hour", f.PerHour, 0, 1e6}, {"notice_s", f.NoticeS, 0, 3600}, {"delay_ms", f.DelayMS, 0, 60_000},
-		{"rps", f.RPS, 0, 1e6}, {"write_rps", f.WriteRPS, 0, 1e6}, {"value_kb", f.ValueKB, 0, 1e6}, {"txn_ops", float64(f.TxnOps), 0, 1e6}} {
+		{"rps", f.RPS, 0, 1e6}, {"write_rps", f.WriteRPS, 0, 1e6}, {"value_kb", f.ValueKB, 0, 1e6}, {"txn_ops", float64(f.TxnOps), 0, 1e6},
+		{"hang_s", f.HangS, 0, 3600}} {
 		if !(v.v >= v.lo && v.v <= v.hi) {
 			return v.field, fmt.Errorf("want %g to %g, got %g", v.lo, v.hi, v.v)
 		}
