Emulator: mute machines, lost answers by share, reports kept for the next leader, quick boots

A field that a kind does not take is refused with line, column and the list of those that it takes. Seven events more are counted, and the new shapes are drawn, so drawn histories change.

--- a/internal/emulator/host/state.go
+++ b/internal/emulator/host/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -33,6 +34,7 @@
 
 	// misfortunes of transactions, until when
 	late, unanswered atomic.Int64
+	share            atomic.Uint64 // of the transactions on which these fall, as the bits of a float
 }
 
 // NewState returns a state service. What disk holds is read first.
@@ -80,13 +82,24 @@
 // Slow makes every answer take longer by d.
 func (s *State) Slow(d time.Duration) { s.slow.Store(d.Microseconds()) }
 
-// Misfortune lets transactions be applied late until one time, and be applied
+// Misfortune lets a share of transactions be applied late until one time, and be applied
 // without an answer until another.
-func (s *State) Misfortune(late, unanswered time.Duration) {
+func (s *State) Misfortune(late, unanswered time.Duration, share float64) {
+	s.share.Store(math.Float64bits(share))
 	s.late.Store(int64(s.loop.now()) + late.Microseconds())
 	s.unanswered.Store(int64(s.loop.now()) + unanswered.Microseconds())
 }
 
+// falls reports whether a misfortune that lasts until a time falls on a transaction now.
+func (s *State) falls(until *atomic.Int64) bool {
+	return int64(s.loop.now()) < until.Load() && rand.Float64() < math.Float64frombits(s.share.Load())
+}
+
+// lateBy draws how late a transaction is carried out that gets no answer.
+func (s *State) lateBy() time.Duration {
+	return time.Duration((2 + 10*rand.Float64()) * float64(time.Second))
+}
+
 // Answers returns how many requests were answered.
 func (s *State) Answers() uint64 { return s.answers.Load() }
 
@@ -202,8 +215,8 @@
 		}
 		t.Changes = append(t.Changes, kv.Change{Key: c.Put + c.Delete, Value: c.Value, Lease: c.Lease})
 	}
-	if int64(s.loop.now()) < s.late.Load() {
-		time.AfterFunc(time.Duration(1+rand.IntN(20))*time.Second, func() {
+	if s.falls(&s.late) {
+		time.AfterFunc(s.lateBy(), func() {
 			s.loop.tell(context.Background(), func(now unit.Micros) { s.kv.Commit(now, client, t) })
 		})
 		<-req.Context().Done()
@@ -213,7 +226,7 @@
 	if !s.loop.do(req.Context(), func(now unit.Micros) { res = s.kv.Commit(now, client, t) }) {
 		return
 	}
-	if int64(s.loop.now()) < s.unanswered.Load() {
+	if s.falls(&s.unanswered) {
 		<-req.Context().Done()
 		return
 	}
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -101,6 +101,7 @@
 	noticeAt  unit.Micros // when the cloud takes the machine, by its word; Never: no notice
 	hungTill  unit.Micros
 	deafTill  unit.Micros
+	muteTill  unit.Micros
 
 	reportAt   unit.Micros // the next report, unless something changes before
 	changed    bool
@@ -217,6 +218,12 @@
 // Deaf reports whether nothing reaches the worker.
 func (w *Worker) Deaf(now unit.Micros) bool { return now < w.deafTill }
 
+// Silence lets no report reach a controller until a time; direct commands reach the worker.
+func (w *Worker) Silence(until unit.Micros) { w.muteTill = max(w.muteTill, until) }
+
+// Mute reports whether the worker reaches no controller.
+func (w *Worker) Mute(now unit.Micros) bool { return now < w.muteTill }
+
 // Hangs reports whether the machine stands still.
 func (w *Worker) Hangs(now unit.Micros) bool { return now < w.hungTill }
 
@@ -383,6 +390,9 @@
 	w.changed = false
 	w.reportAt = w.now + unit.Micros(float64(w.cfg.ReportEvery)*(0.75+0.5*w.rng.Float64()))
 	body, saved := w.List()
+	if w.Mute(w.now) {
+		return // the connection does not come about: the worker gives up after AnswerWithin
+	}
 	w.out = append(w.out, Report{w.cfg.Nodes[w.node], w.reports, body, saved})
 }
 
--- a/internal/emulator/rental/rental.go
+++ b/internal/emulator/rental/rental.go
@@ -25,6 +25,7 @@
 	LeastCharge = 60 * unit.Second // that a deleted machine is charged for
 	deathShows  = 30 * unit.Second // for which a machine that died is still listed as running
 	priceMoves  = 20 * unit.Second // how often spot prices move
+	quickBoot   = 2 * unit.Second  // within which machines are up while they boot quickly
 )
 
 // Type is a machine type on the price list. Prices are an hour.
@@ -138,6 +139,7 @@
 	plans    agenda.Agenda[step]
 	down     unit.Micros
 	refuse   map[Pool]unit.Micros // until when a pool has no capacity
+	quick    unit.Micros          // until when rented machines are up within quickBoot
 	spent    float64              // of machines that are gone
 	bucket   struct {
 		used float64
@@ -189,6 +191,9 @@
 	}
 }
 
+// BootQuickly has every machine that is rented until a time be up within two seconds.
+func (s *Service) BootQuickly(until unit.Micros) { s.quick = max(s.quick, until) }
+
 // SetSpotRate changes how often spot machines are taken back from now on, as a
 // share an hour. Draws are made anew for every machine.
 func (s *Service) SetSpotRate(now unit.Micros, perHour float64) {
@@ -276,6 +281,9 @@
 	case d < t.BootFail+0.04:
 		boot = (1 + s.rng.Float64()) * float64(unit.Second)
 	}
+	if now < s.quick {
+		boot = (0.1 + 0.9*s.rng.Float64()) * float64(quickBoot)
+	}
 	if !math.IsInf(boot, 1) {
 		s.plans.Add(now+unit.Micros(boot), step{plan: boots, m: m})
 	}
--- a/internal/emulator/sim/events.go
+++ b/internal/emulator/sim/events.go
@@ -47,6 +47,10 @@
 		switch {
 		case strings.HasPrefix(c.Key, "shalestage/block/"):
 			w.happened(scenario.GrantStored)
+			w.granted(c.Value)
+		case c.Key == "shalestage/term":
+			w.happened(scenario.LeaderChanged)
+			w.deliverKept()
 		case strings.HasPrefix(c.Key, "shalestage/progress/") && c.Value != nil:
 			w.happened(scenario.EndStored)
 		case strings.HasPrefix(c.Key, "shalestage/follow/"):
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -79,11 +79,11 @@
 	case scenario.StateLate:
 		w.late, w.lateShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateUnanswered:
-		w.unanswered = until
+		w.unanswered, w.unansweredShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateLose:
 		w.State.Lose(w.now, f.LosePrefix(), max(f.Count, 1))
 	case scenario.LateReports:
-		w.copies.until, w.copies.share = until, f.Share
+		w.copies.until, w.copies.share, w.copies.forNext = until, f.Share, f.ForNext
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
@@ -258,6 +258,14 @@
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind, f.ForS, f.Node = scenario.ClockJump, 0, "any" },
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Times = scenario.PollStorm, span(rng, 5, 30) },
 	cutTo(scenario.PartyState), cutTo(scenario.PartyCloud), cutTo(scenario.PartyWorkers), cutTo(scenario.PartyPeers), cutTo(scenario.PartyUsers),
+	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Count = scenario.MachineMute, 1+rng.IntN(4) },
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.StateUnanswered, span(rng, 0.05, 0.5)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share, f.ForNext = scenario.LateReports, span(rng, 0.1, 0.6), true
+	},
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.QuickBoots },
 }
 
 func someNode(rng *rand.Rand) string { return pick(rng, "any", "any", "holder", "leader") }
--- /dev/null
+++ b/internal/emulator/sim/meet_test.go
@@ -0,0 +1,103 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/scenario"
+)
+
+// TestDrawnFaultsAreSound draws faults of all shapes: each could stand in a file.
+func TestDrawnFaultsAreSound(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	seen := map[string]bool{}
+	for shape := range shapes {
+		for range 20 {
+			f := draw(shape, 1, rng)
+			seen[f.Kind] = true
+			if field, err := f.Check(3); err != nil {
+				t.Errorf("%s: %s: %v", f, field, err)
+			}
+		}
+	}
+	for _, kind := range []string{scenario.MachineMute, scenario.QuickBoots, scenario.StateUnanswered, scenario.LateReports} {
+		if !seen[kind] {
+			t.Errorf("%s is never drawn", kind)
+		}
+	}
+}
+
+// TestMuteMachines keeps all machines from every controller for longer than their lease:
+// their tasks end with it, while direct commands still reach them.
+func TestMuteMachines(t *testing.T) {
+	w := New(deployment(3, 0), Options{Seed: 1})
+	w.submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 8, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Image: "i", Estimate: 10 * second}, 300*second, 0)
+	w.Run(60 * second)
+	if w.Site.Running() == 0 {
+		t.Fatal("nothing runs")
+	}
+	w.Fault(scenario.Fault{Kind: scenario.MachineMute, Share: 1, ForS: 30})
+	reached := 0
+	for _, m := range w.Site.Cloud.Alive() {
+		if _, _, taken, found := w.Site.Direct(w.now, m.Name, 1<<60, w.Site.Worker(m.Name).Session(), nil); found && taken {
+			reached++
+		}
+	}
+	w.Run(w.now + 20*second)
+	if reached == 0 || w.Site.Running() > 0 {
+		t.Errorf("%d machines were reached, %d tasks run after the leases", reached, w.Site.Running())
+	}
+}
+
+// TestQuickBoots rents machines: they are up within two seconds.
+func TestQuickBoots(t *testing.T) {
+	w := New(deployment(3, 0), Options{Seed: 1})
+	w.Fault(scenario.Fault{Kind: scenario.QuickBoots, ForS: 60})
+	w.submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 8, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Image: "i", Estimate: 10 * second}, 100*second, 0)
+	w.Run(60 * second)
+	for _, m := range w.Site.Cloud.Charged() {
+		if up := m.Up - m.Rented; up > 2*second {
+			t.Errorf("%s was up after %v", m.Name, up)
+		}
+	}
+	if w.Site.Cloud.Rented() == 0 {
+		t.Error("nothing was rented")
+	}
+}
+
+// TestLateBy draws how late a share of the transactions is.
+func TestLateBy(t *testing.T) {
+	w := New(deployment(3, 0), Options{Seed: 1})
+	w.Fault(scenario.Fault{Kind: scenario.StateLate, ForS: 10, Share: 0.4})
+	for range 1000 {
+		if d := w.lateBy(); d < 2*second || d > 12*second {
+			t.Fatalf("%v late", d)
+		}
+	}
+}
+
+// TestKeptReports keeps copies of reports until the next holder: they reach controllers after
+// it has its grant, and none of them before.
+func TestKeptReports(t *testing.T) {
+	count := 0
+	w := New(deployment(3, 0), Options{Seed: 1, Event: func(_ unit.Micros, event string) {
+		if event == scenario.ReportToNext {
+			count++
+		}
+	}})
+	w.submit(second, &ledger.Spec{Class: "x", Team: "blue", Tasks: 8, Demand: pack.Vec{1000, 0, 1000}, AnyType: true, Image: "i", Estimate: 10 * second}, 100*second, 0)
+	w.Run(40 * second)
+	w.Fault(scenario.Fault{Kind: scenario.LateReports, Share: 1, ForS: 20, ForNext: true})
+	w.Run(w.now + 10*second)
+	if count > 0 || len(w.meetings.kept) == 0 {
+		t.Fatalf("%d came before, %d are kept", count, len(w.meetings.kept))
+	}
+	w.Fault(scenario.Fault{Kind: scenario.ControllerCrash, Node: "holder"})
+	w.Run(w.now + 30*second)
+	if count == 0 || len(w.Check.Broken()) > 0 {
+		t.Errorf("%d reports came to the next; %v", count, w.Check.Broken())
+	}
+}
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -51,6 +51,8 @@
 	asked  map[core.ReqID]func(core.Reply)
 	state  *rate.Limiter
 	cloud  *rate.Limiter
+	txns   int // transactions so far, in all lives
+	newest int // the newest of them that the state service has judged
 }
 
 // stamp turns simulated time into what rate limits are counted by.
@@ -416,7 +418,9 @@
 				done(o, 0, nil, false)
 				return
 			}
-			done(store.OK, l.Rev, direct.Items(l.Items), l.More)
+			items := direct.Items(l.Items)
+			n.hasRead(items)
+			done(store.OK, l.Rev, items, l.More)
 		})
 	})
 }
@@ -447,7 +451,15 @@
 func (n *Node) watch(life int, e core.Watch) {
 	w := n.w
 	finish := func(o store.Outcome, c kv.Changes) {
-		n.back(life, func() { n.core.OnChanges(n.local(), e, o, c.Rev, direct.Events(c.Events), c.Code == http.StatusGone) })
+		n.back(life, func() {
+			events := direct.Events(c.Events)
+			n.hasRead(events)
+			n.core.OnChanges(n.local(), e, o, c.Rev, events, c.Code == http.StatusGone)
+		})
+	}
+	if f := w.opt.Break.Read; f != nil && e.Fresh && !f() {
+		w.after(millis, func() { finish(store.OK, kv.Changes{Code: http.StatusOK, Rev: e.After}) })
+		return
 	}
 	if !n.state.AllowN(stamp(w.now), 1) {
 		w.after(0, func() { finish(store.Refused, kv.Changes{}) })
@@ -482,9 +494,12 @@
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
 	t := direct.Txn(e.Txn)
+	n.txns++
+	number := n.txns
 	var res kv.Result
 	run := func() int {
 		res = w.State.Commit(w.now, n.Name, t)
+		n.judged(number, res.Code)
 		if res.Code == http.StatusBadRequest && !res.NoLease {
 			w.Check.Break(w.now, check.TooLarge, "%d changes, %d guards, first %s", len(t.Changes), len(t.Guards), t.Changes[0].Key)
 		}
@@ -497,18 +512,26 @@
 		if o == store.Failed && code == http.StatusBadRequest && !res.NoLease {
 			o = store.TooLarge
 		}
+		if f := w.opt.Break.Outcome; f != nil {
+			o = f(*e.Txn, o)
+		}
 		n.back(life, func() { n.core.OnCommit(n.local(), e.Lane, e.Txn, o, res.Rev, res.Failed) })
 	}
 	switch {
 	case w.now < w.late && w.chance(w.lateShare) || w.noise && w.chance(0.002): // carried out late
-		w.after(w.span(1, 60), func() {
-			w.State.Commit(w.now, n.Name, t) // nobody waits for the answer
+		w.after(w.lateBy(), func() {
+			n.late(number, w.State.Commit(w.now, n.Name, t)) // nobody waits for the answer
 			w.takeState()
 		})
 		w.after(callWait, func() { done(store.Unknown, 0) })
-	case w.now < w.unanswered: // carried out, and the answer lost
+	case w.now < w.unanswered && (w.unansweredShare == 1 || w.chance(w.unansweredShare)): // carried out, and the answer lost
 		n.sent(func() {
-			w.net.send(n.Name, scenario.PartyState, func() { run(); w.takeState() })
+			w.net.send(n.Name, scenario.PartyState, func() {
+				if run() == http.StatusOK {
+					n.unanswered(t)
+				}
+				w.takeState()
+			})
 		})
 		w.after(callWait, func() { done(store.Unknown, 0) })
 	default:
@@ -617,6 +640,9 @@
 			if !found || w.noise && w.chance(0.02) {
 				return
 			}
+			if k := w.Site.Worker(e.Machine); k != nil && k.Mute(w.now) {
+				w.happened(scenario.MuteReached)
+			}
 			o := store.Failed
 			if taken {
 				o = store.OK
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/agenda"
@@ -65,6 +66,11 @@
 	Clock    func(node int) float64      // rate of its steady clock
 	Peer     func(m any) bool            // whether a message to another controller is carried
 	Told     func(m any) any             // what another controller is told in place of a message
+	// Outcome is what a controller makes of a transaction's outcome.
+	Outcome func(t store.Txn, o store.Outcome) store.Outcome
+	// Read reports whether the state service is really asked what has changed when a
+	// controller wants that at once; else it is told that nothing has.
+	Read func() bool
 }
 
 // World is a scenario that is being played.
@@ -91,10 +97,13 @@
 	}
 	late, unanswered unit.Micros // until when transactions are
 	lateShare        float64     // of those that are late
+	unansweredShare  float64     // of those whose answer is lost
 	copies           struct {    // of reports that arrive again
-		until unit.Micros
-		share float64
+		until   unit.Micros
+		share   float64
+		forNext bool // when a new leader begins
 	}
+	meetings    meetings
 	zoneCut     map[string]unit.Micros // until when zones are cut off
 	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
 }
@@ -105,7 +114,7 @@
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
 	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
 		Crowd: user.New(s.UserOptions(), stream(14)),
-		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}}
+		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}, meetings: meetings{unread: map[string]string{}}}
 	w.net = network{w: w, ways: map[way]trouble{}}
 	w.front = balance.New(s.Controllers.Count, 0, stream(13))
 	for _, j := range s.Plan(0, stream(15)) {
@@ -232,16 +241,7 @@
 // report brings a worker's report to a controller and its answer back.
 func (w *World) report(e site.Send) {
 	n := w.node(e.Node)
-	arrives := func(req core.ReqID) {
-		body := e.Body
-		if f := w.opt.Break.Report; f != nil {
-			seen := *body
-			seen.Tasks = slices.Clone(seen.Tasks)
-			f(&seen)
-			body = &seen
-		}
-		n.core.Report(n.local(), req, body)
-	}
+	arrives := func(req core.ReqID) { n.report(req, e.Body) }
 	zone := scenario.ZoneParty(e.Body.Zone)
 	failed := func() {
 		w.Site.Answer(w.now, e.Machine, e.Number, machine.Answer{})
@@ -249,9 +249,13 @@
 	}
 	lost := w.noise && w.chance(0.003)
 	if w.now < w.copies.until && w.chance(w.copies.share) {
-		w.after(w.span(2, 3*w.S.Workers.LeaseS), func() {
-			n.ask(arrives, 0, func(core.Reply) {})
-		})
+		if w.copies.forNext {
+			w.keepReport(e.Body)
+		} else {
+			w.after(w.span(2, 3*w.S.Workers.LeaseS), func() {
+				n.ask(arrives, 0, func(core.Reply) {})
+			})
+		}
 	}
 	w.net.request(zone, n.Name, machine.AnswerWithin, func(answer func(func())) {
 		if n.life == 0 {
@@ -270,10 +274,12 @@
 			switch b := r.Body.(type) {
 			case core.Orders:
 				a.Token, a.NoToken, a.Commands = b.Token, false, b.Commands
+				w.acted(b.Token)
 			case core.Redirect:
 				a.Node = b.Node
 			}
 			answer(func() {
+				w.answered(e.Machine, a.Commands)
 				w.Site.Answer(w.now, e.Machine, e.Number, a)
 				w.takeSite()
 			})
@@ -287,6 +293,17 @@
 	})
 }
 
+// report hands a worker's report to the core.
+func (n *Node) report(req core.ReqID, body *fleet.Report) {
+	if f := n.w.opt.Break.Report; f != nil {
+		seen := *body
+		seen.Tasks = slices.Clone(seen.Tasks)
+		f(&seen)
+		body = &seen
+	}
+	n.core.Report(n.local(), req, body)
+}
+
 func (w *World) node(name string) *Node {
 	for _, n := range w.Nodes {
 		if n.Name == name {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -259,6 +259,14 @@
 	}
 }
 
+// Mute lets no report of a machine reach a controller until a time; direct commands reach it.
+func (s *Site) Mute(now unit.Micros, m *rental.Machine, until unit.Micros) {
+	s.Advance(now)
+	if k := s.workers[m.Name]; k != nil {
+		k.Silence(until)
+	}
+}
+
 // Spoil changes what is wrong with a machine.
 func (s *Site) Spoil(now unit.Micros, m *rental.Machine, f machine.Fault) {
 	s.Advance(now)
--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -1,6 +1,7 @@
 package launch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -138,9 +139,9 @@
 			st.Slow(seconds(f.DelayMS / 1000))
 			time.AfterFunc(seconds(f.ForS), func() { st.Slow(0) })
 		case scenario.StateLate:
-			st.Misfortune(seconds(f.ForS), 0)
+			st.Misfortune(seconds(f.ForS), 0, cmp.Or(f.Share, 1))
 		case scenario.StateUnanswered:
-			st.Misfortune(0, seconds(f.ForS))
+			st.Misfortune(0, seconds(f.ForS), cmp.Or(f.Share, 1))
 		case scenario.StateLose:
 			if lost == 0 {
 				return errors.New("there is no such write to lose")
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -211,6 +211,12 @@
 		for _, m := range pick() {
 			st.Deafen(now, m, until)
 		}
+	case MachineMute:
+		for _, m := range pick() {
+			st.Mute(now, m, until)
+		}
+	case QuickBoots:
+		st.Cloud.BootQuickly(until)
 	case MachineSick:
 		for _, m := range pick() {
 			st.Spoil(now, m, machine.Fault{Speed: m.Speed, Sick: true})
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -18,14 +18,28 @@
 	ListingSent    = "listing_sent"    // a controller reads a page of all keys
 	TokenShown     = "token_shown"     // a new holder shows its token to a machine
 	RenewalFailed  = "renewal_failed"  // a lease is not renewed, and about to end
+	LeaderChanged  = "leader_changed"  // a controller takes the lead
+	UnansweredRead = "unanswered_read" // a controller reads what another's transaction wrote that got no answer
+	LateApplied    = "late_applied"    // a transaction without an answer is carried out after newer ones of its controller
+	ReportToNext   = "report_to_next"  // a kept report arrives after a new holder has its grant
+	MuteReached    = "mute_reached"    // a direct command reaches a machine that reaches no controller
+	QuickStart     = "quick_start"     // a start reaches a machine that is up for less than two seconds, while writes are late
+)
+
+// Events that are counted, and at which no trouble is drawn to begin.
+const (
+	// LateRefused is a transaction without an answer that comes after newer ones of its
+	// controller, and is refused by its guards.
+	LateRefused = "late_refused"
 )
 
 // Events lists them.
-var Events = []string{CancelTold, GrantStored, FollowerStored, EndStored, TaskDone, StartSent, PictureSent, ListingSent, TokenShown, RenewalFailed}
+var Events = []string{CancelTold, GrantStored, FollowerStored, EndStored, TaskDone, StartSent, PictureSent, ListingSent, TokenShown, RenewalFailed,
+	LeaderChanged, UnansweredRead, LateApplied, ReportToNext, MuteReached, QuickStart}
 
 // CountedEvents lists all events that are counted, see Expect: those at which a fault may
 // begin, and others.
-var CountedEvents = slices.Concat(Events, []string{})
+var CountedEvents = slices.Concat(Events, []string{LateRefused})
 
 // expectedEvents checks the events that are expected.
 func (c *checker) expectedEvents(e Expect) {
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -32,7 +33,8 @@
 	WriteRPS  float64  `toml:"write_rps" json:"write_rps,omitempty"`
 	ValueKB   float64  `toml:"value_kb" json:"value_kb,omitempty"`
 	TxnOps    int      `toml:"txn_ops" json:"txn_ops,omitempty"`
-	Prefix    string   `toml:"prefix" json:"prefix,omitempty"` // of the key whose write is lost
+	Prefix    string   `toml:"prefix" json:"prefix,omitempty"`     // of the key whose write is lost
+	ForNext   bool     `toml:"for_next" json:"for_next,omitempty"` // copies of reports wait for the next leader
 }
 
 // KindHelp describes a kind of fault for users; needs are the fields without
@@ -68,7 +70,9 @@
 	SpotWave         = "spot_wave"
 	SpotRate         = "spot_rate"
 	MachineDeaf      = "machine_deaf"
+	MachineMute      = "machine_mute"
 	LateReports      = "late_reports"
+	QuickBoots       = "quick_boots"
 	ZoneApart        = "zone_apart"
 	ZoneLost         = "zone_lost"
 	Surge            = "surge"
@@ -89,7 +93,7 @@
 	{StateSlow, []string{"for_s", "delay_ms"}, "the state service answers slowly"},
 	{StateLimits, nil, "the state service lowers its limits, for good"},
 	{StateLate, []string{"for_s"}, "transactions, or a share of them, are applied late, after newer ones, and answered by nobody"},
-	{StateUnanswered, []string{"for_s"}, "transactions are applied, and their answers lost"},
+	{StateUnanswered, []string{"for_s"}, "transactions, or a share of them, are applied at once, and their answers lost"},
 	{StateLose, nil, "the state service loses the last writes that it has answered"},
 	{CloudDown, []string{"for_s"}, "the cloud's interface is out of order"},
 	{NoCapacity, []string{"for_s"}, "the cloud has no machines of a type or in a zone"},
@@ -98,7 +102,9 @@
 	{MachineSick, nil, "machines fail every task that they start"},
 	{MachineSlow, []string{"times"}, "machines run their tasks slower"},
 	{MachineDeaf, []string{"for_s"}, "machines' reports arrive, and neither answers nor commands reach them"},
-	{LateReports, []string{"for_s", "share"}, "of a share of the machines' reports a copy arrives again, from 2 s to well over a lease later"},
+	{MachineMute, []string{"for_s"}, "machines reach no controller; direct commands reach them"},
+	{LateReports, []string{"for_s", "share"}, "of a share of the machines' reports a copy arrives again, from 2 s to well over a lease later; with for_next it arrives at every controller as a new leader begins"},
+	{QuickBoots, []string{"for_s"}, "machines that are rented meanwhile are up within two seconds"},
 	{SpotWave, []string{"share"}, "spot machines are taken back in a wave"},
 	{SpotRate, []string{"per_hour", "for_s"}, "spot machines are taken back more often"},
 	{ZoneApart, []string{"zone", "for_s"}, "a zone's machines and controllers do not reach those of the others"},
@@ -137,6 +143,7 @@
 	put("times", f.Times, f.Times != 0)
 	put("every_s", f.EveryS, f.EveryS != 0)
 	put("delay_ms", f.DelayMS, f.DelayMS != 0)
+	put("for_next", f.ForNext, f.ForNext)
 	return b.String()
 }
 
@@ -145,7 +152,10 @@
 func (f Fault) Check(n int) (field string, err error) {
 	i := slices.IndexFunc(Kinds, func(k KindHelp) bool { return k.Kind == f.Kind })
 	if i < 0 {
-		return "kind", fmt.Errorf("there is no kind %q", f.Kind)
+		return "kind", fmt.Errorf("there is no kind %q, but %v", f.Kind, kindNames())
+	}
+	if field, err := f.strange(); err != nil {
+		return field, err
 	}
 	set := map[string]bool{"for_s": f.ForS > 0, "every_s": f.EveryS > 0, "times": f.Times > 0, "between": len(f.Between) > 0,
 		"share": f.Share > 0, "per_hour": f.PerHour > 0, "zone": f.Zone != "", "delay_ms": f.DelayMS > 0}
@@ -193,6 +203,72 @@
 	return "", nil
 }
 
+// kindNames returns the names of all kinds of faults.
+func kindNames() []string {
+	var out []string
+	for _, k := range Kinds {
+		out = append(out, k.Kind)
+	}
+	return out
+}
+
+// machineFields choose the machines that a fault is about.
+var machineFields = []string{"count", "share", "type", "zone"}
+
+// takes are the fields that each kind takes, beside those that every kind takes.
+var takes = map[string][]string{
+	ControllerCrash:  {"node", "for_s"},
+	ControllerRetire: {"node"},
+	ControllerRoll:   {"every_s"},
+	ControllerFreeze: {"node", "for_s"},
+	ControllerSlow:   {"node", "for_s", "times"},
+	ClockJump:        {"node"},
+	Cut:              {"for_s", "between", "direction", "mode", "delay_ms"},
+	StateOutage:      {"for_s"},
+	StateRefuse:      {"node", "for_s"},
+	StateSlow:        {"for_s", "delay_ms"},
+	StateLimits:      {"rps", "write_rps", "value_kb", "txn_ops"},
+	StateLate:        {"for_s", "share"},
+	StateUnanswered:  {"for_s", "share"},
+	StateLose:        {"count", "prefix"},
+	CloudDown:        {"for_s"},
+	NoCapacity:       {"for_s", "type", "zone"},
+	MachineStop:      machineFields,
+	MachineHang:      slices.Concat(machineFields, []string{"for_s"}),
+	MachineSick:      machineFields,
+	MachineSlow:      slices.Concat(machineFields, []string{"times"}),
+	MachineDeaf:      slices.Concat(machineFields, []string{"for_s"}),
+	MachineMute:      slices.Concat(machineFields, []string{"for_s"}),
+	LateReports:      {"for_s", "share", "for_next"},
+	QuickBoots:       {"for_s"},
+	SpotWave:         slices.Concat(machineFields, []string{"notice_s"}),
+	SpotRate:         {"for_s", "per_hour"},
+	ZoneApart:        {"for_s", "zone", "direction", "mode", "delay_ms"},
+	ZoneLost:         {"for_s", "zone", "direction", "mode", "delay_ms"},
+	Surge:            {"for_s", "times", "class"},
+	PollStorm:        {"for_s", "times"},
+}
+
+// always are the fields that every kind takes. What lasts no time takes no for_to_s either.
+var always = []string{"kind", "at_s", "at_to_s"}
+
+// strange returns a field that is given and that the fault's kind does not take.
+func (f Fault) strange() (field string, err error) {
+	allowed := slices.Concat(takes[f.Kind], always)
+	if slices.Contains(allowed, "for_s") {
+		allowed = append(allowed, "for_to_s")
+	}
+	v := reflect.ValueOf(f)
+	for i := range v.NumField() {
+		name := v.Type().Field(i).Tag.Get("toml")
+		if !v.Field(i).IsZero() && !slices.Contains(allowed, name) {
+			slices.Sort(allowed)
+			return name, fmt.Errorf("%s does not take it, but %v", f.Kind, allowed)
+		}
+	}
+	return "", nil
+}
+
 func knownNode(name string, n int) bool {
 	if slices.Contains([]string{"holder", "leader", "any"}, name) {
 		return true
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -30,7 +31,10 @@
 		"no such job":         {strings.Replace(whole(""), "awaits = [\"extract\"]", "awaits = [\"extracts\"]", 1), 0, 1, "no job \"extracts\" further up"},
 		"awaits a service":    {strings.Replace(whole(""), "awaits = [\"extract\"]", "awaits = [\"preview\"]", 1), 0, 1, "never done"},
 		"named twice":         {strings.Replace(whole(""), "name = \"search\"\nteam", "name = \"render\"\nteam", 1), 0, 1, "named twice"},
-		"no such fault":       {whole("[[fault]]\nat_s = 1\nkind = \"rain\"\n"), lines + 2, 1, "there is no kind \"rain\""},
+		"no such fault":       {whole("[[fault]]\nat_s = 1\nkind = \"rain\"\n"), lines + 2, 1, "there is no kind \"rain\", but [controller_crash controller_retire"},
+		"strange field":       {whole("[[fault]]\nat_s = 1\nkind = \"state_outage\"\nfor_s = 2\nshare = 0.5\n"), lines + 4, 1, "state_outage does not take it, but [at_s at_to_s for_s for_to_s kind]"},
+		"lasts no time":       {whole("[[fault]]\nat_s = 1\nkind = \"machine_stop\"\nfor_to_s = 2\n"), lines + 3, 1, "machine_stop does not take it, but [at_s"},
+		"not for the next":    {whole("[[fault]]\nat_s = 1\nkind = \"state_late\"\nfor_s = 2\nfor_next = true\n"), lines + 4, 1, "state_late does not take it, but [at_s at_to_s for_s for_to_s kind share]"},
 		"fault without time":  {whole("[[fault]]\nkind = \"state_outage\"\n"), lines, 3, "for_s: missing, state_outage needs it"},
 		"no such controller":  {whole("[[fault]]\nkind = \"cut\"\nfor_s = 1\nbetween = [\"node-7\", \"state\"]\n"), lines + 3, 1, "want a controller"},
 		"no such zone":        {whole("[[fault]]\nkind = \"zone_apart\"\nfor_s = 1\nzone = \"east\"\n"), lines + 3, 1, "none of controllers.zones"},
@@ -52,6 +56,20 @@
 	}
 }
 
+// TestKindsTakeFields has every kind say which fields it takes, those that it needs among them.
+func TestKindsTakeFields(t *testing.T) {
+	if len(takes) != len(Kinds) {
+		t.Errorf("%d kinds, and %d say what they take", len(Kinds), len(takes))
+	}
+	for _, k := range Kinds {
+		for _, need := range k.Needs {
+			if !slices.Contains(takes[k.Kind], need) {
+				t.Errorf("%s needs %s and does not take it", k.Kind, need)
+			}
+		}
+	}
+}
+
 // TestBase reads a file that changes another: what it names is replaced, the rest stays.
 func TestBase(t *testing.T) {
 	dir := t.TempDir()
