--- a/internal/emulator/sim/meetings.go
+++ b/internal/emulator/sim/meetings.go
@@ -27,6 +27,7 @@
 	kept   []keptReport
 	grants int    // stored so far
 	token  uint64 // the highest that a holder has answered a report with
+	latest uint64 // the token of the latest grant
 }
 
 // keptReport is a copy of a report that waits for the next leader.
@@ -66,6 +67,7 @@
 func (w *World) granted(value json.RawMessage) {
 	if g, err := lead.DecodeBlock(value); err == nil && g.Node != "" {
 		w.meetings.grants++
+		w.meetings.latest = lead.Token(g.Term, g.Number)
 		w.deliverKept()
 	}
 }
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -494,6 +494,9 @@
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
 	t := direct.Txn(e.Txn)
+	if f := w.opt.Break.Txn; f != nil {
+		f(&t)
+	}
 	n.txns++
 	number := n.txns
 	var res kv.Result
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -68,6 +68,8 @@
 	Told     func(m any) any             // what another controller is told in place of a message
 	// Outcome is what a controller makes of a transaction's outcome.
 	Outcome func(t store.Txn, o store.Outcome) store.Outcome
+	// Txn changes what a controller sends of a transaction.
+	Txn func(t *kv.Txn)
 	// Read reports whether the state service is really asked what has changed when a
 	// controller wants that at once; else it is told that nothing has.
 	Read func() bool
