Emulated machines that hang read an answer once they go on, if that is soon enough

Cause: the answer to a report was carried out while the machine stood still, so that a cancelled task was stopped on a machine that hung.

--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -71,6 +71,12 @@
 	Commands []fleet.Command
 }
 
+// unread is an answer to a report that is read once the machine goes on.
+type unread struct {
+	number int
+	answer Answer
+}
+
 type task struct {
 	id      ledger.TaskID
 	attempt uint64
@@ -100,6 +106,7 @@
 	leaseFrom unit.Micros // when the last report that got an answer was sent
 	noticeAt  unit.Micros // when the cloud takes the machine, by its word; Never: no notice
 	hungTill  unit.Micros
+	unread    *unread // an answer that came while the machine stands still
 	deafTill  unit.Micros
 
 	reportAt   unit.Micros // the next report, unless something changes before
@@ -321,6 +328,9 @@
 	if n := len(w.fetches); n > 0 {
 		next = min(next, w.fetched+w.fetchTime())
 	}
+	if w.unread != nil {
+		next = w.hungTill
+	}
 	return min(lease, max(next, w.hungTill))
 }
 
@@ -349,6 +359,12 @@
 	if w.now < w.hungTill {
 		return
 	}
+	if u := w.unread; u != nil {
+		w.unread = nil
+		if w.inFlight == u.number && w.now < w.sentAt+AnswerWithin {
+			w.take(u.answer)
+		}
+	}
 	w.fetchOn()
 	for _, id := range w.due() {
 		w.ended(w.tasks[id])
@@ -463,12 +479,22 @@
 }
 
 // Answer takes a controller's answer to a report. One that comes after 4 s, or
-// while a later report is under way, is nobody's.
+// while a later report is under way, is nobody's. A machine that stands still reads it
+// once it goes on, if that is soon enough.
 func (w *Worker) Answer(now unit.Micros, number int, a Answer) {
 	w.Advance(now)
 	if w.inFlight != number || number == 0 || w.Deaf(now) {
 		return
 	}
+	if w.Hangs(w.now) {
+		w.unread = &unread{number, a}
+		return
+	}
+	w.take(a)
+}
+
+// take reads the answer to the report that is under way.
+func (w *Worker) take(a Answer) {
 	w.inFlight = 0
 	if a.Code == http.StatusMisdirectedRequest {
 		if i := slices.Index(w.cfg.Nodes, a.Node); i >= 0 && i != w.node {
