Checks of the core that a test can leave out; events that tell that faults came about together

A rehearsal proves a guard only if it breaks a rule without it. Config.LeftOut names one check of the core that is not made, and Broken.Txn changes what arrives at the state service, so that a test takes out one guard at a time without a copy of the code; no setting reaches either.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -9,6 +9,7 @@
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -122,7 +123,7 @@
 				// An earlier holder may have started tasks there, and its last
 				// answer may have been accepted just before this grant.
 				m.LeaseEnd = c.now + c.leaseBound()
-				if _, handed := picture.machines[name]; !handed && !picture.covers(key) {
+				if _, handed := picture.machines[name]; !handed && !picture.covers(key) && c.keeps(guard.Unaccounted) {
 					bl.unaccounted[name] = true
 					bl.hiddenStale = true
 				}
@@ -293,7 +294,7 @@
 		bl.sortAt = c.now + unit.Second
 		c.sortJobs(bl)
 		for _, j := range bl.order {
-			if j.AllFinished() {
+			if j.AllFinished() && c.keeps(guard.CloseAgain) {
 				// Not only when its last task ends: an earlier holder may have
 				// stored that and ended before it could store the job's end.
 				c.closeJob(bl, j)
--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -76,7 +77,7 @@
 	}
 	bl.contacting--
 	m := bl.machines[e.Machine]
-	if m == nil || m.Accounted || r == nil || r.Machine != m.Name || !m.Newer(r) {
+	if m == nil || m.Accounted && c.keeps(guard.DirectAnswer) || r == nil || r.Machine != m.Name || !m.Newer(r) {
 		return
 	}
 	if o != store.OK || r.Token != bl.token {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
@@ -76,6 +77,8 @@
 	KeepDone   int
 	PackSettle unit.Micros
 	Log        *slog.Logger
+	// LeftOut is a check that is left out; only tests set it.
+	LeftOut guard.Guard
 }
 
 // ReqID names a request that waits for an answer.
@@ -220,7 +223,7 @@
 	}
 	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
-	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log}, standing{c})
+	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log, LeftOut: cfg.LeftOut}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
@@ -269,6 +272,9 @@
 	c.pumpOld()
 }
 
+// keeps reports whether a check is made: all are, but for the one that a test leaves out.
+func (c *Core) keeps(g guard.Guard) bool { return c.cfg.LeftOut != g }
+
 // at moves time on; time never goes back.
 func (c *Core) at(now unit.Micros) { c.now = max(c.now, now) }
 
--- a/internal/core/following.go
+++ b/internal/core/following.go
@@ -8,6 +8,7 @@
 
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
@@ -146,7 +147,7 @@
 // giveOrders answers a report. One that starts something waits until whoever follows knows.
 func (c *Core) giveOrders(bl *block, m *fleet.Machine, req ReqID, o Orders) {
 	starts := slices.ContainsFunc(o.Commands, func(x fleet.Command) bool { return x.Op == fleet.Start })
-	if !starts || !bl.follow.Started(c.now, m.Name, startAnswer{req, o}) {
+	if !starts || !c.keeps(guard.FollowerKnows) || !bl.follow.Started(c.now, m.Name, startAnswer{req, o}) {
 		c.reply(req, http.StatusOK, o)
 	}
 }
@@ -186,7 +187,7 @@
 func (c *Core) takeFollowed(bl *block) *picture {
 	defer c.sink.Forget(bl.n)
 	r := c.follows[bl.n]
-	if after := c.blocks[bl.n].After; after == 0 || after != r.Token {
+	if after := c.blocks[bl.n].After; (after == 0 || after != r.Token) && c.keeps(guard.PictureGrant) {
 		return nil // somebody else has held it since, or an older release granted it
 	}
 	machines, done, ok := c.sink.Picture(bl.n, c.cfg.Node, r)
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -148,6 +149,9 @@
 // longest promise run out before it may help anybody. Its clock starts at 0
 // with its process.
 type Voter struct {
+	// LeftOut is a check that is left out; only tests set it.
+	LeftOut guard.Guard
+
 	promisedUntil unit.Micros
 	over          uint64 // highest seat that this node has helped to end
 }
@@ -155,7 +159,7 @@
 // Promise is asked by the holder of a seat; seen is the seat that the holder
 // has in the state service as this node last saw it, 0 if there is none.
 func (v *Voter) Promise(now unit.Micros, seat, seen uint64) bool {
-	if seat != seen || seat <= v.over {
+	if seat != seen || seat <= v.over && v.LeftOut != guard.PromiseRecord {
 		return false
 	}
 	v.promisedUntil = max(v.promisedUntil, now+PromiseTime)
@@ -165,7 +169,7 @@
 // Permit is asked by a controller that wants to give away what a seat holds
 // whose record is gone.
 func (v *Voter) Permit(now unit.Micros, seat uint64) bool {
-	if now < v.promisedUntil || now < unit.Longest(PromiseTime) {
+	if now < v.promisedUntil && v.LeftOut != guard.PermitPromise || now < unit.Longest(PromiseTime) && v.LeftOut != guard.PermitYoung {
 		return false
 	}
 	v.over = max(v.over, seat)
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
@@ -120,7 +121,7 @@
 	if err := json.Unmarshal(e.Value, &t); err != nil {
 		return err
 	}
-	if t.Term >= c.term.Term {
+	if t.Term >= c.term.Term || !c.keeps(guard.TermRises) {
 		c.term = t
 	}
 	return nil
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -11,6 +11,7 @@
 
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -34,7 +35,7 @@
 		m = c.newMachine(bl, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot}, 0)
 	}
 	orders := Orders{Token: bl.token}
-	if !m.Newer(r) {
+	if !m.Newer(r) && c.keeps(guard.ReportOrder) {
 		c.reply(req, http.StatusOK, orders) // late: nobody waits for this answer
 		return
 	}
@@ -45,7 +46,7 @@
 		}
 		c.log.Info("machine up", "machine", m.Name, "type", r.Type, "spot", r.Spot, "after_s", (now - m.Rented).Seconds())
 	}
-	if void := func(t fleet.Task) bool { return t.State != fleet.Exited && t.Attempt <= m.Void }; slices.ContainsFunc(r.Tasks, void) {
+	if void := func(t fleet.Task) bool { return t.State != fleet.Exited && t.Attempt <= m.Void }; slices.ContainsFunc(r.Tasks, void) && c.keeps(guard.VoidAttempts) {
 		// The machine's lease ran out after these were started, and they ended with it: the
 		// report was sent before, and a cut held it back. Taken for true it would call tasks
 		// back that have been started elsewhere since (docs/incidents/2026-12-01-held-back.md).
@@ -61,7 +62,7 @@
 	} else {
 		m.Notice = unit.Never
 	}
-	if r.Token == bl.token {
+	if r.Token == bl.token || !c.keeps(guard.ReportToken) {
 		// The worker has taken an answer of this term, so that it drops every
 		// answer of earlier ones: its list shows all that can be there. A report
 		// without our token proves nothing, as it may have been under way while
@@ -122,7 +123,7 @@
 		c.wantSync(nil)
 		return nil
 	}
-	if bl.renter.Gone(r.Machine) {
+	if bl.renter.Gone(r.Machine) && c.keeps(guard.ReturnedMachine) {
 		// The cloud has said that it is gone: a cut held the report back. Taken for
 		// alive, it would keep the tasks that it shows from starting elsewhere.
 		c.log.Debug("late report of a returned machine", "machine", r.Machine)
@@ -379,7 +380,7 @@
 		m.UseImage(j.Spec().Image)
 		c.finished(bl, j, t.ID.Task)
 	}
-	return false
+	return !c.keeps(guard.StoredEnd)
 }
 
 // candidate is a job with ready tasks and its place in the order.
@@ -507,7 +508,7 @@
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) && c.keeps(guard.ZoneOfJob) {
 			return false
 		}
 		bl.attempts++
--- a/internal/core/seats/seats.go
+++ b/internal/core/seats/seats.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -66,6 +67,8 @@
 	// taken for over without the others' permits: at least as long as Short.
 	Extend, Short unit.Micros
 	Log           *slog.Logger
+	// LeftOut is a check that is left out; only tests set it.
+	LeftOut guard.Guard
 }
 
 // Seats is a controller's own seat and its view of the others.
@@ -134,6 +137,9 @@
 	if s.id == 0 {
 		return 0
 	}
+	if s.cfg.LeftOut == guard.Authority {
+		return unit.Never
+	}
 	return s.auth.Until()
 }
 
@@ -200,6 +206,9 @@
 	s.renewing = false
 	switch o {
 	case store.OK:
+		if s.cfg.LeftOut == guard.RenewalSent {
+			s.lastHold = now
+		}
 		s.auth.Renewed(s.lastHold)
 		s.renewAt = s.lastHold + s.cfg.TTL/5
 	case store.Failed:
@@ -261,7 +270,7 @@
 func (s *Seats) voter(node string) *lead.Voter {
 	v := s.voters[node]
 	if v == nil {
-		v = &lead.Voter{}
+		v = &lead.Voter{LeftOut: s.cfg.LeftOut}
 		s.voters[node] = v
 	}
 	return v
@@ -274,6 +283,9 @@
 // forgotten whether it had.
 func (s *Seats) Promise(now unit.Micros, node string, seat uint64) bool {
 	seen := s.Of(node)
+	if s.cfg.LeftOut == guard.PromiseRecord {
+		seen = seat
+	}
 	if v := s.views[node]; v != nil && v.id == 0 && v.last == seat {
 		if _, age, _ := s.host.Copy(); age > unserved {
 			seen = seat
@@ -286,6 +298,9 @@
 // a time.
 func (s *Seats) Promised(now unit.Micros, from string, seat uint64, asked unit.Micros) {
 	if s.id != 0 && s.id == seat && asked <= now {
+		if s.cfg.LeftOut == guard.PromiseAsked {
+			asked = now
+		}
 		s.auth.Promised(from, asked)
 	}
 }
@@ -331,7 +346,7 @@
 	if !p.permits[s.cfg.Node] && s.voter(node).Permit(now, id) {
 		p.permits[s.cfg.Node] = true
 	}
-	return len(p.permits) > s.cfg.Size/2
+	return len(p.permits) > s.cfg.Size/2 || s.cfg.LeftOut == guard.Majority
 }
 
 // PermitAsked answers a controller that wants to give away what a seat holds. The node is
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
@@ -304,7 +305,7 @@
 		c.handOver(req, AskQuery, id, nil, "")
 		return
 	}
-	c.wantSync(func(ok bool) {
+	c.readFirst(func(ok bool) {
 		j := c.jobs[id]
 		switch {
 		case !ok:
@@ -317,6 +318,15 @@
 	})
 }
 
+// readFirst answers a poll once a read that begins now has ended.
+func (c *Core) readFirst(answer func(ok bool)) {
+	if !c.keeps(guard.FreshRead) {
+		answer(true)
+		return
+	}
+	c.wantSync(answer)
+}
+
 // Abort cancels a job and answers once that is stored.
 func (c *Core) Abort(now unit.Micros, req ReqID, id string) {
 	c.at(now)
--- a/internal/emulator/sim/events.go
+++ b/internal/emulator/sim/events.go
@@ -47,6 +47,7 @@
 		switch {
 		case strings.HasPrefix(c.Key, "shalestage/block/"):
 			w.happened(scenario.GrantStored)
+			w.blockStored(c)
 		case strings.HasPrefix(c.Key, "shalestage/progress/") && c.Value != nil:
 			w.happened(scenario.EndStored)
 		case strings.HasPrefix(c.Key, "shalestage/follow/"):
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -36,6 +36,7 @@
 	w.Check.Note(w.now, "fault: %s", f)
 	last := unit.Seconds(f.ForS)
 	until := w.now + last
+	w.faultComes(f)
 	switch f.Kind {
 	case scenario.ControllerCrash:
 		for _, n := range w.nodesOf(f.Node) {
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -58,6 +58,7 @@
 
 func (n *Node) start() {
 	w := n.w
+	w.nodeStarts(n)
 	n.lives++
 	n.life, n.born = n.lives, w.now
 	n.rate = 1 + (2*w.rng.Float64()-1)*scenario.MaxDrift
@@ -79,6 +80,9 @@
 	if w.opt.Log != nil {
 		cfg = set.Core(w.opt.Log(n.Name, func() unit.Micros { return w.now }))
 	}
+	if f := w.opt.Break.Core; f != nil {
+		f(&cfg)
+	}
 	n.core = core.New(cfg)
 	share := w.S.State.RPS / float64(len(w.Nodes))
 	n.state = rate.NewLimiter(rate.Limit(share), max(4, int(share)))
@@ -106,6 +110,7 @@
 	if n.life == 0 {
 		return
 	}
+	n.w.nodeEnds(n)
 	n.life = 0
 	if down == 0 {
 		down = unit.Seconds(n.w.S.Controllers.RestartS * (0.7 + 0.6*n.w.rng.Float64()))
@@ -482,6 +487,9 @@
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
 	t := direct.Txn(e.Txn)
+	if f := w.opt.Break.Txn; f != nil {
+		f(&t)
+	}
 	var res kv.Result
 	run := func() int {
 		res = w.State.Commit(w.now, n.Name, t)
@@ -489,6 +497,7 @@
 			w.Check.Break(w.now, check.TooLarge, "%d changes, %d guards, first %s", len(t.Changes), len(t.Guards), t.Changes[0].Key)
 		}
 		if res.Code == http.StatusOK {
+			w.combined.stored[n.Name]++
 			w.stored(t)
 		}
 		return res.Code
@@ -501,7 +510,9 @@
 	}
 	switch {
 	case w.now < w.late && w.chance(w.lateShare) || w.noise && w.chance(0.002): // carried out late
+		before := w.combined.stored[n.Name]
 		w.after(w.span(1, 60), func() {
+			w.lateWrite(n, before)
 			w.State.Commit(w.now, n.Name, t) // nobody waits for the answer
 			w.takeState()
 		})
@@ -611,7 +622,9 @@
 			done(store.Refused, nil)
 			return
 		}
+		sent := w.now
 		w.net.request(n.Name, zone, second, func(answer func(func())) {
+			w.requestArrives(sent)
 			r, _, taken, found := w.Site.Direct(w.now, e.Machine, e.Token, e.Session, nil)
 			w.takeSite()
 			if !found || w.noise && w.chance(0.02) {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -65,6 +65,8 @@
 	Clock    func(node int) float64      // rate of its steady clock
 	Peer     func(m any) bool            // whether a message to another controller is carried
 	Told     func(m any) any             // what another controller is told in place of a message
+	Core     func(*core.Config)          // what its core is told, beyond the settings
+	Txn      func(*kv.Txn)               // what a transaction of its is when it arrives at the state service
 }
 
 // World is a scenario that is being played.
@@ -97,13 +99,14 @@
 	}
 	zoneCut     map[string]unit.Micros // until when zones are cut off
 	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
+	combined    combinations
 }
 
 // New returns a world in which nothing has happened yet.
 func New(s *scenario.Scenario, opt Options) *World {
 	seed := cmp.Or(opt.Seed, s.Seed)
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
-	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
+	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, combined: newCombinations(), S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
 		Crowd: user.New(s.UserOptions(), stream(14)),
 		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}}
 	w.net = network{w: w, ways: map[way]trouble{}}
@@ -219,6 +222,7 @@
 			if e.Completed {
 				w.happened(scenario.TaskDone)
 			}
+			w.taskEnded(e)
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
 			}
@@ -234,6 +238,7 @@
 	n := w.node(e.Node)
 	arrives := func(req core.ReqID) {
 		body := e.Body
+		w.reportArrives(n, body)
 		if f := w.opt.Break.Report; f != nil {
 			seen := *body
 			seen.Tasks = slices.Clone(seen.Tasks)
@@ -273,7 +278,9 @@
 			case core.Redirect:
 				a.Node = b.Node
 			}
+			sent := w.now
 			answer(func() {
+				w.answerArrives(sent, r)
 				w.Site.Answer(w.now, e.Machine, e.Number, a)
 				w.takeSite()
 			})
@@ -304,7 +311,7 @@
 		} else {
 			user.Tell(w.Check, w.now, e)
 			if t, ok := e.(user.Told); ok && t.Kind == user.Cancel && t.Code == http.StatusOK {
-				w.happened(scenario.CancelTold)
+				w.cancelTold()
 			}
 			w.meter(e)
 		}
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -25,7 +25,29 @@
 
 // CountedEvents lists all events that are counted, see Expect: those at which a fault may
 // begin, and others.
-var CountedEvents = slices.Concat(Events, []string{})
+var CountedEvents = slices.Concat(Events, combinedEvents)
+
+// Events that tell that faults came about together.
+const (
+	AllEnded           = "all_ended"            // the last controller that ran has ended
+	AllAway            = "all_away"             // one begins after none has run for longer than a worker's lease
+	ReturnedAtOnce     = "returned_at_once"     // a controller begins within a second of its end
+	HandedBack         = "handed_back"          // a block is granted to a controller that held it before, with another in between
+	HolderEndedUnheard = "holder_ended_unheard" // a holder ends while a machine with tasks hangs, hears nothing or is cut off
+	EndAfterChange     = "end_after_change"     // a task of a job of two or three ends under another holder than the first
+	OutageAfterRefusal = "outage_after_refusal" // a holder or leader was refused alone, cancellations were told, and an outage longer than cancel_s begins
+	ZoneCutOff         = "zone_cut_off"         // a zone with tasks and a controller is cut off for longer than a worker's lease
+	BoundTaskLost      = "bound_task_lost"      // a task of a job bound to one zone, or spread over them, ends with its machine
+	OldReport          = "old_report"           // a report arrives after a newer one of its machine
+	OldSessionReport   = "old_session_report"   // one of an earlier session
+	HeldAnswer         = "held_answer"          // an answer with commands reaches its machine a second or more after it was sent
+	HeldRequest        = "held_request"         // a direct request likewise
+	LateWrite          = "late_write"           // a transaction without an answer is carried out after newer ones of its controller
+	CancelPastCut      = "cancel_past_cut"      // a cancellation is told while a holder is cut from state service and controllers, and reached by workers and users
+)
+
+var combinedEvents = []string{AllEnded, AllAway, ReturnedAtOnce, HandedBack, HolderEndedUnheard, EndAfterChange, OutageAfterRefusal, ZoneCutOff,
+	BoundTaskLost, OldReport, OldSessionReport, HeldAnswer, HeldRequest, LateWrite, CancelPastCut}
 
 // expectedEvents checks the events that are expected.
 func (c *checker) expectedEvents(e Expect) {
