--- a/internal/emulator/sim/events.go
+++ b/internal/emulator/sim/events.go
@@ -49,6 +49,7 @@
 			w.happened(scenario.GrantStored)
 			w.users.granted = w.now
 			w.granted(c.Value)
+			w.blockStored(c)
 		case c.Key == "shalestage/term":
 			w.happened(scenario.LeaderChanged)
 			w.deliverKept()
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -74,6 +74,7 @@
 	// Read reports whether the state service is really asked what has changed when a
 	// controller wants that at once; else it is told that nothing has.
 	Read func() bool
+	Core func(*core.Config) // what its core is told, beyond the settings
 }
 
 // World is a scenario that is being played.
@@ -110,13 +111,14 @@
 	zoneCut     map[string]unit.Micros // until when zones are cut off
 	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
 	users       userTroubles
+	combined    combinations
 }
 
 // New returns a world in which nothing has happened yet.
 func New(s *scenario.Scenario, opt Options) *World {
 	seed := cmp.Or(opt.Seed, s.Seed)
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
-	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
+	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, combined: newCombinations(), S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
 		Crowd: user.New(s.UserOptions(), stream(14)),
 		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}, meetings: meetings{unread: map[string]string{}}}
 	w.net = network{w: w, ways: map[way]trouble{}}
@@ -234,6 +236,7 @@
 				w.happened(scenario.TaskDone)
 				w.ended(e.Task.Job)
 			}
+			w.taskEnded(e)
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
 			}
@@ -284,8 +287,10 @@
 			case core.Redirect:
 				a.Node = b.Node
 			}
+			sent := w.now
 			answer(func() {
 				w.answered(e.Machine, a.Commands)
+				w.answerArrives(sent, r)
 				w.Site.Answer(w.now, e.Machine, e.Number, a)
 				w.takeSite()
 			})
@@ -301,6 +306,7 @@
 
 // report hands a worker's report to the core.
 func (n *Node) report(req core.ReqID, body *fleet.Report) {
+	n.w.reportArrives(n, body)
 	if f := n.w.opt.Break.Report; f != nil {
 		seen := *body
 		seen.Tasks = slices.Clone(seen.Tasks)
@@ -327,7 +333,7 @@
 		} else {
 			user.Tell(w.Check, w.now, e)
 			if t, ok := e.(user.Told); ok && t.Kind == user.Cancel && t.Code == http.StatusOK {
-				w.happened(scenario.CancelTold)
+				w.cancelToldPastCut()
 				if t.Status == ledger.Cancelled {
 					w.cancelTold(t.ID)
 				}
