The ranking of jobs is a package of its own, and costs less

core.rank sorted all active jobs anew whenever one came or went, summed the guarantees of all teams for every job, and each report went through the whole ranking for the few jobs that fit its machine. Package ranking keeps the order (what comes and goes is merged in), weighs teams once per ranking, and finds the jobs that a machine can take by what they ask of it: the first 64 that fit are found without a look at the others.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -1,10 +1,8 @@
 package core
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -12,6 +10,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -41,15 +40,13 @@
 	untyped     bool     // the capacity of some of them is not known
 	hiddenStale bool
 	active      map[string]*ledger.Job
-	order       []*ledger.Job // active jobs, by when they could first start
-	within      map[string]bool
-	owed        map[string]int64   // CPU of teams that have waited for long for their part of the guarantees
-	share       map[string]float64 // fair share of one job, by team
+	queue       ranking.Queue    // active jobs, and the order in which they are served
+	rights      ranking.Rights   // of theirs, by their teams' guarantees
+	owed        map[string]int64 // CPU of teams that have waited for long for their part of the guarantees
 	orderStale  bool
 	usage       map[string]pack.Vec
 	total       pack.Vec         // capacity of all machines
-	ranked      []candidate      // jobs with ready tasks, the first to be served first
-	waiting     int              // their ready tasks
+	waiting     int              // ready tasks of the ranked jobs
 	ends        float64          // tasks of all jobs that end in a second, by their run times
 	roomy       []*fleet.Machine // machines with free room, preferred ones first
 	rankAt      unit.Micros
@@ -188,25 +185,30 @@
 	if bl.active[j.ID] == j {
 		return
 	}
+	if old := bl.active[j.ID]; old != nil {
+		bl.queue.Remove(old)
+	}
 	bl.active[j.ID] = j
+	bl.queue.Add(j)
 	bl.orderStale, bl.newWork = true, true
 }
 
 // jobOver forgets a job that is done or cancelled. Its tasks on machines keep
 // counting against the team until the machines report them gone.
 func (bl *block) jobOver(c *Core, j *ledger.Job, s ledger.Status) {
-	delete(bl.active, j.ID)
-	bl.orderStale = true
+	bl.dropJob(j)
 	spec := j.Spec()
 	c.log.Info("job over", "job", j.ID, "status", s, "class", spec.Class, "tasks", spec.Tasks,
 		"took_s", (c.wall - j.Since).Seconds(), "waited_s", (j.Since - j.Record.Submitted).Seconds(), "deadline_s", spec.Deadline.Seconds())
 }
 
-// sortByStart orders jobs by when they could first start.
-func sortByStart(js []*ledger.Job) {
-	slices.SortFunc(js, func(x, y *ledger.Job) int {
-		return cmp.Or(cmp.Compare(x.Since, y.Since), strings.Compare(x.ID, y.ID))
-	})
+// dropJob forgets a job that is over or another block's now.
+func (bl *block) dropJob(j *ledger.Job) {
+	if old := bl.active[j.ID]; old != nil {
+		bl.queue.Remove(old)
+		delete(bl.active, j.ID)
+	}
+	bl.orderStale = true
 }
 
 // sortJobs keeps the active jobs in the order in which they could first start, and
@@ -214,49 +216,15 @@
 // that wait for others count nowhere.
 func (c *Core) sortJobs(bl *block) {
 	c.flow(bl)
-	if bl.orderStale {
-		bl.orderStale = false
-		bl.order = bl.order[:0]
-		for _, j := range bl.active {
-			bl.order = append(bl.order, j)
-		}
-		sortByStart(bl.order)
-	}
-	bl.within = map[string]bool{}
-	bl.share = map[string]float64{}
-	jobs := map[string]int{}
-	for _, j := range bl.order {
-		team := j.Spec().Team
-		if !j.FailsEverywhere() {
-			jobs[team]++
-		}
-		bl.share[team] = c.teamShare(team) / float64(max(jobs[team], 1))
-	}
+	bl.orderStale = false
+	bl.queue.Settle()
 	// A guarantee covers the earliest of a team's jobs in all blocks.
-	all := bl.order
+	all := &bl.queue.Order
 	if len(c.active) > len(bl.active) {
-		all = slices.DeleteFunc(slices.Collect(maps.Values(c.active)), func(j *ledger.Job) bool { return j.Awaiting > 0 })
-		sortByStart(all)
-	}
-	sum := map[string]pack.Vec{}
-	for _, j := range all {
-		s := j.Spec()
-		t := c.teams[s.Team]
-		if t == nil || t.Guarantee == (pack.Vec{}) {
-			continue
-		}
-		left := s.Tasks - j.Finished()
-		if j.FailsEverywhere() {
-			left = j.Placed() // it takes nothing from those behind it
-		}
-		v := sum[s.Team].Add(s.Demand.Times(int64(left)))
-		sum[s.Team] = v
-		ok := true
-		for i, g := range t.Guarantee {
-			ok = ok && (v[i] <= g || g == 0 && i != pack.CPU)
-		}
-		bl.within[j.ID] = ok
+		all = &c.begun
+		all.Settle()
 	}
+	bl.rights = ranking.Weigh(bl.queue.Jobs(), all.Jobs(), guarantees{c})
 	bl.total = pack.Vec{}
 	for _, m := range bl.machines {
 		if m.Type != nil && !m.Leaving {
@@ -266,6 +234,25 @@
 	c.owe(bl)
 }
 
+// guarantees tells package ranking of the teams.
+type guarantees struct{ c *Core }
+
+// Guarantee implements ranking.Guarantees.
+func (g guarantees) Guarantee(team string) (pack.Vec, bool) {
+	if t := g.c.teams[team]; t != nil {
+		return t.Guarantee, true
+	}
+	return pack.Vec{}, false
+}
+
+// Total implements ranking.Guarantees.
+func (g guarantees) Total() (cpu int64, teams int) {
+	for _, t := range g.c.cfg.Teams {
+		cpu += t.Guarantee[pack.CPU]
+	}
+	return cpu, len(g.c.cfg.Teams)
+}
+
 // tickBlock does what a holder does as time passes.
 func (c *Core) tickBlock(bl *block) {
 	if bl.free {
@@ -292,7 +279,7 @@
 	if c.now >= bl.sortAt {
 		bl.sortAt = c.now + unit.Second
 		c.sortJobs(bl)
-		for _, j := range bl.order {
+		for _, j := range bl.queue.Jobs() {
 			if j.AllFinished() {
 				// Not only when its last task ends: an earlier holder may have
 				// stored that and ended before it could store the job's end.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/scale"
@@ -163,6 +164,7 @@
 
 	jobs   map[string]*ledger.Job // those that are not packed
 	active map[string]*ledger.Job // those that are not final
+	begun  ranking.Order          // those of them that await no others
 	graph  ledger.Graph           // which of them wait for which
 	parts  *parts.Shelf           // descriptions that are stored in parts
 	untidy map[string]bool        // jobs that are over and of which something is to be cleaned up in the state service
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -172,8 +172,7 @@
 	}
 	if r.Block != j.Record.Block {
 		if bl := c.held[j.Record.Block]; bl != nil {
-			delete(bl.active, id)
-			bl.orderStale = true
+			bl.dropJob(j)
 		}
 		j.Record.Block = r.Block
 		j.Clear()
@@ -184,6 +183,9 @@
 
 // joinBlock gives a job to its block, if this node holds that.
 func (c *Core) joinBlock(j *ledger.Job) {
+	if j.Awaiting == 0 {
+		c.begun.Add(j)
+	}
 	if bl := c.held[j.Record.Block]; bl != nil && bl.ready && j.Awaiting == 0 {
 		j.Reset()
 		bl.addJob(j)
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -27,8 +27,9 @@
 	}
 	closed := c.shares[bl.n].share < 1e-9
 	moved := 0
-	for i := len(bl.order) - 1; i >= 0 && moved < movesAtOnce; i-- {
-		j := bl.order[i]
+	jobs := bl.queue.Jobs()
+	for i := len(jobs) - 1; i >= 0 && moved < movesAtOnce; i-- {
+		j := jobs[i]
 		// The order may be from before a job went to another block: moved once more
 		// from here, under this grant, it could be running there.
 		if j.Record.Block != bl.n || !j.Active() || j.Moving || !j.Movable() {
--- a/internal/core/owed_test.go
+++ b/internal/core/owed_test.go
@@ -35,7 +35,7 @@
 	first := func() string {
 		c.sortJobs(bl)
 		c.rank(bl)
-		return bl.ranked[0].job.Spec().Team
+		return bl.queue.Ranked()[0].Job.Spec().Team
 	}
 	if got := first(); got != "rich" {
 		t.Errorf("%s goes first though nothing has waited", got)
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -30,6 +30,7 @@
 // another: what awaits it may start, or is cancelled too.
 func (c *Core) jobFinal(j *ledger.Job) {
 	delete(c.active, j.ID)
+	c.begun.Remove(j)
 	c.over(j)
 	if c.parts.Any(j.ID) {
 		c.untidy[j.ID] = true
@@ -37,6 +38,7 @@
 	ready, cancelled := c.graph.Over(j, c.wall)
 	for _, d := range cancelled {
 		delete(c.active, d.ID)
+		c.begun.Remove(d)
 		c.over(d)
 		c.cancelled(d)
 	}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -6,6 +6,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -33,7 +34,7 @@
 // where another team runs beyond its own. It stops what loses least, and
 // nothing that would lose much beside what the job's task gains.
 func (c *Core) preempt(bl *block, m *fleet.Machine) []fleet.Command {
-	if len(m.Tasks) == 0 || len(bl.ranked) == 0 {
+	if len(m.Tasks) == 0 || len(bl.queue.Ranked()) == 0 {
 		return nil
 	}
 	for id := range m.Tasks {
@@ -112,12 +113,18 @@
 	if bl.ends > 0 && unit.Seconds(float64(bl.waiting)/bl.ends) < after {
 		return nil
 	}
-	for _, cand := range bl.ranked {
-		j := cand.job
+	if c.wall-bl.queue.Since() < after {
+		return nil // none has waited for that long
+	}
+	suits := func(s *ledger.Spec) bool {
+		return s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) && s.Demand.Fits(m.Type.Capacity)
+	}
+	var found *ledger.Job
+	bl.queue.Each(suits, func(cand ranking.Candidate, _ int) bool {
+		j := cand.Job
 		s := j.Spec()
-		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
-			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
-			continue
+		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+			return true
 		}
 		p := bl.preempted[j.ID]
 		if c.now-p.at > preemptMemory {
@@ -125,16 +132,17 @@
 			p.count = 0
 		}
 		if j.Ready() > p.count {
-			return j
+			found = j
 		}
-	}
-	return nil
+		return found == nil
+	})
+	return found
 }
 
 // tier orders jobs by right: within their team's guarantee, then by priority.
 func (c *Core) tier(bl *block, j *ledger.Job) int {
 	t := int(j.Aims.Priority)
-	if bl.within[j.ID] {
+	if bl.rights.Within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
 	if s := j.Spec(); bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
@@ -149,15 +157,12 @@
 // nothing at all.
 func (c *Core) owe(bl *block) {
 	bl.owed = map[string]int64{}
-	var guaranteed int64
-	for _, t := range c.cfg.Teams {
-		guaranteed += t.Guarantee[pack.CPU]
-	}
+	guaranteed, _ := guarantees{c}.Total()
 	room := bl.total[pack.CPU]
 	if guaranteed <= room {
 		return
 	}
-	for _, j := range bl.order {
+	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
 		if t := c.teams[s.Team]; t != nil && j.Ready() > 0 && !j.FailsEverywhere() && c.wall-j.Since > preemptAfter {
 			bl.owed[s.Team] = int64(float64(t.Guarantee[pack.CPU]) * float64(room) / float64(guaranteed))
@@ -171,10 +176,10 @@
 	if s.Team != v.Team && bl.usage[v.Team][pack.CPU] <= bl.owed[v.Team] {
 		return false
 	}
-	if victim.Aims.Priority < j.Aims.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
+	if victim.Aims.Priority < j.Aims.Priority && !(bl.rights.Within[victim.ID] && !bl.rights.Within[j.ID]) {
 		return true
 	}
-	return bl.within[j.ID] && s.Team != v.Team && !bl.within[victim.ID] && c.beyond(bl, v.Team)
+	return bl.rights.Within[j.ID] && s.Team != v.Team && !bl.rights.Within[victim.ID] && c.beyond(bl, v.Team)
 }
 
 // beyond reports whether a team uses more than its guarantee.
--- /dev/null
+++ b/internal/core/ranking/guarantee.go
@@ -0,0 +1,90 @@
+package ranking
+
+import (
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+)
+
+// Rights is what teams' guarantees give their jobs, as of one look at them.
+type Rights struct {
+	Share  map[string]float64 // fair share of one job, by team
+	Within map[string]bool    // jobs that fit their team's guarantee together with the team's earlier ones
+}
+
+// Guarantees are what teams are guaranteed; each is in thousandths.
+type Guarantees interface {
+	// Guarantee returns what a team is guaranteed; false: there is no such team.
+	Guarantee(team string) (pack.Vec, bool)
+	// Total returns the CPU that all teams are guaranteed together, and how many teams there are.
+	Total() (cpu int64, teams int)
+}
+
+// tally is what is known of a team's jobs on the way through all of them.
+type tally struct {
+	guarantee pack.Vec
+	known     bool
+	sum       pack.Vec // that its jobs ask for
+	full      bool     // no later job is within the guarantee
+	jobs      int      // that share what is fair for the team
+}
+
+// Weigh looks at a block's jobs, and at those of all blocks, each in the order in which they
+// could first start. Each job and each of their teams is looked at once.
+func Weigh(block, all []*ledger.Job, teams Guarantees) Rights {
+	r := Rights{Share: map[string]float64{}, Within: map[string]bool{}}
+	tallies := map[string]*tally{}
+	of := func(team string) *tally {
+		t := tallies[team]
+		if t == nil {
+			t = &tally{}
+			t.guarantee, t.known = teams.Guarantee(team)
+			t.full = !t.known || t.guarantee == (pack.Vec{})
+			tallies[team] = t
+		}
+		return t
+	}
+	for _, j := range block {
+		t := of(j.Spec().Team)
+		if !j.FailsEverywhere() {
+			t.jobs++
+		}
+	}
+	sum, number := teams.Total()
+	for team, t := range tallies {
+		r.Share[team] = fairShare(t, sum, number) / float64(max(t.jobs, 1))
+	}
+	for _, j := range all {
+		if t := of(j.Spec().Team); !t.full {
+			if t.covers(j) {
+				r.Within[j.ID] = true
+			}
+		}
+	}
+	return r
+}
+
+// fairShare is a team's share of the whole: by guarantee where there are any, else equal.
+func fairShare(t *tally, guaranteed int64, teams int) float64 {
+	if guaranteed > 0 && t.known {
+		return float64(t.guarantee[pack.CPU]) / float64(guaranteed)
+	}
+	return 1 / float64(max(teams, 1))
+}
+
+// covers adds a job to its team's and reports whether it is still within the guarantee. Sums
+// only grow: once one is not, no later one is.
+func (t *tally) covers(j *ledger.Job) bool {
+	s := j.Spec()
+	left := s.Tasks - j.Finished()
+	if j.FailsEverywhere() {
+		left = j.Placed() // it takes nothing from those behind it
+	}
+	t.sum = t.sum.Add(s.Demand.Times(int64(left)))
+	for i, g := range t.guarantee {
+		if t.sum[i] > g && (g != 0 || i == pack.CPU) {
+			t.full = true
+			return false
+		}
+	}
+	return true
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -14,6 +14,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/watch"
 )
@@ -197,7 +198,7 @@
 	if bl.newWork {
 		c.rank(bl)
 	}
-	fresh := bl.heldStale && len(bl.ranked) > 0
+	fresh := bl.heldStale && len(bl.queue.Ranked()) > 0
 	bl.heldStale = false
 	if fresh {
 		sort.SliceStable(bl.held, func(a, b int) bool { return preferred(bl.held[a].m, bl.held[b].m) })
@@ -382,13 +383,6 @@
 	return false
 }
 
-// candidate is a job with ready tasks and its place in the order.
-type candidate struct {
-	job     *ledger.Job
-	tier    int
-	deficit float64
-}
-
 // maxViews bounds the jobs that are weighed for one machine. They are those
 // furthest from fair share in the highest tiers, of those that fit.
 const maxViews = 64
@@ -406,11 +400,12 @@
 	bl.rankedAt, bl.rankAt = c.now, c.now+rankEvery
 	bl.heldStale = bl.heldStale || bl.newWork
 	bl.newWork = false
-	if bl.orderStale || bl.within == nil {
+	if bl.orderStale || bl.rights.Within == nil {
 		c.sortJobs(bl)
 	}
-	bl.ranked, bl.roomy, bl.waiting, bl.ends = bl.ranked[:0], bl.roomy[:0], 0, 0
-	for _, j := range bl.order {
+	bl.queue.Begin()
+	bl.roomy, bl.waiting, bl.ends = bl.roomy[:0], 0, 0
+	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
 		if s == nil {
 			continue
@@ -421,22 +416,13 @@
 		if j.Ready() > 0 && c.startable(bl, j) {
 			bl.waiting += j.Trials()
 			tier := c.tier(bl, j)*demand.Urgencies + bl.demand.Urgency(c.wall, j)
-			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
+			bl.queue.Propose(ranking.Candidate{Job: j, Tier: tier, Deficit: c.deficit(bl, j)})
 		}
 	}
-	if len(bl.ranked) == 0 {
+	bl.queue.Finish()
+	if len(bl.queue.Ranked()) == 0 {
 		return
 	}
-	sort.SliceStable(bl.ranked, func(a, b int) bool {
-		x, y := bl.ranked[a], bl.ranked[b]
-		if x.tier != y.tier {
-			return x.tier > y.tier
-		}
-		if f, g := x.job.Suspect(), y.job.Suspect(); f != g {
-			return g
-		}
-		return x.deficit > y.deficit
-	})
 	for _, m := range bl.machines {
 		if m.Settled() && m.Notice == unit.Never && c.zones.Reachable(m.Record.Zone) && c.now-m.LastSeen <= watch.NextReport(c.cfg.ReportEvery) && m.Free()[pack.CPU] > 0 {
 			bl.roomy = append(bl.roomy, m)
@@ -453,7 +439,7 @@
 // deficit is how far a job is from its fair share.
 func (c *Core) deficit(bl *block, j *ledger.Job) float64 {
 	s := j.Spec()
-	return bl.share[s.Team] - pack.Dominant(bl.total, s.Demand)*float64(j.Placed())
+	return bl.rights.Share[s.Team] - pack.Dominant(bl.total, s.Demand)*float64(j.Placed())
 }
 
 // fill starts tasks on a machine that has reported free room.
@@ -461,29 +447,31 @@
 	if c.now >= bl.rankAt || bl.newWork && c.now >= bl.rankedAt+rankGap {
 		c.rank(bl)
 	}
-	if len(bl.ranked) == 0 || c.zones.Gone(m.Record.Zone) {
+	if len(bl.queue.Ranked()) == 0 || c.zones.Gone(m.Record.Zone) {
 		return nil
 	}
 	free := m.Free()
 	elsewhere := bl.preferredRoom(c, m)
 	var jobs []*ledger.Job
 	var views []pack.Job
-	for _, cand := range bl.ranked {
-		j := cand.job
+	suits := func(s *ledger.Spec) bool {
+		return s.Demand.Fits(free) && s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot)
+	}
+	bl.queue.Each(suits, func(cand ranking.Candidate, alike int) bool {
+		j := cand.Job
 		s := j.Spec()
-		if s == nil || j.Ready() == 0 || !c.startable(bl, j) ||
-			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
-			continue
+		if s == nil || j.Ready() == 0 || !c.startable(bl, j) {
+			return true
 		}
 		if m.Spare != 0 && bl.demand.Idle(c.wall, j) {
-			continue // the machine would be kept for that alone
+			return true // the machine would be kept for that alone
 		}
-		pending := j.Ready() - elsewhere.take(j)
+		pending := j.Ready() - elsewhere.take(j, alike)
 		if j.Suspect() {
 			pending = c.trials(m, j)
 		}
 		if pending <= 0 {
-			continue
+			return true
 		}
 		constrained := 0
 		if !m.Record.Spot && !s.Spot {
@@ -494,15 +482,13 @@
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * bl.demand.Runtime(s).Seconds(),
 			Deficit:  c.deficit(bl, j),
-			Tier:     2*cand.tier + constrained,
+			Tier:     2*cand.Tier + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: j.Suspect(),
 		})
 		jobs = append(jobs, j)
-		if len(jobs) == maxViews {
-			break
-		}
-	}
+		return len(jobs) < maxViews
+	})
 	var out []fleet.Command
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
@@ -550,23 +536,11 @@
 	return withinLimit(limit, use)
 }
 
-// teamShare is a team's fair share of the whole: by guarantee where there are
-// any, else equal.
-func (c *Core) teamShare(team string) float64 {
-	var sum int64
-	for _, t := range c.cfg.Teams {
-		sum += t.Guarantee[pack.CPU]
-	}
-	if t := c.teams[team]; sum > 0 && t != nil {
-		return float64(t.Guarantee[pack.CPU]) / float64(sum)
-	}
-	return 1 / float64(max(len(c.cfg.Teams), 1))
-}
-
 // room is free room on machines that are preferred to the one at hand.
 type room struct {
 	machines []*fleet.Machine
 	free     []pack.Vec
+	full     map[int]bool // for which tasks nothing is left: it only shrinks
 }
 
 // preferredRoom finds the free room that preferred machines are about to
@@ -605,8 +579,12 @@
 	return x.Name < m.Name
 }
 
-// take sets room aside for a job's ready tasks, and returns for how many.
-func (r *room) take(j *ledger.Job) int {
+// take sets room aside for a job's ready tasks, and returns for how many. Jobs that are alike
+// in what machines can take their tasks have the same number.
+func (r *room) take(j *ledger.Job, alike int) int {
+	if r.full[alike] {
+		return 0
+	}
 	s := j.Spec()
 	left := j.Ready()
 	for i, x := range r.machines {
@@ -618,6 +596,12 @@
 			left--
 		}
 	}
+	if left > 0 {
+		if r.full == nil {
+			r.full = map[int]bool{}
+		}
+		r.full[alike] = true
+	}
 	return j.Ready() - left
 }
 
--- a/internal/core/rooms.go
+++ b/internal/core/rooms.go
@@ -44,7 +44,7 @@
 			return nil, false
 		}
 	}
-	return t.bl.demand.Needs(t.now, t.wall, t.bl.order, t), true
+	return t.bl.demand.Needs(t.now, t.wall, t.bl.queue.Jobs(), t), true
 }
 
 // Types implements renting.Host.
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -58,7 +58,7 @@
 }
 
 func (bl *block) stats() BlockStats {
-	s := BlockStats{Block: bl.n, Jobs: len(bl.order), Unaccounted: len(bl.unaccounted), Follower: bl.follow.Follower()}
+	s := BlockStats{Block: bl.n, Jobs: len(bl.queue.Jobs()), Unaccounted: len(bl.unaccounted), Follower: bl.follow.Follower()}
 	for _, m := range bl.machines {
 		p := &s.Ordinary
 		if m.Record.Spot {
@@ -75,7 +75,7 @@
 			p.UsedCPUs += m.Used()[pack.CPU] / 1000
 		}
 	}
-	for _, j := range bl.order {
+	for _, j := range bl.queue.Jobs() {
 		s.Waiting += j.Ready()
 		s.Placed += j.Placed()
 	}
