Rankings take no more of the processor where more jobs wait

With more than 1,000 jobs rankings are spaced so that they look at 40,000 jobs a second at most (3,000 jobs: every 78 ms in place of 25), and jobs that have given out their last task are passed over until the next one.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -49,8 +49,9 @@
 	waiting     int              // ready tasks of the ranked jobs
 	ends        float64          // tasks of all jobs that end in a second, by their run times
 	roomy       []*fleet.Machine // machines with free room, preferred ones first
-	rankAt      unit.Micros
 	rankedAt    unit.Micros
+	viewed      []*ledger.Job // for one machine, kept for their memory
+	views       []pack.Job
 	lateAt      unit.Micros   // when late writes are next made
 	dirty       []*ledger.Job // with finished tasks to be stored, the longest first
 
--- a/internal/core/block_test.go
+++ b/internal/core/block_test.go
@@ -305,7 +305,7 @@
 
 // holding returns a controller that holds the first block and has read some
 // records.
-func holding(t *testing.T, values map[string]any) *Core {
+func holding(t testing.TB, values map[string]any) *Core {
 	t.Helper()
 	c := New(Config{Node: "a", Size: 1, TxnOps: 4, ValueKB: 8, ValueMax: 2 << 10, StateRate: 100, WriteRate: 50, NextWriteRate: 20, Teams: []Team{{Name: "t"}},
 		LeaderTTL: 1000 * unit.Second, Lease: 10 * unit.Second, ReportEvery: 3 * unit.Second, CloudRate: 5,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -254,7 +254,7 @@
 		if !c.Holds(c.now, k) {
 			continue
 		}
-		if bl.newWork && c.now >= bl.rankedAt+rankGap || c.now >= bl.heldAt {
+		if c.reorderDue(bl) || c.now >= bl.heldAt {
 			bl.heldAt = c.now + unit.Second/20
 			c.answerHeld(bl)
 		}
--- a/internal/core/ranking/queue.go
+++ b/internal/core/ranking/queue.go
@@ -40,6 +40,7 @@
 	spec   *ledger.Spec // of any of its jobs
 	jobs   int          // in the queue
 	ranked []int        // positions in the ranking, the first first
+	spent  int          // so many of them, the first, have no task left to start
 }
 
 // Queue is a block's active jobs and their ranking. The zero value is empty.
@@ -99,7 +100,7 @@
 	q.steps += uint64(len(q.sorted))
 	q.ranked = q.ranked[:0]
 	for _, s := range q.active {
-		s.ranked = s.ranked[:0]
+		s.ranked, s.spent = s.ranked[:0], 0
 	}
 	q.active = q.active[:0]
 	q.since = unit.Never
@@ -170,8 +171,8 @@
 	heads := q.heads[:0]
 	for _, s := range q.active {
 		q.steps++
-		if suits(s.spec) {
-			heads = append(heads, cursor{s: s})
+		if q.skipSpent(s); s.spent < len(s.ranked) && suits(s.spec) {
+			heads = append(heads, cursor{s, s.spent})
 		}
 	}
 	for i := len(heads)/2 - 1; i >= 0; i-- {
@@ -192,6 +193,19 @@
 	q.heads = heads[:0]
 }
 
+// skipSpent passes over the jobs that have given out their last ready task since the ranking. A
+// task of theirs that comes back waits for the next ranking. Where rankings follow each other at
+// once there are few such jobs, and they are looked at again.
+func (q *Queue) skipSpent(s *shape) {
+	if q.Gap() == 0 {
+		return
+	}
+	for s.spent < len(s.ranked) && q.ranked[s.ranked[s.spent]].Job.Ready() == 0 {
+		s.spent++
+		q.steps++
+	}
+}
+
 // sink restores the heap of cursors, the least position first, after the i-th has grown.
 func sink(heads []cursor, i int) {
 	for {
@@ -209,11 +223,18 @@
 	}
 }
 
-// looksPerSecond bounds how many jobs are looked at in a second for rankings.
-const looksPerSecond = 40_000
+const (
+	// looksPerSecond bounds how many jobs are looked at in a second for rankings.
+	looksPerSecond = 40_000
+	// fewJobs is up to how many jobs rankings may follow each other at once.
+	fewJobs = 1000
+)
 
-// Gap is the time that must pass between two rankings, so that what they take does not grow
-// with the jobs.
+// Gap is the least time between two rankings. It grows with the jobs, so that what rankings take
+// of the processor does not.
 func (q *Queue) Gap() unit.Micros {
+	if q.Len() <= fewJobs {
+		return 0
+	}
 	return unit.Micros(q.Len()) * unit.Second / looksPerSecond
 }
--- /dev/null
+++ b/internal/core/ranking/ranking_test.go
@@ -0,0 +1,121 @@
+package ranking
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// TestAgainstSorting lets jobs come and go, and compares the order with one that is sorted anew,
+// and what a machine is offered with a look at all jobs.
+func TestAgainstSorting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var q Queue
+	there := map[*ledger.Job]bool{}
+	var known []*ledger.Job
+	for round := range 2000 {
+		for range rng.IntN(4) {
+			j := &ledger.Job{ID: fmt.Sprintf("wk-%06d", rng.IntN(1_000_000)), Since: unit.Micros(round + rng.IntN(50)),
+				Record: ledger.Record{Status: ledger.Pending, Tasks: 1, Spec: &ledger.Spec{Tasks: 1, Spot: rng.IntN(2) == 0, Types: []string{"a", "b"}[:rng.IntN(3)], Demand: pack.Vec{int64(rng.IntN(5))}}}}
+			j.Reset()
+			known = append(known, j)
+		}
+		for range rng.IntN(12) {
+			if len(known) == 0 {
+				break
+			}
+			j := known[rng.IntN(len(known))]
+			if rng.IntN(3) == 0 {
+				q.Remove(j)
+				delete(there, j)
+			} else {
+				q.Add(j)
+				there[j] = true
+			}
+		}
+		known = known[max(0, len(known)-100):]
+		if rng.IntN(3) > 0 {
+			continue
+		}
+		q.Settle()
+		var want []*ledger.Job
+		for j := range there {
+			want = append(want, j)
+		}
+		slices.SortFunc(want, byStart)
+		if !slices.Equal(q.Jobs(), want) || q.Len() != len(want) {
+			t.Fatalf("round %d: %d jobs, want %d in order", round, len(q.Jobs()), len(want))
+		}
+		compareOffers(t, &q, want, rng)
+	}
+}
+
+func compareOffers(t *testing.T, q *Queue, jobs []*ledger.Job, rng *rand.Rand) {
+	t.Helper()
+	type offer struct {
+		job           *ledger.Job
+		tier, deficit int
+	}
+	var all []offer
+	q.Begin()
+	for _, j := range jobs {
+		o := offer{j, rng.IntN(3), rng.IntN(3)}
+		all = append(all, o)
+		q.Propose(Candidate{Job: j, Tier: o.tier, Deficit: float64(o.deficit)})
+	}
+	q.Finish()
+	slices.SortStableFunc(all, func(a, b offer) int { return (b.tier-a.tier)*10 + b.deficit - a.deficit })
+	free := pack.Vec{int64(rng.IntN(6))}
+	suits := func(s *ledger.Spec) bool { return s.Demand.Fits(free) && s.Allows("a", "z", true) }
+	var want, got []*ledger.Job
+	for _, o := range all {
+		if suits(o.job.Spec()) {
+			want = append(want, o.job)
+		}
+	}
+	most := 1 + rng.IntN(20)
+	want = want[:min(most, len(want))]
+	q.Each(suits, func(c Candidate, _ int) bool {
+		got = append(got, c.Job)
+		return len(got) < most
+	})
+	if !slices.Equal(got, want) {
+		t.Fatalf("%d jobs are offered, want %d", len(got), len(want))
+	}
+}
+
+// TestSpentJobsAreSkipped has jobs give out their last task: where many wait, they are not looked
+// at again and again, and a job behind them is found.
+func TestSpentJobsAreSkipped(t *testing.T) {
+	var q Queue
+	for i := range 2 * fewJobs {
+		j := &ledger.Job{ID: fmt.Sprintf("wk-%06d", i), Record: ledger.Record{Status: ledger.Pending, Tasks: 1, Spec: &ledger.Spec{Tasks: 1}}}
+		j.Reset()
+		q.Add(j)
+	}
+	q.Settle()
+	q.Begin()
+	for _, j := range q.Jobs() {
+		q.Propose(Candidate{Job: j})
+	}
+	q.Finish()
+	any := func(*ledger.Spec) bool { return true }
+	from := q.Steps()
+	for i := range fewJobs {
+		q.Each(any, func(c Candidate, _ int) bool {
+			if c.Job != q.Jobs()[i] {
+				t.Fatalf("offered %s at %d", c.Job.ID, i)
+			}
+			c.Job.Take(ledger.Place{})
+			return false
+		})
+	}
+	if steps := q.Steps() - from; steps > 4*fewJobs {
+		t.Errorf("%d steps for %d tasks", steps, fewJobs)
+	}
+}
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -195,7 +195,7 @@
 	if len(bl.held) == 0 {
 		return
 	}
-	if bl.newWork {
+	if bl.newWork && c.now >= bl.rankedAt+bl.queue.Gap() {
 		c.rank(bl)
 	}
 	fresh := bl.heldStale && len(bl.queue.Ranked()) > 0
@@ -391,13 +391,24 @@
 // looked at anew: a report looks only at the first few of each.
 const rankEvery = unit.Second / 4
 
-// rankGap is the least time between, when tasks have become ready.
+// rankGap is the least time between, when tasks have become ready. Both are longer where there
+// are so many jobs that rankings would take more and more of the processor.
 const rankGap = unit.Second / 40
 
+// rankDue reports whether jobs should be ranked anew.
+func (c *Core) rankDue(bl *block) bool {
+	return c.now >= bl.rankedAt+max(rankEvery, bl.queue.Gap()) || c.reorderDue(bl)
+}
+
+// reorderDue reports whether tasks have become ready that the ranking should have soon.
+func (c *Core) reorderDue(bl *block) bool {
+	return bl.newWork && c.now >= bl.rankedAt+max(rankGap, bl.queue.Gap())
+}
+
 // rank orders the jobs that have ready tasks by tier and distance from fair
 // share, and the machines that have free room by preference.
 func (c *Core) rank(bl *block) {
-	bl.rankedAt, bl.rankAt = c.now, c.now+rankEvery
+	bl.rankedAt = c.now
 	bl.heldStale = bl.heldStale || bl.newWork
 	bl.newWork = false
 	if bl.orderStale || bl.rights.Within == nil {
@@ -444,7 +455,7 @@
 
 // fill starts tasks on a machine that has reported free room.
 func (c *Core) fill(bl *block, m *fleet.Machine) []fleet.Command {
-	if c.now >= bl.rankAt || bl.newWork && c.now >= bl.rankedAt+rankGap {
+	if c.rankDue(bl) {
 		c.rank(bl)
 	}
 	if len(bl.queue.Ranked()) == 0 || c.zones.Gone(m.Record.Zone) {
@@ -452,8 +463,7 @@
 	}
 	free := m.Free()
 	elsewhere := bl.preferredRoom(c, m)
-	var jobs []*ledger.Job
-	var views []pack.Job
+	jobs, views := bl.viewed[:0], bl.views[:0]
 	suits := func(s *ledger.Spec) bool {
 		return s.Demand.Fits(free) && s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot)
 	}
@@ -489,6 +499,7 @@
 		jobs = append(jobs, j)
 		return len(jobs) < maxViews
 	})
+	bl.viewed, bl.views = jobs, views
 	var out []fleet.Command
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
--- /dev/null
+++ b/internal/core/waiting_test.go
@@ -0,0 +1,158 @@
+package core
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// busyFleet is a full fleet with jobs of 13 tasks that wait, half of them for other machines: each report tells that one task is
+// done, and the next is started. Jobs that are over are replaced, so that as many wait all the
+// time.
+type busyFleet struct {
+	c       *Core
+	bl      *block
+	names   []string // of the machines
+	teams   int
+	waiting int // jobs
+	jobs    int // that came so far
+	reports int
+	started int
+}
+
+// fleetReports is how often the 3,700 machines of the target report in a second.
+const fleetReports = 740
+
+func newBusyFleet(tb testing.TB, machines, teams, waiting int) *busyFleet {
+	f := &busyFleet{teams: teams, waiting: waiting}
+	values := map[string]any{}
+	for i := 0; i < machines; i += fleet.MaxGroup {
+		g := fleet.Group{Type: "big", Zone: "z"}
+		for k := i; k < min(i+fleet.MaxGroup, machines); k++ {
+			g.Up = append(g.Up, fmt.Sprintf("n-%05d", k))
+		}
+		f.names = append(f.names, g.Up...)
+		values[fmt.Sprintf("%sr-%05d", machPrefix, i)] = g
+	}
+	f.c = holding(tb, values)
+	f.bl = f.c.held[0]
+	f.c.cfg.Teams = nil
+	for i := range teams {
+		f.c.cfg.Teams = append(f.c.cfg.Teams, Team{Name: fmt.Sprintf("t%d", i), Guarantee: pack.Vec{int64(machines * 16_000 / teams), 0, 0}})
+	}
+	for i := range f.c.cfg.Teams {
+		f.c.teams[f.c.cfg.Teams[i].Name] = &f.c.cfg.Teams[i]
+	}
+	for _, m := range f.bl.machines {
+		m.Type, m.LastSeen = f.c.types["big"], f.c.now
+		f.bl.accounted(f.c, m)
+	}
+	for len(f.c.active) < waiting+machines { // so many are about to run
+		f.submit(f.jobs%2 == 0 || len(f.c.active) > waiting)
+	}
+	for range machines {
+		f.report()
+	}
+	f.started = 0
+	return f
+}
+
+// submit has a job come. One that is not for this fleet waits for machines of another type, and
+// goes before the others.
+func (f *busyFleet) submit(here bool) {
+	f.jobs++
+	id := fmt.Sprintf("wk-%06d", f.jobs)
+	r := ledger.Record{Status: ledger.Pending, Tasks: 13, Submitted: f.c.wall, Spec: &ledger.Spec{Class: "c", Team: fmt.Sprintf("t%d", f.jobs%f.teams),
+		Priority: ledger.Normal, Tasks: 13, AnyType: true, Demand: pack.Vec{2000, 0, int64(1+f.jobs%4) * 1000}, Estimate: 70 * unit.Second}}
+	if !here {
+		r.Spec.AnyType, r.Spec.Types, r.Spec.Priority = false, []string{"other"}, ledger.High
+	}
+	f.c.learn(store.Event{Key: jobPrefix + id, Value: r.Encode(), Stamp: uint64(200 + f.jobs)})
+}
+
+// report has the next machine finish a task, and be given others.
+func (f *busyFleet) report() {
+	c, bl := f.c, f.bl
+	c.at(c.now + unit.Second/fleetReports)
+	c.wall += unit.Second / fleetReports
+	f.reports++
+	m := bl.machines[f.names[f.reports%len(f.names)]]
+	m.LastSeen = c.now
+	if tasks := sortedTasks(m.Tasks); len(tasks) > 0 {
+		id := tasks[f.reports%len(tasks)]
+		j := c.jobs[id.Job]
+		j.Finish(id.Task, c.layout)
+		c.taskGone(bl, m, id)
+		if j.AllFinished() {
+			c.learn(store.Event{Key: jobPrefix + id.Job, Value: ledger.Record{Status: ledger.Done, Tasks: 13}.Encode(), Stamp: j.Stamp})
+			f.submit(true)
+		}
+	}
+	f.started += len(c.fill(bl, m))
+	c.preempt(bl, m)
+}
+
+// processorTime is what this process has used so far; other processes' load does not count.
+func processorTime(tb testing.TB) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		tb.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkReport measures what a report costs that tells of a task that is done: rankings, the
+// next start, and the look for what it might stop.
+func BenchmarkReport(b *testing.B) {
+	for _, size := range []struct{ machines, teams, waiting int }{
+		{100, 10, 300}, {100, 30, 300}, {100, 100, 300}, {100, 340, 300},
+		{100, 340, 100}, {100, 340, 1000}, {100, 340, 3000}, {100, 10, 3000},
+		{370, 340, 3000}, {925, 340, 3000}, {1850, 340, 3000}, {3700, 340, 3000},
+	} {
+		b.Run(fmt.Sprintf("machines=%d/teams=%d/waiting=%d", size.machines, size.teams, size.waiting), func(b *testing.B) {
+			f := newBusyFleet(b, size.machines, size.teams, size.waiting)
+			from := processorTime(b)
+			for b.Loop() {
+				f.report()
+			}
+			b.ReportMetric(float64(processorTime(b)-from)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(f.started)/float64(b.N), "starts/op")
+		})
+	}
+}
+
+// TestReportSteps holds what a report costs to a bound that grows neither with the jobs that wait
+// nor with the teams, counted in jobs that are looked at. It used to grow with both: each ranking
+// added up all teams for every job, and each report went through all jobs.
+func TestReportSteps(t *testing.T) {
+	perReport := func(teams, waiting int) float64 {
+		f := newBusyFleet(t, 100, teams, waiting)
+		const reports = 3 * fleetReports
+		from := f.bl.queue.Steps()
+		for range reports {
+			f.report()
+		}
+		if f.started < reports*9/10 {
+			t.Errorf("%d teams, %d jobs: %d starts in %d reports", teams, waiting, f.started, reports)
+		}
+		return float64(f.bl.queue.Steps()-from) / reports
+	}
+	base := perReport(10, 1000)
+	for _, size := range []struct {
+		teams, waiting int
+		times          float64 // that of the base, at most
+	}{{30, 1000, 1.1}, {100, 1000, 1.1}, {340, 1000, 1.1}, {340, 100, 1.1}, {340, 300, 1.1}, {10, 3000, 1.25}, {340, 3000, 1.25}, {340, 10_000, 1.6}} {
+		got := perReport(size.teams, size.waiting)
+		t.Logf("%d teams, %d jobs: %.1f steps a report (%.1f)", size.teams, size.waiting, got, base)
+		if got > size.times*base {
+			t.Errorf("%d teams, %d jobs: more than %g times the steps with 10 teams and 1,000 jobs", size.teams, size.waiting, size.times)
+		}
+	}
+}
