--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -145,7 +145,7 @@
 	if bl.rights.Within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
-	if s := j.Spec(); bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
+	if s := j.Spec(); (len(bl.owed) > 0 || s.Demand[pack.CPU] == 0) && bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
 		t += 2 * (int(ledger.Production) + 1)
 	}
 	return t
@@ -164,7 +164,10 @@
 	}
 	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
-		if t := c.teams[s.Team]; t != nil && j.Ready() > 0 && !j.FailsEverywhere() && c.wall-j.Since > preemptAfter {
+		if j.Ready() == 0 || c.wall-j.Since <= preemptAfter || j.FailsEverywhere() || bl.owed[s.Team] > 0 {
+			continue
+		}
+		if t := c.teams[s.Team]; t != nil {
 			bl.owed[s.Team] = int64(float64(t.Guarantee[pack.CPU]) * float64(room) / float64(guaranteed))
 		}
 	}
--- a/internal/core/ranking/guarantee.go
+++ b/internal/core/ranking/guarantee.go
@@ -29,7 +29,8 @@
 }
 
 // Weigh looks at a block's jobs, and at those of all blocks, each in the order in which they
-// could first start. Each job and each of their teams is looked at once.
+// could first start; the two may be the same list. Each job and each of their teams is looked at
+// once.
 func Weigh(block, all []*ledger.Job, teams Guarantees) Rights {
 	r := Rights{Share: map[string]float64{}, Within: map[string]bool{}}
 	tallies := map[string]*tally{}
@@ -43,21 +44,26 @@
 		}
 		return t
 	}
+	one := len(block) == len(all) && (len(all) == 0 || &block[0] == &all[0])
 	for _, j := range block {
 		t := of(j.Spec().Team)
 		if !j.FailsEverywhere() {
 			t.jobs++
 		}
+		if one && !t.full && t.covers(j) {
+			r.Within[j.ID] = true
+		}
 	}
 	sum, number := teams.Total()
 	for team, t := range tallies {
 		r.Share[team] = fairShare(t, sum, number) / float64(max(t.jobs, 1))
 	}
+	if one {
+		return r
+	}
 	for _, j := range all {
-		if t := of(j.Spec().Team); !t.full {
-			if t.covers(j) {
-				r.Within[j.ID] = true
-			}
+		if t := of(j.Spec().Team); !t.full && t.covers(j) {
+			r.Within[j.ID] = true
 		}
 	}
 	return r
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -31,6 +31,7 @@
 	Jobs           int
 	Waiting        int    // tasks
 	Placed         int    // tasks
+	Started        uint64 // tasks, since this controller has held it
 	Unaccounted    int    // machines
 	Follower       string // who knows all that is started here; "": nobody
 	Ordinary, Spot PoolStats
@@ -58,7 +59,7 @@
 }
 
 func (bl *block) stats() BlockStats {
-	s := BlockStats{Block: bl.n, Jobs: len(bl.queue.Jobs()), Unaccounted: len(bl.unaccounted), Follower: bl.follow.Follower()}
+	s := BlockStats{Block: bl.n, Jobs: len(bl.queue.Jobs()), Unaccounted: len(bl.unaccounted), Started: bl.attempts, Follower: bl.follow.Follower()}
 	for _, m := range bl.machines {
 		p := &s.Ordinary
 		if m.Record.Spot {
--- a/internal/rehearse/census.go
+++ b/internal/rehearse/census.go
@@ -14,11 +14,12 @@
 	"shalestage/seat", "shalestage/block", "shalestage/share", "shalestage", "shalestage-past"}
 
 // WriteCensus returns what writes each census as a line of CSV: the time in seconds,
-// keys by folder, and the largest figures of any controller.
+// keys by folder, the largest figures of any controller, and those of the fleet.
 func WriteCensus(w io.Writer) func(sim.Census) {
 	out := csv.NewWriter(w)
 	head := append([]string{"at_s"}, folders...)
-	_ = out.Write(append(head, "jobs_in_memory", "keys_in_memory", "kept_done", "packed", "buckets_read", "lookups_refused", "heap_mb"))
+	_ = out.Write(append(head, "jobs_in_memory", "keys_in_memory", "kept_done", "packed", "buckets_read", "lookups_refused", "heap_mb",
+		"machines", "tasks_waiting", "tasks_placed", "tasks_started"))
 	return func(c sim.Census) {
 		line := []string{strconv.FormatFloat(c.At.Seconds(), 'f', 0, 64)}
 		for _, f := range folders {
@@ -33,7 +34,26 @@
 		for _, n := range []int{jobs, keys, kept, packed, int(read), int(shed)} {
 			line = append(line, strconv.Itoa(n))
 		}
-		_ = out.Write(append(line, strconv.FormatFloat(c.HeapMB, 'f', 0, 64)))
+		line = append(line, strconv.FormatFloat(c.HeapMB, 'f', 0, 64))
+		for _, n := range fleetOf(c) {
+			line = append(line, strconv.Itoa(n))
+		}
+		_ = out.Write(line)
 		out.Flush() // a long play is looked at while it goes on
 	}
 }
+
+// fleetOf adds up what the blocks' holders tell: machines that report, tasks that wait, that are
+// placed, and that were started since their holders hold them.
+func fleetOf(c sim.Census) [4]int {
+	var sum [4]int
+	for _, n := range c.Nodes {
+		for _, b := range n.Blocks {
+			sum[0] += b.Ordinary.Machines - b.Ordinary.Booting + b.Spot.Machines - b.Spot.Booting
+			sum[1] += b.Waiting
+			sum[2] += b.Placed
+			sum[3] += int(b.Started)
+		}
+	}
+	return sum
+}
