--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/sim"
+	"shalestage.example/shalestage/internal/emulator/traffic"
 	"shalestage.example/shalestage/internal/rehearse"
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -30,6 +31,8 @@
 	JUnit   string   `name:"junit" placeholder:"FILE" help:"Write the verdicts there as JUnit's XML."`
 	Census  string   `placeholder:"FILE" help:"Of one play, write there as CSV how many keys and jobs there are, again and again."`
 	Every   float64  `default:"3600" help:"Simulated seconds between two such counts."`
+	Traffic string   `placeholder:"FILE" help:"Of one play, write there as CSV what each controller is asked, asks and takes of a processor in a second."`
+	From    float64  `default:"0" help:"Simulated seconds that --traffic leaves out at the start."`
 	Account bool     `help:"Say where the money for machines went, by pool and use."`
 	Log     string   `enum:",error,warn,info,debug" default:"" help:"Print the controllers' logs of this level, in simulated time."`
 }
@@ -75,6 +78,22 @@
 		defer f.Close()
 		opt.Census, opt.CensusEvery = rehearse.WriteCensus(f), unit.Seconds(o.Every)
 	}
+	if o.Traffic != "" {
+		if len(plays) != 1 || o.Real {
+			return unusable(errors.New("--traffic is for one play in simulated time"))
+		}
+		f, err := os.Create(o.Traffic)
+		if err != nil {
+			return unusable(err)
+		}
+		defer f.Close()
+		opt.Traffic = traffic.New(unit.Seconds(o.From))
+		defer func() {
+			if err := opt.Traffic.Write(f); err != nil {
+				fmt.Fprintf(os.Stderr, "shalestage: %v\n", err)
+			}
+		}()
+	}
 	// A play makes much that is soon garbage, and little that stays.
 	debug.SetGCPercent(400)
 	var list []rehearse.Verdict
--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -156,3 +157,49 @@
 		}
 	}
 }
+
+// BenchmarkHolderMemory measures what a holder keeps: of machines with their tasks, with few jobs
+// that wait; and of jobs that wait, with few machines.
+func BenchmarkHolderMemory(b *testing.B) {
+	for _, size := range []struct{ machines, waiting int }{{370, 300}, {925, 300}, {1850, 300}, {3700, 300}, {100, 1000}, {100, 3000}, {100, 10_000}, {100, 30_000}} {
+		b.Run(fmt.Sprintf("machines=%d/waiting=%d", size.machines, size.waiting), func(b *testing.B) {
+			for b.Loop() {
+				from := heap()
+				f := newBusyFleet(b, size.machines, 340, size.waiting)
+				b.ReportMetric(float64(heap()-from)/(1<<20), "MB")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
+// heap is what is alive, in bytes.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkListing measures what it takes a controller that starts to take in the listing, by
+// jobs that are not over.
+func BenchmarkListing(b *testing.B) {
+	for _, jobs := range []int{1000, 3000, 10_000, 30_000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			var items []store.Event
+			for i := range jobs {
+				r := ledger.Record{Status: ledger.Pending, Tasks: 13, Submitted: unit.Second, Spec: &ledger.Spec{Class: "c", Team: "t1", Tasks: 13, AnyType: true,
+					Demand: pack.Vec{2000, 0, 1000}, Estimate: 70 * unit.Second, Image: "registry/image"}}
+				items = append(items, store.Event{Key: fmt.Sprintf("%swk-%06d", jobPrefix, i+1), Value: r.Encode(), Stamp: uint64(i + 1)})
+			}
+			from := processorTime(b)
+			for b.Loop() {
+				c := holding(b, nil)
+				for _, e := range items {
+					c.learn(e)
+				}
+			}
+			b.ReportMetric(float64(processorTime(b)-from)/float64(b.N)/1e6, "cpu-ms/op")
+		})
+	}
+}
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -186,6 +186,7 @@
 		n.w.after(n.frozen-n.w.now, func() { n.tick(life) })
 		return
 	}
+	n.w.opt.Traffic.Start(n.w.now, n.Name, "do tick")
 	n.core.Tick(n.local(), n.wall())
 	n.carryOut()
 	n.w.oneHolder()
@@ -203,6 +204,7 @@
 		n.next++
 		req := n.next
 		n.asked[req] = done
+		n.w.opt.Traffic.Start(n.w.now, n.Name, "do user")
 		f(req)
 		n.carryOut()
 		if within > 0 && n.asked[req] != nil {
@@ -217,7 +219,9 @@
 }
 
 func (n *Node) carryOut() {
-	for _, e := range n.core.Drain() {
+	effects := n.core.Drain()
+	n.w.opt.Traffic.Stop()
+	for _, e := range effects {
 		n.effect(e)
 	}
 }
@@ -229,6 +233,7 @@
 	}
 	n.awake(func() {
 		if n.life == life {
+			n.w.opt.Traffic.Start(n.w.now, n.Name, "do answer")
 			f()
 			n.carryOut()
 		}
@@ -238,6 +243,7 @@
 func (n *Node) effect(e core.Effect) {
 	w, life := n.w, n.life
 	w.sending(e)
+	n.countEffect(e)
 	switch e := e.(type) {
 	case core.Reply:
 		if f := n.asked[e.Req]; f != nil {
@@ -256,6 +262,7 @@
 			w.net.send(n.Name, o.Name, func() {
 				if o.life != 0 {
 					o.awake(func() {
+						w.opt.Traffic.Start(w.now, o.Name, "do peer")
 						o.core.OnPeer(o.local(), n.Name, e.Message)
 						o.carryOut()
 					})
@@ -416,6 +423,7 @@
 				done(o, 0, nil, false)
 				return
 			}
+			n.countItems(l.Items)
 			done(store.OK, l.Rev, direct.Items(l.Items), l.More)
 		})
 	})
@@ -447,6 +455,7 @@
 func (n *Node) watch(life int, e core.Watch) {
 	w := n.w
 	finish := func(o store.Outcome, c kv.Changes) {
+		n.countChanges(c.Events)
 		n.back(life, func() { n.core.OnChanges(n.local(), e, o, c.Rev, direct.Events(c.Events), c.Code == http.StatusGone) })
 	}
 	if !n.state.AllowN(stamp(w.now), 1) {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -26,6 +26,7 @@
 	"shalestage.example/shalestage/internal/emulator/meter"
 	"shalestage.example/shalestage/internal/emulator/rental"
 	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/traffic"
 	"shalestage.example/shalestage/internal/emulator/user"
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -53,6 +54,8 @@
 	MeterEvery unit.Micros
 	// Account, if set, is told what the rented machines do.
 	Account *account.Account
+	// Traffic, if set, counts what controllers are asked, ask and take of a processor.
+	Traffic *traffic.Tally
 }
 
 // Broken programs, for showing that the checker notices them. Each field, if set,
@@ -239,6 +242,7 @@
 			f(&seen)
 			body = &seen
 		}
+		w.opt.Traffic.As("do report")
 		n.core.Report(n.local(), req, body)
 	}
 	zone := scenario.ZoneParty(e.Body.Zone)
@@ -261,6 +265,7 @@
 			w.after(w.span(1, 90), func() { n.ask(arrives, 0, func(core.Reply) {}) })
 			return
 		}
+		w.gotReport(n, e.Body)
 		n.ask(arrives, 4*second, func(r core.Reply) {
 			if lost {
 				return
@@ -343,6 +348,7 @@
 		if e.Kind == user.Poll {
 			within = 1900 * millis
 		}
+		w.gotCall(n, e)
 		n.ask(func(req core.ReqID) {
 			if f := w.opt.Break.Answer; f != nil {
 				if r := f(e); r != nil {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -65,6 +65,10 @@
 		s, met = Meet(s, opt)
 		opt.Noise = true
 	}
+	if opt.Traffic != nil { // processor time is counted by the thread
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+	}
 	w := sim.New(s, opt)
 	r := w.Play()
 	seed := opt.Seed
