--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -193,6 +193,7 @@
 		n.w.after(n.frozen-n.w.now, func() { n.tick(life) })
 		return
 	}
+	n.w.opt.Traffic.Start(n.w.now, n.Name, "do tick")
 	n.core.Tick(n.local(), n.wall())
 	n.carryOut()
 	n.w.oneHolder()
@@ -210,6 +211,7 @@
 		n.next++
 		req := n.next
 		n.asked[req] = done
+		n.w.opt.Traffic.Start(n.w.now, n.Name, "do user")
 		f(req)
 		n.carryOut()
 		if within > 0 && n.asked[req] != nil {
@@ -224,7 +226,9 @@
 }
 
 func (n *Node) carryOut() {
-	for _, e := range n.core.Drain() {
+	effects := n.core.Drain()
+	n.w.opt.Traffic.Stop()
+	for _, e := range effects {
 		n.effect(e)
 	}
 }
@@ -236,6 +240,7 @@
 	}
 	n.awake(func() {
 		if n.life == life {
+			n.w.opt.Traffic.Start(n.w.now, n.Name, "do answer")
 			f()
 			n.carryOut()
 		}
@@ -245,6 +250,7 @@
 func (n *Node) effect(e core.Effect) {
 	w, life := n.w, n.life
 	w.sending(e)
+	n.countEffect(e)
 	switch e := e.(type) {
 	case core.Reply:
 		if o, ok := e.Body.(core.Orders); ok && w.opt.Break.Orders != nil {
@@ -267,6 +273,7 @@
 			w.net.send(n.Name, o.Name, func() {
 				if o.life != 0 {
 					o.awake(func() {
+						w.opt.Traffic.Start(w.now, o.Name, "do peer")
 						o.core.OnPeer(o.local(), n.Name, e.Message)
 						o.carryOut()
 					})
@@ -427,6 +434,7 @@
 				done(o, 0, nil, false)
 				return
 			}
+			n.countItems(l.Items)
 			items := direct.Items(l.Items)
 			n.hasRead(items)
 			done(store.OK, l.Rev, items, l.More)
@@ -460,6 +468,7 @@
 func (n *Node) watch(life int, e core.Watch) {
 	w := n.w
 	finish := func(o store.Outcome, c kv.Changes) {
+		n.countChanges(c.Events)
 		n.back(life, func() {
 			events := direct.Events(c.Events)
 			n.hasRead(events)
