--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -475,23 +475,25 @@
 
 // Result is how a play went.
 type Result struct {
-	Broken  []check.Break
-	Digest  string
-	Starts  int
-	Jobs    int
-	Over    int
-	Rented  int
-	Money   float64
-	MaxWait unit.Micros // from a submission to the answer that the job is over
-	Missed  []string    // expectations that are no rules
-	Faults  []scenario.Fault
+	Broken []check.Break
+	Digest string
+	Starts int
+	// StartsCancelled counts the tasks that began after their job's cancellation was told.
+	StartsCancelled int
+	Jobs            int
+	Over            int
+	Rented          int
+	Money           float64
+	MaxWait         unit.Micros // from a submission to the answer that the job is over
+	Missed          []string    // expectations that are no rules
+	Faults          []scenario.Fault
 }
 
 // Play plays the whole scenario.
 func (w *World) Play() Result {
 	w.Run(unit.Seconds(w.S.DurationS))
 	w.Check.Finish(w.now, w.S.Expect.AllOver)
-	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
+	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, StartsCancelled: w.Check.StartsCancelled(), Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
 	r.Jobs = len(w.Crowd.Jobs())
 	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
 	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions(), w.Check.FirstBegan))
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -20,22 +20,24 @@
 
 // Verdict is how one play of a file went.
 type Verdict struct {
-	File   string           `json:"file"`
-	Name   string           `json:"name"`
-	Seed   uint64           `json:"seed"`
-	Real   bool             `json:"real,omitempty"`
-	Kept   bool             `json:"kept"`
-	Broken []Broken         `json:"broken,omitempty"`
-	Missed []string         `json:"missed,omitempty"` // expectations that are no rules
-	Digest string           `json:"digest,omitempty"` // of the history, in simulated time
-	Jobs   int              `json:"jobs"`
-	Over   int              `json:"over"`
-	Starts int              `json:"starts"`
-	Wait   float64          `json:"longest_s"` // from a submission to the answer that the job is over
-	Money  float64          `json:"money"`
-	Took   float64          `json:"took_s"` // of real time
-	Faults []scenario.Fault `json:"faults,omitempty"`
-	Met    []Met            `json:"met,omitempty"` // of troubles that are drawn by their meeting
+	File   string   `json:"file"`
+	Name   string   `json:"name"`
+	Seed   uint64   `json:"seed"`
+	Real   bool     `json:"real,omitempty"`
+	Kept   bool     `json:"kept"`
+	Broken []Broken `json:"broken,omitempty"`
+	Missed []string `json:"missed,omitempty"` // expectations that are no rules
+	Digest string   `json:"digest,omitempty"` // of the history, in simulated time
+	Jobs   int      `json:"jobs"`
+	Over   int      `json:"over"`
+	Starts int      `json:"starts"`
+	// StartsCancelled counts the tasks that began after their job's cancellation was told.
+	StartsCancelled int              `json:"starts_cancelled,omitempty"`
+	Wait            float64          `json:"longest_s"` // from a submission to the answer that the job is over
+	Money           float64          `json:"money"`
+	Took            float64          `json:"took_s"` // of real time
+	Faults          []scenario.Fault `json:"faults,omitempty"`
+	Met             []Met            `json:"met,omitempty"` // of troubles that are drawn by their meeting
 	// Account says where the money went, if that was asked for.
 	Account []account.Row `json:"account,omitempty"`
 }
@@ -72,7 +74,7 @@
 		seed = s.Seed
 	}
 	v := Verdict{File: file, Name: s.Name, Seed: seed, Kept: len(r.Broken) == 0 && len(r.Missed) == 0, Broken: Breaks(r.Broken), Missed: r.Missed,
-		Digest: r.Digest, Jobs: r.Jobs, Over: r.Over, Starts: r.Starts, Wait: r.MaxWait.Seconds(), Money: r.Money,
+		Digest: r.Digest, Jobs: r.Jobs, Over: r.Over, Starts: r.Starts, StartsCancelled: r.StartsCancelled, Wait: r.MaxWait.Seconds(), Money: r.Money,
 		Took: time.Since(began).Seconds(), Faults: r.Faults, Met: met}
 	if opt.Account != nil {
 		v.Account = opt.Account.Rows()
