--- a/internal/rehearse/planted_test.go
+++ b/internal/rehearse/planted_test.go
@@ -67,6 +67,14 @@
 	})
 }
 
+// unguardedRelease takes off the guard of a block's version where it is given up.
+func unguardedRelease() sim.Broken {
+	return unguarded(func(t *kv.Txn, g kv.Guard) bool {
+		c := change(t, g.Key)
+		return c != nil && strings.HasPrefix(g.Key, "shalestage/block/") && strings.Contains(string(c.Value), `"left"`)
+	})
+}
+
 // planted are services that lack one check each. The rehearsal breaks the rule within so many
 // seeds, from 1 on.
 var planted = []plantedMistake{
@@ -91,6 +99,7 @@
 	{"a cancellation is stored whatever is there", unguardedJob(ledger.Cancelled), "meet-late-ends.toml", check.WentBack, 10},
 	{"an end is stored whatever is there", unguardedJob(ledger.Done), "meet-late-ends.toml", check.WentBack, 10},
 	{"a machine group is stored whatever is there", unguardedKey("machine/"), "meet-late-writes.toml", check.RanTwice, 10},
+	{"a block is released whoever holds it", unguardedRelease(), "meet-late-grants.toml", check.TwoHolders, 20},
 }
 
 // TestPlantedMistakes takes out one check after another: what brings about the fault
