--- a/internal/rehearse/planted_test.go
+++ b/internal/rehearse/planted_test.go
@@ -107,6 +107,7 @@
 func TestPlantedMistakes(t *testing.T) {
 	for _, p := range planted {
 		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
 			s, err := scenario.Load(filepath.Join("../../rehearsals", p.file))
 			if err != nil {
 				t.Fatal(err)
