--- a/internal/emulator/sim/meet_test.go
+++ b/internal/emulator/sim/meet_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
+	"shalestage.example/shalestage/internal/config"
+	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/emulator/check"
+	"shalestage.example/shalestage/internal/emulator/kv"
 	"shalestage.example/shalestage/internal/scenario"
 )
 
@@ -101,3 +108,86 @@
 		t.Errorf("%d reports came to the next; %v", count, w.Check.Broken())
 	}
 }
+
+// unguarded is a rehearsal of a meeting, played by a program without what guards it.
+type unguarded struct {
+	file    string
+	without string
+	breaks  func(w *World) // told of the world before it begins
+	rule    string         // that is then broken
+	seeds   uint64         // within so many
+}
+
+// TestMeetingsWithoutTheirGuards takes out what guards a meeting: the rehearsal must notice.
+func TestMeetingsWithoutTheirGuards(t *testing.T) {
+	reportAs := func(change func(w *World, r *fleet.Report)) func(*World) {
+		return func(w *World) { w.opt.Break.Report = func(r *fleet.Report) { change(w, r) } }
+	}
+	number := uint64(0)
+	for _, c := range []unguarded{
+		{"meet-lost-answers", "no answer counts as unknown", func(w *World) {
+			w.opt.Break.Outcome = func(_ store.Txn, o store.Outcome) store.Outcome {
+				if o == store.Unknown {
+					return store.OK
+				}
+				return o
+			}
+		}, check.Forgotten, 6},
+		{"meet-lost-answers", "a read that began after the question", func(w *World) {
+			w.opt.Break.Read = func() bool { return false }
+		}, check.Forgotten, 6},
+		{"meet-quick-machines", "machines are stored as up before anything starts there", func(w *World) {
+			w.opt.Break.Txn = func(t *kv.Txn) {
+				t.Changes = slices.DeleteFunc(t.Changes, func(c kv.Change) bool {
+					return strings.HasPrefix(c.Key, "shalestage/machine/") && strings.Contains(string(c.Value), `"up"`)
+				})
+			}
+		}, check.RanTwice, 3},
+		{"meet-report-to-next", "a report under an older token proves nothing", reportAs(func(w *World, r *fleet.Report) {
+			r.Token = w.meetings.latest
+		}), check.RanTwice, 12},
+		{"meet-held-reports", "the token, and the order of a machine's messages", reportAs(func(w *World, r *fleet.Report) {
+			number++
+			r.Session, r.Seq, r.Token = 1, number, w.meetings.latest
+		}), check.RanTwice, 3},
+		{"meet-mute-machines", "tasks may run until their lease must have run out", func(w *World) {
+			w.opt.Break.Settings = func(s *config.Settings) { s.Deployment.Workers.LeaseS *= 0.3 }
+		}, check.RanTwice, 3},
+		{"meet-ten-leaders", "authority ends by the steady clock", func(w *World) {
+			w.opt.Break.Clock = func(int) float64 { return 0.5 }
+		}, check.TwoHolders, 12},
+		{"meet-overload", "a team's limit", func(w *World) {
+			w.opt.Break.Settings = func(s *config.Settings) { s.Deployment.Teams[0].CPUsMax = 0 }
+		}, check.Quota, 12},
+	} {
+		t.Run(c.file+"/"+c.without, func(t *testing.T) {
+			s, err := scenario.Load("../../../rehearsals/" + c.file + ".toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for seed := uint64(1); seed <= c.seeds; seed++ {
+				if played(s, seed, c.breaks, c.rule) {
+					t.Logf("seed %d breaks %s", seed, c.rule)
+					return
+				}
+			}
+			t.Errorf("%d plays without it break no %s", c.seeds, c.rule)
+		})
+	}
+}
+
+// played plays a scenario by a broken program until it breaks a rule, and reports whether it
+// does.
+func played(s *scenario.Scenario, seed uint64, breaks func(*World), rule string) bool {
+	first := &World{}
+	breaks(first) // settings and clocks matter from the beginning
+	w := New(s, Options{Seed: seed, Break: first.opt.Break})
+	breaks(w)
+	for at := 10 * second; at <= unit.Seconds(s.DurationS); at += 10 * second {
+		w.Run(at)
+		if slices.ContainsFunc(w.Check.Broken(), func(b check.Break) bool { return b.Rule == rule }) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/emulator/sim/net.go
+++ b/internal/emulator/sim/net.go
@@ -2,6 +2,7 @@
 
 import (
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/scenario"
 )
 
 // way is the direction from one party to another.
@@ -56,6 +57,7 @@
 			w.after(t.delay+w.span(0.0003, 0.002), f)
 			return carried
 		case "trickle":
+			w.happened(scenario.Trickled)
 			w.after(min(t.delay*messageBytes, t.until-w.now)+w.span(0.0003, 0.002), f)
 			return carried
 		}
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -319,6 +319,7 @@
 			return code
 		}, func(o store.Outcome) {
 			if o == store.Refused && none {
+				w.happened(scenario.NoRoom)
 				o = store.Failed
 			}
 			n.back(life, func() { n.core.OnRent(n.local(), e, o, names) })
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -31,6 +31,8 @@
 	// LateRefused is a transaction without an answer that comes after newer ones of its
 	// controller, and is refused by its guards.
 	LateRefused = "late_refused"
+	Trickled    = "trickled" // a message goes over a link at a trickle
+	NoRoom      = "no_room"  // the cloud has no machines left of what is asked for
 )
 
 // Events lists them.
@@ -39,7 +41,7 @@
 
 // CountedEvents lists all events that are counted, see Expect: those at which a fault may
 // begin, and others.
-var CountedEvents = slices.Concat(Events, []string{LateRefused})
+var CountedEvents = slices.Concat(Events, []string{LateRefused, Trickled, NoRoom})
 
 // expectedEvents checks the events that are expected.
 func (c *checker) expectedEvents(e Expect) {
