--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -31,6 +31,8 @@
 	// LateRefused is a transaction without an answer that comes after newer ones of its
 	// controller, and is refused by its guards.
 	LateRefused = "late_refused"
+	Trickled    = "trickled" // a message goes over a link at a trickle
+	NoRoom      = "no_room"  // the cloud has no machines left of what is asked for
 )
 
 // Events lists them.
@@ -55,7 +57,7 @@
 
 // CountedEvents lists all events that are counted, see Expect: those at which a fault may
 // begin, and others.
-var CountedEvents = slices.Concat(Events, UserEvents, combinedEvents, []string{LateRefused})
+var CountedEvents = slices.Concat(Events, UserEvents, combinedEvents, []string{LateRefused, Trickled, NoRoom})
 
 // Events that tell that faults came about together.
 const (
