A transaction whose changes the watch shows is carried out, whatever became of its answer

Cause: where only the answer to a transaction was lost, its lane waited for the request's timeout of 1 s, with it whoever had asked and all that waited behind it. The copy had shown the changes by its watch long before. Change: the lane compares what the watch brings with the transaction under way. A revision above all that were known when it was sent, with exactly its changes and values, ends it as carried out once its answer is late; where no watch shows it, the copy is read for it, three times at most and at the pace of all reads. An answer that still comes is dropped. Puts that are attached to a lease are never proven so, nor anything while the service goes back.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"strings"
 
 	"shalestage.example/shalestage/internal/core/cancels"
 	"shalestage.example/shalestage/internal/core/demand"
@@ -103,6 +102,8 @@
 		Lane LaneID
 		Txn  *store.Txn
 	}
+	// Abandon gives up waiting for a transaction's answer; the Commit is still answered.
+	Abandon struct{ Txn *store.Txn }
 	// OpenLease, RenewLease and CloseLease keep a controller's seat (OnLease, OnRenew).
 	OpenLease  = seats.OpenLease
 	RenewLease = seats.RenewLease
@@ -247,6 +248,7 @@
 
 // pump sends what is due: transactions and reads of the state service.
 func (c *Core) pump() {
+	c.concludeCommits()
 	for _, k := range sortedBlocks(c.held) {
 		bl := c.held[k]
 		if !c.Holds(c.now, k) {
@@ -291,19 +293,6 @@
 	}
 }
 
-// OnCommit takes a transaction's outcome. What was put is known at once.
-func (c *Core) OnCommit(now unit.Micros, lane LaneID, t *store.Txn, o store.Outcome, rev uint64, failed []string) {
-	c.at(now)
-	o = c.heard(o)
-	if o == store.OK {
-		c.mirror.Committed(now, t, rev, func(key string) bool { return strings.HasPrefix(key, root) }) // buckets are in no copy
-	}
-	if o != store.OK {
-		c.wantSync(nil)
-	}
-	c.lanes[lane].Finish(now, o, rev, failed)
-}
-
 // Keys of the state service.
 const (
 	root         = "shalestage/"
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -67,7 +67,11 @@
 // changes since then.
 func (c *Core) OnChanges(now unit.Micros, w Watch, o store.Outcome, rev uint64, events []store.Event, gone bool) {
 	c.at(now)
+	taken := o == store.OK && w.After <= c.mirror.Rev
 	c.mirror.OnChanges(c.now, w, o, rev, events, gone)
+	if taken {
+		c.observeCommits(events)
+	}
 }
 
 // learn takes one change of the copy. Records that cannot be read are logged
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -58,6 +58,7 @@
 	}
 	c.mirror.Recover(rev, items, keep)
 	c.cancels.Forget(c.now)
+	c.doubtCommits()
 	c.doubt()
 	c.sink = follow.NewSink() // who is stored to follow may be as of an earlier time
 	for _, e := range again {
--- /dev/null
+++ b/internal/core/store/proof_test.go
@@ -0,0 +1,299 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// revision is what a transaction made: the number of each value, 0: removed.
+type revision map[string]int
+
+// stored returns a value as it is sent, or as a service may give it back.
+func stored(n int, rewritten bool) json.RawMessage {
+	if rewritten {
+		return json.RawMessage(fmt.Sprintf(`{ "b": [true], "a": %d }`, n))
+	}
+	return json.RawMessage(fmt.Sprintf(`{"a":%d,"b":[true]}`, n))
+}
+
+// lostAnswers is a lane, a service that carries out its transactions at any time or never,
+// and others who write the same and nearly the same.
+type lostAnswers struct {
+	t        *rapid.T
+	lane     Lane
+	now      unit.Micros
+	log      []revision // the first made revision 1
+	versions map[string]uint64
+	observed int    // revisions that the lane was shown
+	current  *Txn   // nil: none is under way
+	from     int    // revisions that were observed when it was sent
+	doubted  bool   // the service went back meanwhile
+	old      []*Txn // those that are not under way any more and may still come
+	told     map[int]int
+	added    int
+}
+
+func (m *lostAnswers) commit(r revision) {
+	m.log = append(m.log, r)
+	for k, v := range r {
+		if m.versions[k] = uint64(len(m.log)); v == 0 {
+			delete(m.versions, k)
+		}
+	}
+}
+
+// made returns what a transaction makes.
+func made(t *Txn) revision {
+	r := revision{}
+	for _, c := range t.Changes {
+		var v struct{ A int }
+		if c.Value != nil && json.Unmarshal(c.Value, &v) != nil {
+			panic("unreadable value")
+		}
+		r[c.Key] = v.A
+	}
+	return r
+}
+
+// carryOut carries out a transaction if its guards hold.
+func (m *lostAnswers) carryOut(t *Txn) {
+	for _, g := range t.Guards {
+		if m.versions[g.Key] != g.Stamp {
+			return
+		}
+	}
+	m.commit(made(t))
+}
+
+// proven is the first revision that the lane was shown and that proves the transaction
+// under way; 0: none.
+func (m *lostAnswers) proven() int {
+	puts := false
+	for _, c := range m.current.Changes {
+		if c.Lease != 0 {
+			return 0
+		}
+		puts = puts || c.Value != nil
+	}
+	for i := m.from; i < m.observed && puts && !m.doubted; i++ {
+		if maps.Equal(m.log[i], made(m.current)) {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func (m *lostAnswers) add() {
+	id := m.added
+	w := &Write{Late: rapid.Bool().Draw(m.t, "late")}
+	for range rapid.IntRange(1, 2).Draw(m.t, "changes") {
+		k := fmt.Sprint(rapid.IntRange(0, 4).Draw(m.t, "key"))
+		c := Change{Key: k}
+		if v := rapid.IntRange(0, 2).Draw(m.t, "value"); v > 0 {
+			c.Value = stored(v, false)
+		}
+		if c.Value != nil && rapid.IntRange(0, 9).Draw(m.t, "leased") == 0 {
+			c.Lease = 7
+		}
+		w.Changes = append(w.Changes, c)
+		w.Guards = append(w.Guards, Guard{k, m.versions[k]})
+	}
+	if len(w.Changes) == 2 && w.Changes[0].Key == w.Changes[1].Key {
+		w.Changes, w.Guards = w.Changes[:1], w.Guards[:1]
+	}
+	w.Done = func(o Outcome, rev uint64) {
+		m.told[id]++
+		if o != OK {
+			return
+		}
+		if rev == 0 || int(rev) > len(m.log) {
+			m.t.Fatalf("told revision %d of %d", rev, len(m.log))
+		}
+		for k, v := range made(&Txn{Changes: w.Changes}) {
+			if got, ok := m.log[rev-1][k]; !ok || got != v {
+				m.t.Fatalf("told that revision %d stored %d at %s, which it did not", rev, v, k)
+			}
+		}
+	}
+	if m.lane.Add(w) {
+		m.added++
+	}
+}
+
+func (m *lostAnswers) over() {
+	m.old = append(m.old, m.current)
+	m.current = nil
+}
+
+// conclude lets much time pass, and checks that the transaction under way ends if and only
+// if what was shown proves that it was carried out.
+func (m *lostAnswers) conclude() {
+	if m.lane.Conclude(m.current.sent) != nil {
+		m.t.Fatal("concluded before the answer can be late")
+	}
+	m.now += 100 * unit.Second
+	rev, t := m.proven(), m.lane.Conclude(m.now)
+	if (rev != 0) != (t != nil) {
+		m.t.Fatalf("proven by revision %d, concluded: %v", rev, t != nil)
+	}
+	if t != nil {
+		m.over()
+	}
+}
+
+// TestLostAnswers has transactions carried out at once, late and never, whose answers come
+// or are lost, while others write the same values, one value that differs, or one more or
+// less key. A transaction is ended early exactly when a revision that was shown since it
+// was sent has all of its changes and no others; whoever is told that a write is stored can
+// find it at that revision; and each is told once.
+func TestLostAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &lostAnswers{t: t, lane: Lane{MaxOps: 4, MaxBytes: 4000, MaxQueue: 20, Rate: 1e6}, versions: map[string]uint64{}, told: map[int]int{}}
+		underWay := func() *Txn {
+			if m.current == nil {
+				t.Skip()
+			}
+			return m.current
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(rt *rapid.T) { m.t = rt; m.add() },
+			"send": func(*rapid.T) {
+				if m.current != nil {
+					t.Skip()
+				}
+				m.now += unit.Second
+				if m.current = m.lane.Next(m.now); m.current == nil {
+					t.Skip()
+				}
+				m.current.Known = uint64(m.observed)
+				m.from, m.doubted = m.observed, false
+			},
+			"carried out": func(*rapid.T) { m.carryOut(underWay()) },
+			"carried out late": func(rt *rapid.T) {
+				if len(m.old) == 0 {
+					rt.Skip()
+				}
+				m.carryOut(rapid.SampledFrom(m.old).Draw(rt, "which"))
+			},
+			"another writes": func(rt *rapid.T) {
+				r := made(underWay())
+				k := rapid.SampledFrom(m.current.Changes).Draw(rt, "of").Key
+				switch rapid.IntRange(0, 3).Draw(rt, "what") {
+				case 0:
+					r[k] = (r[k] + 1) % 3
+				case 1:
+					delete(r, k)
+				case 2:
+					r["other"] = 1
+				} // else the same
+				if len(r) > 0 {
+					m.commit(r)
+				}
+			},
+			"watch": func(rt *rapid.T) {
+				if m.observed == len(m.log) {
+					rt.Skip()
+				}
+				var events []Event
+				begin := rapid.IntRange(0, m.observed).Draw(rt, "again_from") // answers may overlap
+				upto := rapid.IntRange(m.observed+1, len(m.log)).Draw(rt, "upto")
+				rewritten := rapid.Bool().Draw(rt, "rewritten")
+				for i := begin; i < upto; i++ {
+					for k, v := range m.log[i] {
+						e := Event{Key: k, Stamp: uint64(i + 1)}
+						if v > 0 {
+							e.Value = stored(v, rewritten)
+						}
+						events = append(events, e)
+					}
+				}
+				m.observed = upto
+				m.lane.Observe(events)
+			},
+			"wait": func(rt *rapid.T) { m.t = rt; underWay(); m.conclude() },
+			"went back": func(*rapid.T) {
+				underWay()
+				m.lane.Doubt()
+				m.doubted = true
+			},
+			"answer": func(rt *rapid.T) {
+				tx := underWay()
+				if !m.lane.UnderWay(tx) {
+					rt.Fatal("not under way")
+				}
+				before := len(m.log)
+				o := rapid.SampledFrom([]Outcome{OK, Refused, Failed, Unknown, TooLarge}).Draw(rt, "outcome")
+				var failed []string
+				if o == OK {
+					if m.carryOut(tx); len(m.log) == before {
+						o, failed = Failed, []string{tx.Guards[0].Key}
+					}
+				}
+				m.lane.Finish(m.now, o, uint64(len(m.log)), failed)
+				m.over()
+			},
+			"late answer": func(rt *rapid.T) {
+				if len(m.old) == 0 {
+					rt.Skip()
+				}
+				if m.lane.UnderWay(rapid.SampledFrom(m.old).Draw(rt, "which")) {
+					rt.Fatal("an answer to a transaction that is over would end the one under way")
+				}
+			},
+			"": func(rt *rapid.T) {
+				n := 0
+				for id, k := range m.told {
+					if k != 1 {
+						rt.Fatalf("write %d told %d times", id, k)
+					}
+					n++
+				}
+				if n+m.lane.Len() != m.added {
+					rt.Fatalf("%d told and %d waiting of %d", n, m.lane.Len(), m.added)
+				}
+			},
+		})
+	})
+}
+
+// TestReadsForLateAnswers counts the reads that a transaction without an answer causes: a
+// few, soon where answers are quick, and none before its time is up where all are slow.
+func TestReadsForLateAnswers(t *testing.T) {
+	for _, c := range []struct {
+		usual unit.Micros
+		first unit.Micros // at which the first read is due at the latest
+		reads int         // within a second
+	}{{2_000, 60_000, 3}, {10_000, 100_000, 3}, {400_000, unit.Never, 0}} {
+		l := &Lane{MaxOps: 4, MaxBytes: 4000, MaxQueue: 20, Rate: 100}
+		now := unit.Second
+		send := func() {
+			l.Add(&Write{Changes: []Change{{Key: "k", Value: json.RawMessage("1")}}, Done: func(Outcome, uint64) {}})
+			if l.Next(now) == nil {
+				t.Fatal("nothing is sent")
+			}
+		}
+		for range 50 {
+			now += unit.Second
+			send()
+			now += c.usual
+			l.Finish(now, OK, 1, nil)
+		}
+		send()
+		reads, first := 0, unit.Never
+		for d := unit.Micros(0); d < unit.Second; d += 5_000 {
+			if l.ReadDue(now + d) {
+				reads++
+				first = min(first, d)
+			}
+		}
+		if reads != c.reads || first > c.first {
+			t.Errorf("answers take %v us: %d reads, the first after %v us", c.usual, reads, first)
+		}
+	}
+}
--- a/internal/core/store/store.go
+++ b/internal/core/store/store.go
@@ -210,6 +210,10 @@
 	Changes []Change
 	Known   uint64 // the highest revision that was known when it was sent
 	writes  []*Write
+	sent    unit.Micros
+	proof   uint64 // the revision that proves that it was carried out; 0: none yet
+	doubted bool   // revisions prove nothing of it
+	reads   int    // made for it as its answer was late
 }
 
 // Lane queues writes and has one transaction under way at a time.
@@ -225,6 +229,7 @@
 	credit  float64
 	last    unit.Micros
 	holdOff unit.Micros
+	usual   unit.Micros // how long answers take, smoothed; 0: none has come
 }
 
 // Add queues a write; it reports false when the queue is full.
@@ -324,6 +329,7 @@
 		return nil
 	}
 	l.credit -= float64(len(t.Changes))
+	t.sent = now
 	l.current = t
 	return t
 }
@@ -334,11 +340,19 @@
 // service took no transaction of that size, its writes go again in smaller ones;
 // one that is too large by itself is told so, and never sent again as it is.
 func (l *Lane) Finish(now unit.Micros, o Outcome, rev uint64, failed []string) {
-	t := l.current
-	l.current = nil
-	if t == nil {
+	if l.current == nil {
 		return
 	}
+	if o == OK || o == Failed {
+		l.took(now - l.current.sent)
+	}
+	l.settle(now, o, rev, failed)
+}
+
+// settle tells the writes of the transaction under way its outcome, or queues them again.
+func (l *Lane) settle(now unit.Micros, o Outcome, rev uint64, failed []string) {
+	t := l.current
+	l.current = nil
 	if o == Refused || o == Limited {
 		l.holdOff = now + 300_000
 	}
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -79,7 +79,7 @@
 	case scenario.StateLate:
 		w.late, w.lateShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateUnanswered:
-		w.unanswered = until
+		w.unanswered, w.unansweredShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateLose:
 		w.State.Lose(w.now, f.LosePrefix(), max(f.Count, 1))
 	case scenario.LateReports:
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -276,6 +276,7 @@
 		n.watch(life, e)
 	case core.Commit:
 		n.commit(life, e)
+	case core.Abandon: // its answer may still come
 	case core.OpenLease:
 		var id uint64
 		n.call(callWait, false, func() int {
@@ -506,7 +507,7 @@
 			w.takeState()
 		})
 		w.after(callWait, func() { done(store.Unknown, 0) })
-	case w.now < w.unanswered: // carried out, and the answer lost
+	case w.now < w.unanswered && (w.unansweredShare >= 1 || w.chance(w.unansweredShare)): // carried out, and the answer lost
 		n.sent(func() {
 			w.net.send(n.Name, scenario.PartyState, func() { run(); w.takeState() })
 		})
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -91,6 +91,7 @@
 	}
 	late, unanswered unit.Micros // until when transactions are
 	lateShare        float64     // of those that are late
+	unansweredShare  float64     // of those that get no answer
 	copies           struct {    // of reports that arrive again
 		until unit.Micros
 		share float64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
@@ -56,13 +57,14 @@
 
 	next    core.ReqID
 	waiting map[core.ReqID]chan core.Reply
+	commits map[*store.Txn]context.CancelFunc // transactions that wait for their answers
 }
 
 // New returns a node that does nothing until Run.
 func New(c *core.Core, s *state.Client, cl *cloud.Client, w *worker.Client, p *peer.Link, log *slog.Logger) *Node {
 	return &Node{core: c, state: s, cloud: cl, workers: w, peers: p, log: log, began: time.Now(),
 		control: make(chan message, controlQueue), reports: make(chan message, reportQueue), users: make(chan message, userQueue),
-		waiting: map[core.ReqID]chan core.Reply{}}
+		waiting: map[core.ReqID]chan core.Reply{}, commits: map[*store.Txn]context.CancelFunc{}}
 }
 
 // WatchMemory has the core refuse new jobs while memory is nearly full. It is called before
@@ -162,10 +164,11 @@
 			n.tell(func(c *core.Core, now unit.Micros) { c.OnScan(now, e, o, items, more) })
 		}()
 	case core.Commit:
-		go func() {
-			o, rev, failed := n.state.Commit(e.Txn)
-			n.tell(func(c *core.Core, now unit.Micros) { c.OnCommit(now, e.Lane, e.Txn, o, rev, failed) })
-		}()
+		n.commit(e)
+	case core.Abandon:
+		if stop := n.commits[e.Txn]; stop != nil {
+			stop()
+		}
 	case core.OpenLease:
 		go func() {
 			o, id := n.state.OpenLease(e.TTL)
@@ -213,6 +216,20 @@
 	}
 }
 
+// commit sends a transaction, whose answer is waited for until it is abandoned.
+func (n *Node) commit(e core.Commit) {
+	ctx, stop := context.WithCancel(context.Background())
+	n.commits[e.Txn] = stop
+	go func() {
+		o, rev, failed := n.state.CommitIn(ctx, e.Txn)
+		n.tell(func(c *core.Core, now unit.Micros) {
+			stop()
+			delete(n.commits, e.Txn)
+			c.OnCommit(now, e.Lane, e.Txn, o, rev, failed)
+		})
+	}()
+}
+
 // Hear takes a message of another controller; it is dropped when there is too
 // much to do.
 func (n *Node) Hear(from string, msg any) {
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -89,7 +89,7 @@
 	{StateSlow, []string{"for_s", "delay_ms"}, "the state service answers slowly"},
 	{StateLimits, nil, "the state service lowers its limits, for good"},
 	{StateLate, []string{"for_s"}, "transactions, or a share of them, are applied late, after newer ones, and answered by nobody"},
-	{StateUnanswered, []string{"for_s"}, "transactions are applied, and their answers lost"},
+	{StateUnanswered, []string{"for_s"}, "transactions, or a share of them, are applied, and their answers lost"},
 	{StateLose, nil, "the state service loses the last writes that it has answered"},
 	{CloudDown, []string{"for_s"}, "the cloud's interface is out of order"},
 	{NoCapacity, []string{"for_s"}, "the cloud has no machines of a type or in a zone"},
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -51,7 +51,12 @@
 // call does one request. The outcome is Unknown where the request may have
 // been carried out; a status other than 200 is returned for the caller to judge.
 func (c *Client) call(method, path string, timeout time.Duration, body, into any) (int, store.Outcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	return c.callIn(context.Background(), method, path, timeout, body, into)
+}
+
+// callIn is call within a context: once that ends, nobody waits for the answer.
+func (c *Client) callIn(ctx context.Context, method, path string, timeout time.Duration, body, into any) (int, store.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	code, err := rest.Do(ctx, c.http, method, c.base+path, body, into)
 	if err != nil {
@@ -147,6 +152,12 @@
 
 // Commit sends a transaction.
 func (c *Client) Commit(t *store.Txn) (store.Outcome, uint64, []string) {
+	return c.CommitIn(context.Background(), t)
+}
+
+// CommitIn sends a transaction and waits for the answer until the context ends. Then the
+// outcome is Unknown.
+func (c *Client) CommitIn(ctx context.Context, t *store.Txn) (store.Outcome, uint64, []string) {
 	if !c.limit.Allow() {
 		return store.Refused, 0, nil
 	}
@@ -162,7 +173,7 @@
 		}
 	}
 	var r wire.CommitResult
-	code, o := c.call(http.MethodPost, wire.CommitPath, callTimeout, body, &r)
+	code, o := c.callIn(ctx, http.MethodPost, wire.CommitPath, callTimeout, body, &r)
 	if o == store.Failed && code != http.StatusConflict {
 		c.log.Error("state service refused a transaction", "code", code, "err", r.Error)
 		// A lease that has ended is the other reason, and an ordinary one.
