--- a/internal/core/store/proof_test.go
+++ b/internal/core/store/proof_test.go
@@ -93,7 +93,7 @@
 	id := m.added
 	w := &Write{Late: rapid.Bool().Draw(m.t, "late")}
 	for range rapid.IntRange(1, 2).Draw(m.t, "changes") {
-		k := fmt.Sprint(rapid.IntRange(0, 4).Draw(m.t, "key"))
+		k := fmt.Sprint(rapid.IntRange(0, 2).Draw(m.t, "key"))
 		c := Change{Key: k}
 		if v := rapid.IntRange(0, 2).Draw(m.t, "value"); v > 0 {
 			c.Value = stored(v, false)
@@ -147,6 +147,25 @@
 	}
 }
 
+// watch shows the lane further revisions, and some once more.
+func (m *lostAnswers) watch(t *rapid.T) {
+	begin := rapid.IntRange(0, m.observed).Draw(t, "again_from")
+	upto := rapid.IntRange(m.observed, len(m.log)).Draw(t, "upto")
+	rewritten := rapid.Bool().Draw(t, "rewritten")
+	var events []Event
+	for i := begin; i < upto; i++ {
+		for k, v := range m.log[i] {
+			e := Event{Key: k, Stamp: uint64(i + 1)}
+			if v > 0 {
+				e.Value = stored(v, rewritten)
+			}
+			events = append(events, e)
+		}
+	}
+	m.observed = upto
+	m.lane.Observe(events)
+}
+
 // TestLostAnswers has transactions carried out at once, late and never, whose answers come
 // or are lost, while others write the same values, one value that differs, or one more or
 // less key. A transaction is ended early exactly when a revision that was shown since it
@@ -163,10 +182,12 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"add": func(rt *rapid.T) { m.t = rt; m.add() },
-			"send": func(*rapid.T) {
+			"send": func(rt *rapid.T) {
 				if m.current != nil {
 					t.Skip()
 				}
+				m.t = rt
+				m.add()
 				m.now += unit.Second
 				if m.current = m.lane.Next(m.now); m.current == nil {
 					t.Skip()
@@ -182,6 +203,7 @@
 				m.carryOut(rapid.SampledFrom(m.old).Draw(rt, "which"))
 			},
 			"another writes": func(rt *rapid.T) {
+				m.t = rt
 				r := made(underWay())
 				k := rapid.SampledFrom(m.current.Changes).Draw(rt, "of").Key
 				switch rapid.IntRange(0, 3).Draw(rt, "what") {
@@ -195,28 +217,13 @@
 				if len(r) > 0 {
 					m.commit(r)
 				}
-			},
-			"watch": func(rt *rapid.T) {
-				if m.observed == len(m.log) {
-					rt.Skip()
-				}
-				var events []Event
-				begin := rapid.IntRange(0, m.observed).Draw(rt, "again_from") // answers may overlap
-				upto := rapid.IntRange(m.observed+1, len(m.log)).Draw(rt, "upto")
-				rewritten := rapid.Bool().Draw(rt, "rewritten")
-				for i := begin; i < upto; i++ {
-					for k, v := range m.log[i] {
-						e := Event{Key: k, Stamp: uint64(i + 1)}
-						if v > 0 {
-							e.Value = stored(v, rewritten)
-						}
-						events = append(events, e)
-					}
+				if rapid.Bool().Draw(rt, "shown") {
+					m.watch(rt)
+					m.conclude()
 				}
-				m.observed = upto
-				m.lane.Observe(events)
 			},
-			"wait": func(rt *rapid.T) { m.t = rt; underWay(); m.conclude() },
+			"watch": func(rt *rapid.T) { m.watch(rt) },
+			"wait":  func(rt *rapid.T) { m.t = rt; underWay(); m.conclude() },
 			"went back": func(*rapid.T) {
 				underWay()
 				m.lane.Doubt()
