--- a/internal/core/commits_test.go
+++ b/internal/core/commits_test.go
@@ -181,3 +181,32 @@
 		t.Errorf("answered %d", r.Code)
 	}
 }
+
+// TestNothingIsProvenAcrossALoss has the state service lose what it had stored while a
+// submission's transaction has no answer. The revisions are given out once more: that one of
+// them holds the same value tells nothing, and neither does an answer that the copy could
+// not take.
+func TestNothingIsProvenAcrossALoss(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		c := holding(t, nil)
+		s := newLossyState(c)
+		s.serve(c, unit.Second)
+		s.loses, s.carryOut, s.watches = true, false, false
+		c.Submit(c.now, 1, "wk-000009", smallJob(), "")
+		s.serve(c, unit.Second/20)
+		sent := s.of(jobPrefix + "wk-000009")
+		stored := []store.Event{{Key: jobPrefix + "wk-000009", Value: sent.Txn.Changes[0].Value, Stamp: s.rev + 5}}
+		if lost {
+			c.mirror.Anew(c.now)
+			c.OnList(c.now, List{}, store.OK, s.rev-3, nil, false)
+			c.OnChanges(c.now, Watch{After: s.rev - 3}, store.OK, s.rev+5, stored, false)
+		} else { // changes between the copy and this answer are not known
+			c.OnChanges(c.now, Watch{After: c.mirror.Rev + 2}, store.OK, s.rev+5, stored, false)
+		}
+		s.rev += 5
+		s.serve(c, unit.Second/2)
+		if r, ok := s.replies[1]; ok || !c.lanes[UserLane].UnderWay(sent.Txn) {
+			t.Errorf("lost %v: answered %d", lost, r.Code)
+		}
+	}
+}
