--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -294,6 +294,7 @@
 		n.watch(life, e)
 	case core.Commit:
 		n.commit(life, e)
+	case core.Abandon: // its answer may still come
 	case core.OpenLease:
 		var id uint64
 		n.call(callWait, false, func() int {
