Configuration that changes while the service runs: versions in the state service

Change: internal/core/configuration owns the versions: a head record that names chunks by their content, guarded by the head's version; changes that wait are stored together, a bounded number; what another writer stored meanwhile is told. Controllers adopt a version as a whole and never an older one, start nothing while they know of a later one, tell in their status by which they go, and store it again should the service lose it. A team whose limit fell starts nothing in a block until all others keep within their shares of it. Release 8; with no stored version nothing is sent or written that was not before.

--- /dev/null
+++ b/internal/core/configuration/confirm.go
@@ -0,0 +1,200 @@
+package configuration
+
+import (
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// keptTimes bounds for how many versions it is kept since when they are in force here.
+const keptTimes = 64
+
+type adoption struct {
+	version uint64
+	at      unit.Micros
+}
+
+// confirmation keeps which version each controller goes by.
+type confirmation struct {
+	peers     map[string]*peerWord
+	names     []string
+	adoptions []adoption // here, by version
+	confirmed uint64
+	at        unit.Micros // when that was found
+}
+
+// peerWord is what another controller has last said.
+type peerWord struct {
+	inForce, known uint64
+}
+
+func newConfirmation(names []string) confirmation {
+	c := confirmation{peers: map[string]*peerWord{}, names: slices.Sorted(slices.Values(names))}
+	for _, n := range names {
+		c.peers[n] = &peerWord{}
+	}
+	return c
+}
+
+func (c *confirmation) adopted(now unit.Micros, version uint64) {
+	c.adoptions = append(c.adoptions, adoption{version, now})
+	if len(c.adoptions) > keptTimes {
+		c.adoptions = c.adoptions[1:]
+	}
+}
+
+// since is when this controller surely knew of a version: when it first had that or a later
+// one in force.
+func (c *confirmation) since(version uint64) (unit.Micros, bool) {
+	for _, a := range c.adoptions {
+		if a.version >= version {
+			return a.at, true
+		}
+	}
+	return 0, false
+}
+
+// ControllerStatus tells by which version a controller goes.
+type ControllerStatus struct {
+	Node    string
+	InForce uint64
+	Known   uint64 // the latest that it knows of: while that is later it starts nothing
+	Silent  bool   // this controller does not hear it
+	// Done says that it starts nothing by an older version than the one asked for. A silent
+	// one does so once Bound has passed: either it has heard, or it may start nothing.
+	Done bool
+}
+
+// Status tells how far a version has come.
+type Status struct {
+	Version   uint64 // asked for
+	Current   uint64 // in force at the controller that was asked
+	Confirmed bool
+	// ConfirmedFor is the latest version that is known to be confirmed.
+	ConfirmedFor uint64
+	Waiting      int // changes that wait to be stored
+	Controllers  []ControllerStatus
+}
+
+// Told takes another controller's status: the version that it goes by, and the latest that
+// it knows of.
+func (b *Book) Told(now unit.Micros, from string, inForce, known uint64) {
+	b.now = max(b.now, now)
+	if p := b.confirm.peers[from]; p != nil {
+		p.inForce, p.known = inForce, known
+	}
+}
+
+// Status tells how far a version has come, 0: the one in force here. silent reports whether
+// another controller is not heard at present.
+func (b *Book) Status(now unit.Micros, version uint64, silent func(node string) bool) Status {
+	b.now = max(b.now, now)
+	if version == 0 {
+		version = b.version
+	}
+	c := &b.confirm
+	s := Status{Version: version, Current: b.version, Waiting: len(b.queue.waiting)}
+	if b.queue.current != nil {
+		s.Waiting += len(b.queue.current.changes)
+	}
+	since, here := c.since(version)
+	late := here && b.now-since >= unit.Longest(b.cfg.Bound)
+	all := b.version >= version && !b.Behind()
+	s.Controllers = append(s.Controllers, ControllerStatus{Node: b.cfg.Node, InForce: b.version, Known: max(b.version, b.heard), Done: all})
+	for _, n := range c.names {
+		p := c.peers[n]
+		x := ControllerStatus{Node: n, InForce: p.inForce, Known: p.known, Silent: silent(n)}
+		x.Done = p.inForce >= version || x.Silent && late
+		all = all && x.Done
+		s.Controllers = append(s.Controllers, x)
+	}
+	// Nobody goes back to an older version, so what was confirmed stays so.
+	if all {
+		c.confirmed = max(c.confirmed, version)
+	}
+	s.ConfirmedFor = c.confirmed
+	s.Confirmed = version <= c.confirmed
+	return s
+}
+
+// clearance holds back what must not start after a limit fell. Limits are divided among
+// blocks by shares. After one fell, a block may use more of it than its share, with tasks
+// that go on; another block must start nothing of that team as long as this is so, or the
+// team would start tasks while it is above its limit.
+type clearance struct {
+	fallen map[string]uint64      // teams, and the version in which their limit last fell
+	blocks map[int]blockClearance // as last told
+	all    []int                  // blocks that there are
+}
+
+// blockClearance is what a block's holder has told last.
+type blockClearance struct {
+	version uint64 // that it goes by
+	over    map[string]bool
+}
+
+func newClearance() clearance {
+	return clearance{fallen: map[string]uint64{}, blocks: map[int]blockClearance{}}
+}
+
+func (c *clearance) fell(version uint64, teams []string) {
+	for _, t := range teams {
+		c.fallen[t] = version
+	}
+}
+
+// Over takes a holder's word, by a version that it goes by, which teams use more of their
+// limits in a block than its share. It is to be taken only from the block's holder as stored,
+// from a copy that is complete up to the version in force here, and only once all machines of
+// the block are accounted for.
+func (b *Book) Over(block int, version uint64, teams []string) {
+	if len(b.fall.fallen) == 0 || version > b.version {
+		return
+	}
+	x := blockClearance{version: version, over: map[string]bool{}}
+	for _, t := range teams {
+		x.over[t] = true
+	}
+	b.fall.blocks[block] = x
+}
+
+// Falling reports whether limits fell of which not all blocks are known to keep within their
+// shares.
+func (b *Book) Falling() bool { return len(b.fall.fallen) > 0 }
+
+// MayStart reports whether a team's tasks may start in a block, apart from its limit there:
+// not while this controller is behind, nor after the limit fell until all other blocks keep
+// within their shares of it.
+func (b *Book) MayStart(team string, block int) bool {
+	if b.Behind() {
+		return false
+	}
+	version, fell := b.fall.fallen[team]
+	if !fell {
+		return true
+	}
+	for _, k := range b.fall.all {
+		if k != block && !b.fall.within(k, team, version) {
+			return false
+		}
+	}
+	return true
+}
+
+// within reports whether a block is known to keep within its share of a team's limit.
+func (c *clearance) within(block int, team string, version uint64) bool {
+	told, ok := c.blocks[block]
+	return ok && told.version >= version && !told.over[team]
+}
+
+// Blocks says which blocks there are, and forgets that a team's limit fell once all of them
+// keep within their shares: none starts anything beyond its share, so that it stays so.
+func (b *Book) Blocks(all []int) {
+	c := &b.fall
+	c.all = all
+	for team, version := range c.fallen {
+		if !slices.ContainsFunc(all, func(k int) bool { return !c.within(k, team, version) }) {
+			delete(c.fallen, team)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/configuration/record.go
@@ -0,0 +1,192 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Prefix is where configurations are stored.
+const Prefix = "shalestage/config/"
+
+const (
+	HeadKey     = Prefix + "head" // names the stored version
+	chunkPrefix = Prefix + "chunk/"
+	pastPrefix  = Prefix + "past/"
+	// HistoryKept is how many of the last versions history tells of.
+	HistoryKept = 32
+	maxBuckets  = 256
+	// valueSlack is what a value stays below the service's limit.
+	valueSlack = 64
+)
+
+// head is the record that says which version is stored. Whoever stores another guards the
+// head's version in the state service.
+type head struct {
+	Version uint64   `json:"version"`
+	ID      string   `json:"id"` // of the change that made it
+	Chunks  []string `json:"chunks"`
+}
+
+// teamRecord, objectiveRecord and chunk are how a configuration is stored.
+type teamRecord struct {
+	Name    string      `json:"name"`
+	CPU     int64       `json:"cpu,omitempty"`
+	CPUMax  int64       `json:"cpu_max,omitempty"`
+	GPU     int64       `json:"gpu,omitempty"`
+	GPUMax  int64       `json:"gpu_max,omitempty"`
+	Removed unit.Micros `json:"removed,omitempty"`
+}
+
+type objectiveRecord struct {
+	Kind   string      `json:"kind"`
+	Class  string      `json:"class,omitempty"`
+	Within unit.Micros `json:"within,omitempty"`
+	Times  float64     `json:"times,omitempty"`
+	Share  float64     `json:"share,omitempty"`
+}
+
+type chunk struct {
+	Teams      []teamRecord      `json:"teams,omitempty"`
+	Objectives []objectiveRecord `json:"objectives,omitempty"`
+}
+
+// Entry tells of a version.
+type Entry struct {
+	Version uint64      `json:"version"`
+	ID      string      `json:"id"`
+	By      string      `json:"by"`
+	At      unit.Micros `json:"at"` // time of day
+	What    string      `json:"what"`
+}
+
+func chunkKey(name string) string { return chunkPrefix + name }
+
+func pastKey(version uint64) string { return fmt.Sprintf("%s%02d", pastPrefix, version%HistoryKept) }
+
+// encoded is a content in its stored form: chunks by name, in the order in which the head
+// names them.
+type encoded struct {
+	names  []string
+	values map[string]json.RawMessage
+}
+
+func (e *encoded) add(c chunk) {
+	value := store.Value(c)
+	sum := sha256.Sum256(value)
+	name := base64.RawURLEncoding.EncodeToString(sum[:12])
+	e.names = append(e.names, name)
+	e.values[name] = value
+}
+
+// encode returns a content's stored form, of which no value is larger than some bytes. Teams
+// are spread over buckets by their names, so that a change of one team changes one chunk.
+func encode(c Content, valueMax int) (encoded, error) {
+	room := valueMax - valueSlack
+	for buckets := 1; buckets <= maxBuckets; buckets *= 2 {
+		e, fits := encodeIn(c, buckets, room)
+		if !fits {
+			continue
+		}
+		if n := len(store.Value(head{Version: 1 << 62, ID: strings.Repeat("x", maxID), Chunks: e.names})); n > room {
+			return encoded{}, invalid("teams", "too many for values of %d bytes: their list takes %d", valueMax, n)
+		}
+		return e, nil
+	}
+	return encoded{}, invalid("teams", "too many for values of %d bytes", valueMax)
+}
+
+func encodeIn(c Content, buckets, room int) (e encoded, fits bool) {
+	e.values = map[string]json.RawMessage{}
+	parts := make([]chunk, buckets)
+	for _, t := range c.Teams {
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(t.Name)) // cannot fail
+		p := &parts[hash.Sum32()%uint32(buckets)]
+		p.Teams = append(p.Teams, teamRecord{t.Name, t.Guarantee[pack.CPU], t.Limit[pack.CPU], t.Guarantee[pack.GPU], t.Limit[pack.GPU], t.Removed})
+	}
+	// Objectives keep their order; a chunk is closed when the next does not fit.
+	var list chunk
+	for i, o := range c.Objectives {
+		next := append(slices.Clone(list.Objectives), objectiveRecord{o.Kind, o.Class, o.Within, o.Times, o.Share})
+		if i > 0 && len(store.Value(chunk{Objectives: next})) > room {
+			parts = append(parts, list)
+			next = next[len(next)-1:]
+		}
+		list.Objectives = next
+	}
+	for _, p := range append(parts, list) {
+		if len(p.Teams)+len(p.Objectives) == 0 {
+			continue
+		}
+		if len(store.Value(p)) > room {
+			return e, false
+		}
+		e.add(p)
+	}
+	return e, true
+}
+
+// errIncomplete says that not all records of a version are there.
+var errIncomplete = errors.New("a chunk is missing")
+
+// decode joins the chunks that a head names.
+func decode(h head, value func(name string) json.RawMessage) (Content, error) {
+	var c Content
+	for _, name := range h.Chunks {
+		v := value(name)
+		if v == nil {
+			return Content{}, errIncomplete
+		}
+		var p chunk
+		if err := json.Unmarshal(v, &p); err != nil {
+			return Content{}, err
+		}
+		for _, t := range p.Teams {
+			c.Teams = append(c.Teams, Team{t.Name, pack.Vec{t.CPU, t.GPU}, pack.Vec{t.CPUMax, t.GPUMax}, t.Removed})
+		}
+		for _, o := range p.Objectives {
+			c.Objectives = append(c.Objectives, Objective{Kind: o.Kind, Class: o.Class, Within: o.Within, Times: o.Times, Share: o.Share})
+		}
+	}
+	if len(c.Teams) == 0 {
+		return Content{}, errors.New("has no teams")
+	}
+	return c.sorted(), nil
+}
+
+// Stored returns the version that a set of records holds and its content; version 0: none is
+// stored whole.
+func Stored(value func(key string) json.RawMessage) (uint64, Content) {
+	var h head
+	if v := value(HeadKey); v == nil || json.Unmarshal(v, &h) != nil {
+		return 0, Content{}
+	}
+	c, err := decode(h, func(name string) json.RawMessage { return value(chunkKey(name)) })
+	if err != nil {
+		return 0, Content{}
+	}
+	return h.Version, c
+}
+
+// Readable reports why a record under Prefix cannot be read.
+func Readable(key string, value json.RawMessage) error {
+	switch {
+	case key == HeadKey:
+		return json.Unmarshal(value, &head{})
+	case strings.HasPrefix(key, chunkPrefix):
+		return json.Unmarshal(value, &chunk{})
+	case strings.HasPrefix(key, pastPrefix):
+		return json.Unmarshal(value, &Entry{})
+	}
+	return errors.New("no record of a configuration")
+}
--- /dev/null
+++ b/internal/core/configure.go
@@ -0,0 +1,228 @@
+package core
+
+import (
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/configuration"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Teams, their limits and the objectives may change while the service runs: package
+// configuration keeps the versions, and this file connects it with the rest of the core.
+
+const configPrefix = configuration.Prefix
+
+// maxOver bounds the teams that a status names as above their share of a block.
+const maxOver = 256
+
+// Bodies of replies about the configuration.
+type (
+	// ConfigContent is the configuration in force.
+	ConfigContent struct {
+		Version uint64
+		Content configuration.Content
+	}
+	// ConfigStored says which version holds a change.
+	ConfigStored struct{ Version uint64 }
+	// ConfigRefused says why a change was not made: *configuration.Invalid,
+	// *configuration.Missed or *configuration.Unavailable.
+	ConfigRefused struct{ Err error }
+	// ConfigHistory is a list of the last versions, the latest first.
+	ConfigHistory []configuration.Entry
+	// ConfigStatus tells how far a version has come.
+	ConfigStatus = configuration.Status
+)
+
+// configured is what this controller does for its configuration.
+type configured struct{ *Core }
+
+// Store implements configuration.Host.
+func (c configured) Store(w *store.Write) bool { return c.lanes[UserLane].Add(w) }
+
+// Stamp implements configuration.Host.
+func (c configured) Stamp(key string) uint64 { return c.mirror.Stamp(key) }
+
+// Read implements configuration.Host.
+func (c configured) Read(f func(ok bool)) { c.wantSync(f) }
+
+// Current implements configuration.Host.
+func (c configured) Current() bool { return c.mirror.Loaded() && !c.mirror.Recovering() }
+
+// Busy implements configuration.Host.
+func (c configured) Busy(team string) bool {
+	for _, j := range c.active {
+		if j.Spec().Team == team {
+			return true
+		}
+	}
+	return false
+}
+
+// Adopted implements configuration.Host.
+func (c configured) Adopted(content configuration.Content) { c.reconfigure(content) }
+
+// Answered implements configuration.Host.
+func (c configured) Answered(request uint64, a configuration.Answer) {
+	r := Reply{Req: ReqID(request), Code: http.StatusOK, Body: ConfigStored{a.Version}}
+	var missed *configuration.Missed
+	var invalid *configuration.Invalid
+	switch {
+	case a.Err == nil:
+	case errors.As(a.Err, &missed):
+		r.Code, r.Body = http.StatusConflict, ConfigRefused{a.Err}
+	case errors.As(a.Err, &invalid):
+		r.Code, r.Body = http.StatusUnprocessableEntity, ConfigRefused{a.Err}
+	default:
+		r.Code, r.Body, r.RetryAfter = http.StatusServiceUnavailable, ConfigRefused{a.Err}, retryAfter
+	}
+	c.emit(r)
+}
+
+// reconfigure puts teams and objectives in force. Removed teams are known for the limits of
+// their jobs, and count nowhere else.
+func (c *Core) reconfigure(content configuration.Content) {
+	c.teams = make(map[string]*Team, len(content.Teams))
+	c.cfg.Teams = nil
+	for i := range content.Teams {
+		t := &content.Teams[i]
+		c.teams[t.Name] = t
+		if t.Removed == 0 {
+			c.cfg.Teams = append(c.cfg.Teams, *t)
+		}
+	}
+	c.cfg.Objectives = content.Objectives
+	for _, bl := range c.held {
+		bl.demand.SetObjectives(content.Objectives)
+		bl.sortAt, bl.newWork = 0, true // a limit that rose is used at once
+	}
+}
+
+// Configure asks for a change of the configuration. While a controller of a release that
+// does not know of such changes is known, none is made: it would go by its settings file.
+func (c *Core) Configure(now unit.Micros, req ReqID, r configuration.Request) {
+	c.at(now)
+	if old := c.unaware(); old != "" {
+		c.emit(Reply{Req: req, Code: http.StatusServiceUnavailable, RetryAfter: crowdedRetry,
+			Body: ConfigRefused{&configuration.Unavailable{Reason: "controller " + old + " still runs an older release, which goes by its settings file"}}})
+		return
+	}
+	c.config.Change(c.now, c.wall, uint64(req), r)
+}
+
+// unaware returns a controller that is known to run a release which goes by its settings
+// file alone.
+func (c *Core) unaware() string {
+	for _, n := range c.peers.names {
+		if r, known := c.releases[n]; known && r < releaseConfig {
+			return n
+		}
+	}
+	return ""
+}
+
+// ConfigContent answers with the configuration in force here, as new as the request.
+func (c *Core) ConfigContent(now unit.Micros, req ReqID) {
+	c.readConfig(now, req, func() any { return ConfigContent{c.config.Version(), c.config.Content()} })
+}
+
+// ConfigHistory answers with the last versions.
+func (c *Core) ConfigHistory(now unit.Micros, req ReqID) {
+	c.readConfig(now, req, func() any { return ConfigHistory(c.config.History()) })
+}
+
+func (c *Core) readConfig(now unit.Micros, req ReqID, body func() any) {
+	c.at(now)
+	c.wantSync(func(ok bool) {
+		if !ok || c.config.Behind() {
+			c.emit(Reply{Req: req, Code: http.StatusServiceUnavailable, RetryAfter: retryAfter,
+				Body: ConfigRefused{&configuration.Unavailable{Reason: "the present configuration cannot be read"}}})
+			return
+		}
+		c.emit(Reply{Req: req, Code: http.StatusOK, Body: body()})
+	})
+}
+
+// ConfigStatus answers how far a version has come; 0: the one in force here.
+func (c *Core) ConfigStatus(now unit.Micros, req ReqID, version uint64) {
+	c.at(now)
+	c.emit(Reply{Req: req, Code: http.StatusOK, Body: c.config.Status(c.now, version, func(node string) bool { return !c.alive(c.peers.views[node]) })})
+}
+
+// heardConfig takes what another controller's status says of the configuration.
+func (c *Core) heardConfig(from string, s PeerStatus) {
+	c.config.Told(c.now, from, s.Config, s.ConfigKnown)
+	if c.config.Heard(s.ConfigKnown) {
+		c.wantSync(nil)
+	}
+	if !c.config.Falling() || !c.configComplete() {
+		return
+	}
+	for _, b := range s.Blocks {
+		if b.Use >= 0 && c.blocks[b.Block].Node == from {
+			c.config.Over(b.Block, s.Config, b.Over)
+		}
+	}
+	c.config.Blocks(slices.Collect(maps.Keys(c.blocks)))
+}
+
+// configComplete reports whether the copy shows all that was stored before the configuration
+// in force: who held which block then.
+func (c *Core) configComplete() bool {
+	return c.mirror.Loaded() && !c.mirror.Recovering() && c.mirror.Rev >= c.mirror.Stamp(configuration.HeadKey)
+}
+
+// tellConfig adds to a status which version is in force here, and which teams are above
+// their share of a block's limits.
+func (c *Core) tellConfig(s *PeerStatus) {
+	if !c.config.Changed() {
+		return
+	}
+	s.Config, s.ConfigKnown = c.config.Version(), c.config.Known()
+	complete := c.config.Falling() && c.configComplete()
+	for i := range s.Blocks {
+		b := &s.Blocks[i]
+		if b.Use < 0 {
+			continue
+		}
+		if b.Over = c.overShare(c.held[b.Block]); len(b.Over) > maxOver {
+			b.Over, b.Use = nil, -1 // as if it were not known
+		} else if complete {
+			c.config.Over(b.Block, s.Config, b.Over)
+		}
+	}
+	if complete {
+		c.config.Blocks(slices.Collect(maps.Keys(c.blocks)))
+	}
+}
+
+// overShare returns the teams that use more of their limit in a block than its share.
+func (c *Core) overShare(bl *block) []string {
+	var out []string
+	for _, name := range sortedKeys(c.teams) {
+		if !withinLimit(c.part(bl, c.teams[name].Limit), bl.usage[name]) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// part is a block's share of a limit.
+func (c *Core) part(bl *block, limit pack.Vec) pack.Vec {
+	for i := range limit {
+		if part := int64(float64(limit[i]) * c.shares[bl.n].share); limit[i] > 0 {
+			limit[i] = max(part, 1) // 0 would mean no limit
+		}
+	}
+	return limit
+}
+
+// mayAccept reports whether this controller surely knows the configuration well enough to
+// accept jobs: it knows of no later one, and its copy is recent.
+func (c *Core) mayAccept() bool {
+	return !c.config.Changed() || !c.config.Behind() && c.now-c.mirror.AsOf() < c.extension()
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
@@ -27,11 +28,7 @@
 )
 
 // Team holds a team's guarantee and limit, in thousandths; 0 means none.
-type Team struct {
-	Name      string
-	Guarantee pack.Vec
-	Limit     pack.Vec
-}
+type Team = configuration.Team
 
 // Objective is one of the users' aims for a class of jobs.
 type Objective = demand.Objective
@@ -158,7 +155,8 @@
 	wall   unit.Micros // time of day
 	out    []Effect
 	teams  map[string]*Team
-	mirror *mirror.Mirror // the copy of the state service's keys
+	config *configuration.Book // teams and objectives as they are in force
+	mirror *mirror.Mirror      // the copy of the state service's keys
 	lanes  [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job // those that are not packed
@@ -224,6 +222,8 @@
 	c.memory = recall.New(recallBytes)
 	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
+	c.config = configuration.New(configuration.Config{Node: cfg.Node, Initial: configuration.Content{Teams: cfg.Teams, Objectives: cfg.Objectives},
+		Peers: cfg.Peers, ValueMax: c.cfg.ValueMax, TxnOps: cfg.TxnOps, Bound: c.extension() + unit.Second, Log: cfg.Log}, configured{c})
 	c.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.Home, ReportEvery: cfg.ReportEvery, Log: cfg.Log})
 	c.reach = watch.NewReach(cfg.ReportEvery, c.leaseBound())
 	for i := range c.lanes {
@@ -282,6 +282,7 @@
 	c.tickPeers()
 	c.seats.Tick(c.now)
 	c.tickLead()
+	c.config.Tick(c.now, c.wall, c.leader != nil)
 	c.tickTypes()
 	c.tickOld()
 	for _, k := range sortedBlocks(c.held) {
--- a/internal/core/demand/demand.go
+++ b/internal/core/demand/demand.go
@@ -19,6 +19,7 @@
 	Class  string
 	Within unit.Micros
 	Times  float64 // of the deadline, for "deadline"
+	Share  float64 // of the jobs for which it is to hold; nothing goes by it
 }
 
 // Book is what is known of a block's work: its owners' aims and how long it really runs.
@@ -34,6 +35,9 @@
 	return &Book{objectives: objectives, roundShare: roundShare, runtimes: map[string]*ratio{}}
 }
 
+// SetObjectives replaces the owners' aims.
+func (b *Book) SetObjectives(objectives []Objective) { b.objectives = objectives }
+
 // ratio learns how long tasks of a class really run, as a share of what their
 // owners estimate ("earlier runs of the same or similar jobs", 3.3.1).
 type ratio struct {
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
@@ -89,6 +90,8 @@
 		if k, err = blockNumber(e.Key, blockPrefix); err == nil {
 			s.blocks[k] = e
 		}
+	case strings.HasPrefix(e.Key, configPrefix):
+		err = configuration.Readable(e.Key, e.Value)
 	case strings.HasPrefix(e.Key, wordPrefix):
 		err = json.Unmarshal(e.Value, &ZoneWord{})
 	case strings.HasPrefix(e.Key, followPrefix):
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -144,6 +145,7 @@
 		return err
 	} else {
 		c.blocks[k] = granted{b, e.Stamp}
+		c.config.Blocks(slices.Collect(maps.Keys(c.blocks)))
 		if b.Node != "" && b.Node != c.cfg.Node {
 			delete(c.pictures, k) // it is another's to use
 		}
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -86,6 +86,8 @@
 		err = c.seats.Learn(c.now, e.Key[len(seatPrefix):], e)
 	case strings.HasPrefix(e.Key, blockPrefix):
 		err = c.learnBlock(e)
+	case strings.HasPrefix(e.Key, configPrefix):
+		err = c.config.Learn(c.now, e)
 	case strings.HasPrefix(e.Key, wordPrefix):
 		err = c.learnWord(e)
 	case strings.HasPrefix(e.Key, followPrefix):
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -130,9 +130,10 @@
 	return nil
 }
 
-// tooOld reports whether a controller runs a release that cannot read what is packed.
+// tooOld reports whether a controller runs a release that cannot read what is packed, or
+// does not go by the configuration that is stored.
 func (c *Core) tooOld(node string) bool {
-	return c.old.past.On() && node != c.cfg.Node && c.releases[node] < releasePast
+	return node != c.cfg.Node && (c.old.past.On() && c.releases[node] < releasePast || c.config.Changed() && c.releases[node] < releaseConfig)
 }
 
 // over notes that a job is over, so that it is packed some day.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -27,12 +27,18 @@
 		Back     unit.Micros    // when the sender last noticed that the state service went back; 0: never
 		Zones    []zones.Status // those that do not serve, as a holder of blocks sees it
 		Known    uint64         // the sender knows every cancellation up to this revision
+		// Config is the version of the configuration that the sender goes by, and ConfigKnown
+		// the latest that it knows to be stored; 0: that of its settings file.
+		Config, ConfigKnown uint64
 	}
 	// BlockStatus tells of a block that the sender holds.
 	BlockStatus struct {
 		Block int
 		Share uint64  // version of the share that the block goes by
 		Use   float64 // largest part of a limit in use; -1: not known yet
+		// Over are teams that use more of their limits than this share, by the configuration
+		// that the sender goes by.
+		Over []string
 	}
 	// PeerPromise grants what a status asked for, and tells which cancellations the other
 	// lacks.
@@ -40,6 +46,8 @@
 		Seat uint64
 		Sent unit.Micros
 		Told cancels.Told
+		// ConfigKnown is the latest version of the configuration that the sender knows.
+		ConfigKnown uint64
 	}
 	// PeerPermitAsk asks for help to give away what a controller's seat held;
 	// PeerPermit grants it.
@@ -159,6 +167,7 @@
 			}
 			s.Blocks = append(s.Blocks, st)
 		}
+		c.tellConfig(&s)
 		for _, n := range p.names {
 			c.emit(SendPeer{n, s})
 		}
@@ -258,8 +267,9 @@
 		}
 		c.heardRelease(from, m.Release)
 		c.heardBack(from, v, m.Back)
+		c.heardConfig(from, m)
 		if c.seats.Promise(now, from, m.Seat) {
-			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent, Told: c.tellCancels(m)}})
+			c.emit(SendPeer{from, PeerPromise{Seat: m.Seat, Sent: m.Sent, Told: c.tellCancels(m), ConfigKnown: c.config.Known()}})
 		}
 		if l := c.leader; l != nil {
 			for _, b := range m.Blocks {
@@ -270,6 +280,7 @@
 		}
 	case PeerPromise:
 		c.seats.Promised(now, from, m.Seat, m.Sent)
+		c.config.Heard(m.ConfigKnown) // before the others' word lengthens this holder's authority
 		c.toldCancels(from, m)
 	case PeerPermitAsk:
 		// Of no controller: whoever asks waits until its time is over.
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -250,7 +250,7 @@
 // release numbers tell what a controller understands. It is stored with its seat
 // and told with its status; those before it told none.
 const (
-	release       = 7
+	release       = 8
 	releaseAwaits = 3 // understands jobs that await others
 	releasePast   = 4 // finds packed jobs
 	releaseParts  = 5 // guards the first part of a description
@@ -258,6 +258,7 @@
 
 	releaseFollows = 6 // follows holders
 	releaseTells   = 7 // takes cancellations from others
+	releaseConfig  = 8 // goes by the stored configuration
 )
 
 // noteMixed keeps for how long all controllers have run certain releases.
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -57,6 +57,7 @@
 		}
 	}
 	c.mirror.Recover(rev, items, keep)
+	c.config.Reloaded()
 	c.cancels.Forget(c.now)
 	c.doubt()
 	c.sink = follow.NewSink() // who is stored to follow may be as of an earlier time
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -524,7 +524,7 @@
 // all machines are accounted for, those that are not may be full of its tasks.
 func (c *Core) permits(bl *block, s *ledger.Spec) bool {
 	t := c.teams[s.Team]
-	if t == nil {
+	if t == nil || !c.config.MayStart(s.Team, bl.n) {
 		return false
 	}
 	if bl.hiddenStale {
@@ -541,13 +541,7 @@
 		return false
 	}
 	use := bl.usage[s.Team].Add(s.Demand).Add(bl.hidden)
-	limit := t.Limit
-	for i := range limit {
-		if part := int64(float64(limit[i]) * c.shares[bl.n].share); limit[i] > 0 {
-			limit[i] = max(part, 1) // 0 would mean no limit
-		}
-	}
-	return withinLimit(limit, use)
+	return withinLimit(c.part(bl, t.Limit), use)
 }
 
 // teamShare is a team's fair share of the whole: by guarantee where there are
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -104,7 +104,7 @@
 // those of packed jobs.
 func (c *Core) impossible(s *ledger.Spec, absent map[string]bool) string {
 	t := c.teams[s.Team]
-	if t == nil {
+	if t == nil || t.Removed != 0 {
 		return "unknown team"
 	}
 	if len(c.fitting(s)) == 0 {
@@ -172,6 +172,10 @@
 		c.send(Reply{Req: n.req, Code: http.StatusServiceUnavailable, Body: Problem{"a controller's memory is nearly full"}, RetryAfter: crowdedRetry})
 		return
 	}
+	if !c.mayAccept() {
+		c.unavailable(n.req, "the present configuration is not known")
+		return
+	}
 	c.loads()
 	spec, cancelled, ok := c.settleAwaits(n.spec)
 	// Nothing is accepted without a proof that it is not packed.
--- a/internal/peer/production_test.go
+++ b/internal/peer/production_test.go
@@ -82,7 +82,7 @@
 func TestProductionReads(t *testing.T) {
 	var b bytes.Buffer
 	enc, dec := gob.NewEncoder(&b), gob.NewDecoder(&b)
-	if err := enc.Encode(core.PeerStatus{Seat: 4, Sent: 5, Release: 3, Blocks: []core.BlockStatus{{Block: 1, Use: 0.5}}}); err != nil {
+	if err := enc.Encode(core.PeerStatus{Seat: 4, Sent: 5, Release: 3, Config: 7, ConfigKnown: 8, Blocks: []core.BlockStatus{{Block: 1, Use: 0.5, Over: []string{"red"}}}}); err != nil {
 		t.Fatal(err)
 	}
 	var s oldStatus
