shalestage config: get, set, apply, history and status, over a controller's internal address

Cause: there was no way to ask for a change of the configuration.

Change: what arrives on the internal address is told apart by its first bytes, frames of controllers or HTTP. A misspelt field is refused, a wrong amount with its field (422), a change made for another version with both versions (409); 503 with Retry-After where it cannot be stored, and says when it may have been stored all the same.

--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -58,6 +58,7 @@
 	Restore    restoreCmd       `cmd:"" help:"Put a backup into an empty state service."`
 	Audit      auditCmd         `cmd:"" help:"Look for what should not be in the state service, or in a backup."`
 	Zone       zoneCmd          `cmd:"" help:"Tell the controllers what is known of a zone that is lost."`
+	Config     configCmd        `cmd:"" help:"Read and change teams, limits and objectives while the service runs."`
 	Emulate    emulateCmd       `cmd:"" hidden:"" help:"Run one of the emulator's processes."`
 	Version    kong.VersionFlag `help:"Print the version and stop."`
 }
--- a/cmd/shalestage/main_test.go
+++ b/cmd/shalestage/main_test.go
@@ -118,11 +118,48 @@
 			t.Errorf("%v: exit status %d, want %d:\n%s", c.args, code, c.code, out)
 		}
 	}
+	configure(t, d)
 	if broken, starts := d.Finish(true); len(broken) > 0 || starts == 0 {
 		t.Errorf("%d starts, broken: %v", starts, broken)
 	}
 }
 
+// configure changes the configuration of a running deployment by commands.
+func configure(t *testing.T, d *launch.Deployment) {
+	t.Helper()
+	dir := t.TempDir()
+	config := func(node, verb string, args ...string) (int, string) {
+		return command(t, dir, append([]string{"config", verb, "--controller", d.Plan.Internal[node]}, args...)...)
+	}
+	code, now := config("node-0", "get")
+	if code != 0 || !strings.Contains(now, `"version": 0`) {
+		t.Fatalf("get: exit status %d:\n%s", code, now)
+	}
+	file := filepath.Join(dir, "now.json")
+	if err := os.WriteFile(file, []byte(now), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		node, verb string
+		args       []string
+		code       int
+		says       string
+	}{
+		{"node-0", "set", []string{"extra", "cpus_max=40", "--by", "ann"}, 0, "confirmed"},
+		{"node-1", "get", nil, 0, `"cpus_max": 40`},
+		{"node-1", "apply", []string{file}, exitFailed, "was made for version 0, and the present one is 1"},
+		{"node-1", "set", []string{"extra", "cpus_max=-1"}, exitUnusable, "teams[extra].cpus_max: want 0"},
+		{"node-1", "set", []string{"extra", "cores=1"}, exitUnusable, "cores=1"},
+		{"node-2", "set", []string{"extra", "--remove", "--by", "ben"}, 0, "confirmed"},
+		{"node-0", "history", nil, 0, "extra: removed"},
+		{"node-0", "status", nil, 0, "version 2 is confirmed: true"},
+	} {
+		if code, out := config(c.node, c.verb, c.args...); code != c.code || !strings.Contains(out, c.says) {
+			t.Errorf("config %s %v: exit status %d, want %d:\n%s", c.verb, c.args, code, c.code, out)
+		}
+	}
+}
+
 // TestRehearseReal plays a scenario with a cut and a controller's end with real
 // processes.
 func TestRehearseReal(t *testing.T) {
--- a/cmd/shalestage/serve.go
+++ b/cmd/shalestage/serve.go
@@ -65,7 +65,9 @@
 		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), worker.New(log), link, log)
 	n.WatchMemory(memory.New(limit).Full)
 	go n.Run(context.Background())
-	go link.Serve(pl, n.Hear)
+	frames, web := peer.Split(pl)
+	go link.Serve(frames, n.Hear)
+	go func() { log.Error("internal address", "err", api.ServeInternal(web, n)) }()
 	log.Info("serving", "node", s.Node, "listen", s.Listen, "version", version)
 	failed := make(chan error, 1)
 	// Room is left for connections to the services and to other controllers.
--- /dev/null
+++ b/internal/api/internal.go
@@ -0,0 +1,143 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"shalestage.example/shalestage/internal/config"
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/configuration"
+)
+
+// Configurable is what operators ask of the controller on its internal address. Every call
+// returns an answer, whatever happens.
+type Configurable interface {
+	Configure(ctx context.Context, r configuration.Request) core.Reply
+	ConfigContent(ctx context.Context) core.Reply
+	ConfigHistory(ctx context.Context) core.Reply
+	ConfigStatus(ctx context.Context, version uint64) core.Reply
+}
+
+// ServeInternal answers operators' requests on a listener.
+func ServeInternal(l net.Listener, n Configurable) error {
+	s := &http.Server{Handler: InternalHandler(n), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 15 * time.Second, IdleTimeout: 10 * time.Second, MaxHeaderBytes: 16 << 10}
+	return s.Serve(l)
+}
+
+// InternalHandler serves the configuration.
+func InternalHandler(n Configurable) http.Handler {
+	r := chi.NewRouter()
+	r.Get(config.ConfigPath, func(w http.ResponseWriter, req *http.Request) { writeConfig(w, n.ConfigContent(req.Context())) })
+	r.Get(config.ConfigHistoryPath, func(w http.ResponseWriter, req *http.Request) { writeConfig(w, n.ConfigHistory(req.Context())) })
+	r.Get(config.ConfigStatusPath, func(w http.ResponseWriter, req *http.Request) {
+		var version uint64
+		if v := req.URL.Query().Get("version"); v != "" {
+			var err error
+			if version, err = strconv.ParseUint(v, 10, 64); err != nil {
+				refuseField(w, http.StatusBadRequest, "version", "want a number")
+				return
+			}
+		}
+		writeConfig(w, n.ConfigStatus(req.Context(), version))
+	})
+	r.Put(config.ConfigPath, func(w http.ResponseWriter, req *http.Request) { change(w, req, n, &config.Document{}) })
+	r.Post(config.ConfigSetPath, func(w http.ResponseWriter, req *http.Request) { change(w, req, n, &config.Patch{}) })
+	return r
+}
+
+// requester is a body that asks for a change.
+type requester interface {
+	Request() (configuration.Request, error)
+}
+
+// change reads a change strictly, as a misspelt field would silently not be changed, and
+// asks for it.
+func change(w http.ResponseWriter, req *http.Request, n Configurable, into requester) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, config.MaxDocument))
+	if err != nil {
+		refuseField(w, http.StatusBadRequest, "", "body cannot be read or is too long")
+		return
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		field := ""
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			field = wrong.Field
+		}
+		refuseField(w, http.StatusBadRequest, field, err.Error())
+		return
+	}
+	r, err := into.Request()
+	if err != nil {
+		writeConfig(w, core.Reply{Code: http.StatusUnprocessableEntity, Body: core.ConfigRefused{Err: err}})
+		return
+	}
+	writeConfig(w, n.Configure(req.Context(), r))
+}
+
+func refuseField(w http.ResponseWriter, code int, field, why string) {
+	writeJSON(w, code, config.Refusal{Field: field, Error: why})
+}
+
+func writeConfig(w http.ResponseWriter, r core.Reply) {
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	switch b := r.Body.(type) {
+	case core.ConfigContent:
+		writeJSON(w, r.Code, config.NewDocument(b.Version, b.Content))
+	case core.ConfigStored:
+		writeJSON(w, r.Code, config.Stored{Version: b.Version})
+	case core.ConfigStatus:
+		writeJSON(w, r.Code, config.NewStatus(b))
+	case core.ConfigHistory:
+		writeJSON(w, r.Code, config.NewHistory(b))
+	case core.ConfigRefused:
+		writeJSON(w, r.Code, refusal(b.Err))
+	case core.Problem: // nobody has answered in time: a change may be under way
+		writeJSON(w, r.Code, config.Refusal{Error: b.Text, Unknown: true})
+	default:
+		writeJSON(w, r.Code, struct{}{})
+	}
+}
+
+// refusal tells why a change was not made.
+func refusal(err error) config.Refusal {
+	out := config.Refusal{Error: err.Error()}
+	var invalid *configuration.Invalid
+	var missed *configuration.Missed
+	var gone *configuration.Unavailable
+	switch {
+	case errors.As(err, &invalid):
+		out.Field, out.Error = invalid.Field, invalid.Reason
+	case errors.As(err, &missed):
+		out.Version, out.Current = &missed.Base, &missed.Current
+	case errors.As(err, &gone):
+		out.Unknown = gone.Unknown
+	}
+	return out
+}
+
+func writeJSON(w http.ResponseWriter, code int, body any) {
+	out, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_, _ = w.Write(append(out, '\n')) // the client may be gone
+}
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -31,12 +31,10 @@
 		c.PeerZones[p.Node] = p.Zone
 	}
 	for _, tm := range d.Teams {
-		c.Teams = append(c.Teams, core.Team{Name: tm.Name,
-			Guarantee: pack.Vec{unit.MilliDown(tm.CPUs), unit.MilliDown(tm.GPUs)},
-			Limit:     pack.Vec{unit.MilliDown(tm.CPUsMax), unit.MilliDown(tm.GPUsMax)}})
+		c.Teams = append(c.Teams, teamOf(tm))
 	}
 	for _, o := range d.Objectives {
-		c.Objectives = append(c.Objectives, core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS), Times: o.Times})
+		c.Objectives = append(c.Objectives, objectiveOf(o))
 	}
 	return c
 }
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,203 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/configuration"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// What operators read and send to change teams and objectives while the service runs, in the
+// form of the settings file's sections of the same names.
+
+// Paths on a controller's internal address.
+const (
+	ConfigPath        = "/config"
+	ConfigSetPath     = "/config/set"
+	ConfigHistoryPath = "/config/history"
+	ConfigStatusPath  = "/config/status"
+)
+
+// MaxDocument bounds the bytes of a document.
+const MaxDocument = 1 << 20
+
+// Document is a whole configuration.
+type Document struct {
+	By         string      `json:"by,omitempty"` // who gives it
+	Version    *uint64     `json:"version"`      // that it is, or that it was made for
+	Teams      []Team      `json:"teams"`
+	Objectives []Objective `json:"objectives"`
+	Removed    []string    `json:"removed,omitempty"` // teams that take no new jobs; not read
+}
+
+// TeamPatch changes some amounts of a team; what is missing stays as it is.
+type TeamPatch struct {
+	Name    string   `json:"name"`
+	CPUs    *float64 `json:"cpus,omitempty"`
+	CPUsMax *float64 `json:"cpus_max,omitempty"`
+	GPUs    *float64 `json:"gpus,omitempty"`
+	GPUsMax *float64 `json:"gpus_max,omitempty"`
+	Remove  bool     `json:"remove,omitempty"`
+}
+
+// Patch changes some teams.
+type Patch struct {
+	By      string      `json:"by,omitempty"`
+	Version *uint64     `json:"version,omitempty"` // that it was made for; none: whatever there is
+	Teams   []TeamPatch `json:"teams"`
+}
+
+// Stored answers a change that is stored.
+type Stored struct {
+	Version uint64 `json:"version"`
+}
+
+// Refusal answers one that is not.
+type Refusal struct {
+	Error   string  `json:"error"`
+	Field   string  `json:"field,omitempty"`   // that is wrong
+	Version *uint64 `json:"version,omitempty"` // that it was made for
+	Current *uint64 `json:"current,omitempty"` // that it missed
+	Unknown bool    `json:"unknown,omitempty"` // it may have been stored, or may yet be: look again
+}
+
+// HistoryEntry tells of a version.
+type HistoryEntry struct {
+	Version uint64    `json:"version"`
+	At      time.Time `json:"at"`
+	By      string    `json:"by"`
+	What    string    `json:"what"`
+}
+
+// ControllerStatus tells by which version a controller goes.
+type ControllerStatus struct {
+	Node    string `json:"controller"`
+	InForce uint64 `json:"version"`
+	Known   uint64 `json:"known"` // latest version that it knows of; it starts nothing while that is later
+	Silent  bool   `json:"silent,omitempty"`
+	Done    bool   `json:"done"` // starts nothing by a version before the one asked for
+}
+
+// Status tells how far a version has come.
+type Status struct {
+	Version     uint64             `json:"version"`
+	Current     uint64             `json:"current"`
+	Confirmed   bool               `json:"confirmed"`
+	Waiting     int                `json:"waiting"` // changes that are to be stored
+	Controllers []ControllerStatus `json:"controllers"`
+}
+
+// Lacking returns the controllers for which a version is not confirmed.
+func (s Status) Lacking() []string {
+	var out []string
+	for _, c := range s.Controllers {
+		if !c.Done {
+			out = append(out, c.Node)
+		}
+	}
+	return out
+}
+
+// amount turns an operator's number into thousandths.
+func amount(field string, v float64) (int64, error) {
+	if !(v >= 0 && v < 1e9) {
+		return 0, &configuration.Invalid{Field: field, Reason: fmt.Sprintf("want 0 to 1e9, got %g", v)}
+	}
+	return unit.MilliDown(v), nil
+}
+
+// Request returns the change that a patch asks for, or an error that names the wrong field.
+func (p Patch) Request() (configuration.Request, error) {
+	r := configuration.Request{By: p.By, Base: p.Version}
+	for _, t := range p.Teams {
+		ch := configuration.TeamChange{Name: t.Name, Remove: t.Remove}
+		for _, a := range []struct {
+			name string
+			from *float64
+			to   **int64
+		}{{"cpus", t.CPUs, &ch.GuaranteeCPU}, {"cpus_max", t.CPUsMax, &ch.LimitCPU}, {"gpus", t.GPUs, &ch.GuaranteeGPU}, {"gpus_max", t.GPUsMax, &ch.LimitGPU}} {
+			if a.from == nil {
+				continue
+			}
+			v, err := amount("teams["+t.Name+"]."+a.name, *a.from)
+			if err != nil {
+				return r, err
+			}
+			*a.to = &v
+		}
+		r.Teams = append(r.Teams, ch)
+	}
+	return r, nil
+}
+
+// Request returns the change that a whole document asks for.
+func (d Document) Request() (configuration.Request, error) {
+	r := configuration.Request{By: d.By, Base: d.Version, Whole: &configuration.Content{}}
+	for _, t := range d.Teams {
+		for name, v := range map[string]float64{"cpus": t.CPUs, "cpus_max": t.CPUsMax, "gpus": t.GPUs, "gpus_max": t.GPUsMax} {
+			if _, err := amount("teams["+t.Name+"]."+name, v); err != nil {
+				return r, err
+			}
+		}
+		r.Whole.Teams = append(r.Whole.Teams, teamOf(t))
+	}
+	for i, o := range d.Objectives {
+		if !(o.WithinS >= 0 && o.WithinS <= 1e9) {
+			return r, &configuration.Invalid{Field: fmt.Sprintf("objectives[%d].within_s", i), Reason: fmt.Sprintf("want 0 to 1e9, got %g", o.WithinS)}
+		}
+		r.Whole.Objectives = append(r.Whole.Objectives, objectiveOf(o))
+	}
+	return r, nil
+}
+
+func teamOf(t Team) core.Team {
+	return core.Team{Name: t.Name,
+		Guarantee: pack.Vec{unit.MilliDown(t.CPUs), unit.MilliDown(t.GPUs)},
+		Limit:     pack.Vec{unit.MilliDown(t.CPUsMax), unit.MilliDown(t.GPUsMax)}}
+}
+
+func objectiveOf(o Objective) core.Objective {
+	return core.Objective{Kind: o.Kind, Class: o.Class, Within: unit.Seconds(o.WithinS), Times: o.Times, Share: o.Share}
+}
+
+// NewDocument returns a version as a document.
+func NewDocument(version uint64, c configuration.Content) Document {
+	d := Document{Version: &version, Teams: []Team{}, Objectives: []Objective{}}
+	for _, t := range c.Teams {
+		if t.Removed != 0 {
+			d.Removed = append(d.Removed, t.Name)
+			continue
+		}
+		units := func(milli int64) float64 { return float64(milli) / 1000 }
+		d.Teams = append(d.Teams, Team{Name: t.Name, CPUs: units(t.Guarantee[pack.CPU]), CPUsMax: units(t.Limit[pack.CPU]),
+			GPUs: units(t.Guarantee[pack.GPU]), GPUsMax: units(t.Limit[pack.GPU])})
+	}
+	slices.SortFunc(d.Teams, func(a, b Team) int { return cmp.Compare(a.Name, b.Name) })
+	for _, o := range c.Objectives {
+		d.Objectives = append(d.Objectives, Objective{Kind: o.Kind, Class: o.Class, WithinS: o.Within.Seconds(), Share: o.Share, Times: o.Times})
+	}
+	return d
+}
+
+// NewStatus returns a status as it is told.
+func NewStatus(s core.ConfigStatus) Status {
+	out := Status{Version: s.Version, Current: s.Current, Confirmed: s.Confirmed, Waiting: s.Waiting}
+	for _, c := range s.Controllers {
+		out.Controllers = append(out.Controllers, ControllerStatus(c))
+	}
+	return out
+}
+
+// NewHistory returns a history as it is told.
+func NewHistory(list core.ConfigHistory) []HistoryEntry {
+	out := []HistoryEntry{}
+	for _, e := range list {
+		out = append(out, HistoryEntry{Version: e.Version, At: time.UnixMicro(int64(e.At)).UTC(), By: e.By, What: e.What})
+	}
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 
 	"shalestage.example/shalestage/internal/cloud"
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
@@ -296,6 +297,26 @@
 // leaveTime is for the last request, that the seat ends, and for the answers under way.
 const leaveTime = 200 * time.Millisecond
 
+// Configure asks for a change of the configuration.
+func (n *Node) Configure(ctx context.Context, r configuration.Request) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.Configure(now, req, r) })
+}
+
+// ConfigContent asks for the configuration in force.
+func (n *Node) ConfigContent(ctx context.Context) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigContent(now, req) })
+}
+
+// ConfigHistory asks for the last versions.
+func (n *Node) ConfigHistory(ctx context.Context) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigHistory(now, req) })
+}
+
+// ConfigStatus asks how far a version of the configuration has come.
+func (n *Node) ConfigStatus(ctx context.Context, version uint64) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigStatus(now, req, version) })
+}
+
 // Stats returns the present figures; ok is false where there is too much to do.
 func (n *Node) Stats(ctx context.Context) (core.Stats, bool) {
 	r := n.ask(ctx, n.users, answerWithin, func(c *core.Core, _ unit.Micros, req core.ReqID) { c.Stats(req) })
