Limits that change in rehearsals: fault kind config_set, and a checker that knows versions

Cause: the checker's limits were fixed, and no scenario could change the configuration.

Change: an operator asks controllers until a change is stored and confirmed; the checker counts the highest limit that may have been in force when a start was decided, and none of before a confirmation from then on; jobs for a team whose removal was confirmed before they were submitted break the new rule outdated.

--- /dev/null
+++ b/internal/emulator/check/limits.go
@@ -0,0 +1,129 @@
+package check
+
+import (
+	"math"
+
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// Limits that change while the service runs. From when a change is stored controllers may go
+// by it, and until it is confirmed they may go by those before: whichever is higher counts.
+// From its confirmation on nothing is started above it. What was ordered before may come to
+// its machine later, and what runs may go on.
+
+// limitsOf is a version of the configuration as it was stored.
+type limitsOf struct {
+	version   uint64
+	confirmed unit.Micros // Never: not yet
+	limits    map[string]pack.Vec
+	removed   map[string]bool // teams that take no new jobs
+}
+
+// keptFor is for how long versions count that others have replaced: an order may be that long
+// on its way, with an image.
+const keptFor = 600 * unit.Second
+
+// Limits is the content of a version, as far as rules depend on it.
+type Limits struct {
+	Teams   []Team
+	Removed []string // of these, teams that take no new jobs
+}
+
+// Configured says that a version of the configuration is stored. One that is stored again
+// counts once, unless it holds something else.
+func (c *Checker) Configured(at unit.Micros, version uint64, l Limits) {
+	c.Advance(at)
+	last := c.versions[len(c.versions)-1]
+	if last.version >= version && (last.version > version || sameLimits(last, l)) {
+		return
+	}
+	v := &limitsOf{version: version, confirmed: unit.Never, limits: map[string]pack.Vec{}, removed: map[string]bool{}}
+	for _, t := range l.Teams {
+		v.limits[t.Name] = t.Limit
+	}
+	for _, t := range l.Removed {
+		v.removed[t] = true
+	}
+	c.versions = append(c.versions, v)
+	c.note(at, nil, "", true, "configuration %d is stored", version)
+}
+
+func sameLimits(v *limitsOf, l Limits) bool {
+	for _, t := range l.Teams {
+		if lim, ok := v.limits[t.Name]; !ok || lim != t.Limit {
+			return false
+		}
+	}
+	return len(l.Teams) == len(v.limits) && len(l.Removed) == len(v.removed)
+}
+
+// Confirmed says that an operator was told that a version is confirmed.
+func (c *Checker) Confirmed(at unit.Micros, version uint64) {
+	c.Advance(at)
+	for _, v := range c.versions {
+		if v.version <= version {
+			v.confirmed = min(v.confirmed, at)
+		}
+	}
+	c.note(at, nil, "", true, "configuration %d is confirmed", version)
+	for len(c.versions) > 1 && c.versions[1].confirmed < at-keptFor {
+		c.versions = c.versions[1:]
+	}
+}
+
+// Ordered says that a controller decided to start a task.
+func (c *Checker) Ordered(at unit.Micros, id ledger.TaskID) { c.ordered[id] = at }
+
+// counting calls f with the versions that a controller may have gone by at a time.
+func (c *Checker) counting(at unit.Micros, f func(*limitsOf)) {
+	for i := len(c.versions) - 1; i >= 0; i-- {
+		f(c.versions[i])
+		if c.versions[i].confirmed <= at {
+			return // all before are replaced
+		}
+	}
+}
+
+// limitAt returns the highest limit that a team may have had at a time; 0 is none.
+func (c *Checker) limitAt(team string, at unit.Micros) pack.Vec {
+	highest := pack.Vec{}
+	c.counting(at, func(v *limitsOf) {
+		lim, ok := v.limits[team]
+		for i := range lim {
+			if ok && lim[i] == 0 {
+				highest[i] = math.MaxInt64
+			}
+			highest[i] = max(highest[i], lim[i])
+		}
+	})
+	for i := range highest {
+		if highest[i] == math.MaxInt64 {
+			highest[i] = 0
+		}
+	}
+	return highest
+}
+
+// orderedAt returns when the last of a team's tasks that have come to a machine, this one
+// included, was ordered: whoever ordered it counted all that was ordered before.
+func (c *Checker) orderedAt(at unit.Micros, team string, id ledger.TaskID) unit.Micros {
+	if t, ok := c.ordered[id]; ok {
+		at = t
+		delete(c.ordered, id)
+	}
+	at = max(at, c.lastOrder[team])
+	c.lastOrder[team] = at
+	return at
+}
+
+// acceptedFor checks that a job that was submitted at a time, and accepted, is of a team that
+// took new jobs by some version that may have counted then or since.
+func (c *Checker) acceptedFor(at, made unit.Micros, j *job) {
+	removed := true
+	c.counting(made, func(v *limitsOf) { removed = removed && v.removed[j.spec.Team] })
+	if removed {
+		c.breaks(at, Outdated, j, "", "%s is accepted for team %s, whose removal was confirmed before it was submitted", j.id, j.spec.Team)
+	}
+}
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -87,6 +87,8 @@
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
+	case scenario.ConfigSet:
+		w.configSet(f)
 	case scenario.Surge: // in the jobs' times already
 	default:
 		if err := w.S.SiteFault(w.now, w.Site, f); err != nil {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -96,6 +96,8 @@
 		share float64
 	}
 	zoneCut map[string]unit.Micros // until when zones are cut off
+	// Changes are the operators' changes of the configuration so far.
+	Changes []*ConfigChange
 }
 
 // New returns a world in which nothing has happened yet.
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -519,7 +519,7 @@
 		d.users.Do(func(_ unit.Micros, c *user.Crowd) { c.Storm(f.Times) })
 		time.AfterFunc(seconds(f.ForS), func() { d.users.Do(func(_ unit.Micros, c *user.Crowd) { c.Storm(1) }) })
 		return nil
-	case scenario.Surge, scenario.ClockJump, scenario.LateReports:
+	case scenario.Surge, scenario.ClockJump, scenario.LateReports, scenario.ConfigSet:
 		return fmt.Errorf("%s is for rehearsals in simulated time", f.Kind)
 	case scenario.StateRefuse:
 		if f.Node = d.find(f.Node); f.Node == "" {
