--- /dev/null
+++ b/internal/core/configure_test.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/configuration"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/store"
+)
+
+// configRecords returns the records of a version, as a controller of this release stores them.
+func configRecords(version int, limit int64) map[string]any {
+	name := fmt.Sprint("c", version)
+	return map[string]any{
+		configPrefix + "head":          map[string]any{"version": version, "id": name, "chunks": []string{name}},
+		configPrefix + "chunk/" + name: map[string]any{"teams": []map[string]any{{"name": "t", "cpu_max": limit}}},
+	}
+}
+
+// TestHolderThatIsBehind tells a holder, by another's status or promise, of a version that it
+// lacks: it starts and accepts nothing until it has it.
+func TestHolderThatIsBehind(t *testing.T) {
+	spec := &ledger.Spec{Team: "t", Tasks: 1, Demand: pack.Vec{1000}}
+	for name, m := range map[string]any{"status": PeerStatus{ConfigKnown: 3}, "promise": PeerPromise{ConfigKnown: 3}} {
+		c := holding(t, nil)
+		c.peers = newPeers([]string{"b"})
+		bl := c.held[0]
+		c.shares[0] = shared{share: 1}
+		if !c.permits(bl, spec) || !c.mayAccept() {
+			t.Fatalf("%s: the settings file's team may not start", name)
+		}
+		c.OnPeer(c.now, "b", m)
+		if c.permits(bl, spec) || c.mayAccept() {
+			t.Errorf("%s: starts or accepts by an older version than it knows of", name)
+		}
+		rev := uint64(200)
+		for k, v := range configRecords(3, 2000) {
+			c.learn(store.Event{Key: k, Value: store.Value(v), Stamp: rev})
+		}
+		if !c.permits(bl, spec) || !c.mayAccept() || c.teams["t"].Limit[pack.CPU] != 2000 {
+			t.Errorf("%s: starts nothing once it has it", name)
+		}
+	}
+}
+
+// TestRestartReadsTheConfiguration has a process begin where a version is stored: it goes by
+// that as soon as it holds anything, with the removed teams' limits for their jobs.
+func TestRestartReadsTheConfiguration(t *testing.T) {
+	c := holding(t, configRecords(4, 5000))
+	if c.config.Version() != 4 || c.config.Behind() || c.teams["t"].Limit[pack.CPU] != 5000 {
+		t.Errorf("goes by %d: %+v", c.config.Version(), c.teams["t"])
+	}
+	c.shares[0] = shared{share: 1}
+	c.reconfigure(configuration.Content{Teams: []Team{{Name: "t"}, {Name: "u", Limit: pack.Vec{3000}, Removed: 1}}, Objectives: []Objective{{Kind: "wait"}}})
+	spec := &ledger.Spec{Team: "u", Tasks: 1, Demand: pack.Vec{3000}, AnyType: true}
+	if c.impossible(spec, nil) != "unknown team" || !c.permits(c.held[0], spec) || len(c.cfg.Teams) != 1 || len(c.cfg.Objectives) != 1 {
+		t.Errorf("%q, %+v", c.impossible(spec, nil), c.cfg.Teams)
+	}
+	spec.Demand[pack.CPU]++
+	if c.permits(c.held[0], spec) {
+		t.Error("a removed team has no limit")
+	}
+}
+
+// TestShareOfALowerLimit lowers a limit while a block has a share of it: the block's part is
+// the same share of the new one, and what it uses beyond is told.
+func TestShareOfALowerLimit(t *testing.T) {
+	c := holding(t, configRecords(1, 40_000))
+	bl := c.held[0]
+	c.shares[0] = shared{share: 0.25}
+	bl.usage["t"] = pack.Vec{8000}
+	if p := c.part(bl, c.teams["t"].Limit); p[pack.CPU] != 10_000 || len(c.overShare(bl)) != 0 || c.useOf(bl) != 0.2 {
+		t.Errorf("part %v, use %g, over %v", p, c.useOf(bl), c.overShare(bl))
+	}
+	for k, v := range configRecords(2, 20_000) {
+		c.learn(store.Event{Key: k, Value: store.Value(v), Stamp: 200})
+	}
+	if p := c.part(bl, c.teams["t"].Limit); p[pack.CPU] != 5000 || !slices.Equal(c.overShare(bl), []string{"t"}) || c.useOf(bl) != 0.4 {
+		t.Errorf("part %v, use %g, over %v", p, c.useOf(bl), c.overShare(bl))
+	}
+	if c.permits(bl, &ledger.Spec{Team: "t", Demand: pack.Vec{1}}) {
+		t.Error("starts above its share")
+	}
+}
+
+// TestOlderReleases makes no change while a controller that goes by its settings file alone is
+// known, and gives it no block once there is a stored version.
+func TestOlderReleases(t *testing.T) {
+	c := holding(t, nil)
+	c.peers = newPeers([]string{"b"})
+	c.heardRelease("b", releaseConfig-1)
+	limit := int64(1000)
+	c.Configure(c.now, 7, configuration.Request{Teams: []configuration.TeamChange{{Name: "t", LimitCPU: &limit}}})
+	if r := replyTo(t, c, 7); r.Code != 503 || r.RetryAfter == 0 {
+		t.Errorf("%+v", r)
+	}
+	if c.tooOld("b") {
+		t.Error("too old, and nothing is stored")
+	}
+	c.config.Heard(1)
+	if !c.tooOld("b") {
+		t.Error("may hold a block though it does not go by the stored version")
+	}
+}
