--- a/internal/core/configure.go
+++ b/internal/core/configure.go
@@ -17,8 +17,9 @@
 
 const configPrefix = configuration.Prefix
 
-// maxOver bounds the teams that a status names as above their share of a block.
-const maxOver = 256
+// maxOver bounds the bytes that a status spends on teams above their share of a block, far
+// below a frame between controllers: without statuses a controller loses its authority.
+const maxOver = 16 << 10
 
 // Bodies of replies about the configuration.
 type (
@@ -184,16 +185,24 @@
 	}
 	s.Config, s.ConfigKnown = c.config.Version(), c.config.Known()
 	complete := c.config.Falling() && c.configComplete()
+	room := maxOver
 	for i := range s.Blocks {
 		b := &s.Blocks[i]
 		if b.Use < 0 {
 			continue
 		}
-		if b.Over = c.overShare(c.held[b.Block]); len(b.Over) > maxOver {
-			b.Over, b.Use = nil, -1 // as if it were not known
-		} else if complete {
-			c.config.Over(b.Block, s.Config, b.Over)
+		over := c.overShare(c.held[b.Block])
+		if complete {
+			c.config.Over(b.Block, s.Config, over)
+		}
+		for _, name := range over {
+			room -= len(name) + len("    ")
+		}
+		if room < 0 {
+			b.Use = -1 // as if it were not known
+			continue
 		}
+		b.Over = over
 	}
 	if complete {
 		c.config.Blocks(slices.Collect(maps.Keys(c.blocks)))
--- a/internal/core/configure_test.go
+++ b/internal/core/configure_test.go
@@ -105,3 +105,27 @@
 		t.Error("may hold a block though it does not go by the stored version")
 	}
 }
+
+// TestManyTeamsAboveTheirShare has more teams above their share than a status can name: it
+// stays small, and says that the block's use is not known.
+func TestManyTeamsAboveTheirShare(t *testing.T) {
+	c := holding(t, configRecords(1, 40_000))
+	bl := c.held[0]
+	var content configuration.Content
+	for i := range 1000 {
+		name := fmt.Sprintf("a-team-whose-name-is-about-as-long-as-names-may-be-at-all-%04d", i)
+		content.Teams = append(content.Teams, Team{Name: name, Limit: pack.Vec{1000}})
+		bl.usage[name] = pack.Vec{2000}
+	}
+	c.reconfigure(content)
+	s := PeerStatus{Blocks: []BlockStatus{{Block: 0, Use: 2}}}
+	if c.tellConfig(&s); s.Blocks[0].Use != -1 || len(s.Blocks[0].Over) > 0 {
+		t.Errorf("use %g, %d teams", s.Blocks[0].Use, len(s.Blocks[0].Over))
+	}
+	content.Teams = content.Teams[:100]
+	c.reconfigure(content)
+	s = PeerStatus{Blocks: []BlockStatus{{Block: 0, Use: 2}}}
+	if c.tellConfig(&s); s.Blocks[0].Use != 2 || len(s.Blocks[0].Over) != 100 {
+		t.Errorf("use %g, %d teams", s.Blocks[0].Use, len(s.Blocks[0].Over))
+	}
+}
