--- a/internal/emulator/sim/broken_test.go
+++ b/internal/emulator/sim/broken_test.go
@@ -59,6 +59,7 @@
 			b: Broken{Clock: func(node int) float64 { return []float64{0.3, 1, 1}[node] }}},
 		// A state service that takes less than anybody was told.
 		check.TooLarge: {fault: scenario.Fault{Kind: scenario.StateLimits, ValueKB: 0.1}},
+		check.Outdated: {fault: scenario.Fault{Kind: scenario.ConfigSet, Team: "red", Remove: true, AtS: 25}, b: says(user.Submit, http.StatusCreated, ledger.Pending)},
 	}
 	for _, rule := range check.Rules {
 		c, ok := cases[rule]
@@ -90,6 +91,7 @@
 			second4 := w.submit(second, spread, 30*second, 0)
 			last := spec("blue", 2)
 			w.submit(second, last, unit.Second, 0, first, second4)
+			w.submit(60*second, spec("red", 1), unit.Second, 0)
 			w.Run(200 * second)
 			w.Check.Finish(w.now, true)
 			for _, b := range w.Check.Broken() {
