--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -96,6 +96,8 @@
 		w.oddRequests(until)
 	case scenario.CloseLooks:
 		w.Crowd.LookClosely(until)
+	case scenario.ConfigSet:
+		w.configSet(f)
 	case scenario.Surge: // in the jobs' times already
 	default:
 		if err := w.S.SiteFault(w.now, w.Site, f); err != nil {
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -115,6 +115,8 @@
 	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
 	users       userTroubles
 	combined    combinations
+	// Changes are the operators' changes of the configuration so far.
+	Changes []*ConfigChange
 }
 
 // New returns a world in which nothing has happened yet.
