--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -203,3 +203,18 @@
 		})
 	}
 }
+
+// BenchmarkStats measures what a scrape of the metrics takes of the core, by machines.
+func BenchmarkStats(b *testing.B) {
+	for _, machines := range []int{370, 925, 1850, 3700} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			f := newBusyFleet(b, machines, 340, machines)
+			from := processorTime(b)
+			for b.Loop() {
+				f.c.Stats(1)
+				f.c.out = nil
+			}
+			b.ReportMetric(float64(processorTime(b)-from)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
