Workers in processes of their own, beside those that share the cloud's process

Cause: what a machine spends on control could not be measured, as all workers of a deployment share one process with the cloud. Change: emulate worker-N runs one machine's worker at a time. The cloud hands it machines as they boot; descriptions are fetched from, and results and checkpoints stored in, the cloud's process. Links count the bytes that pass; a deployment tells its processes, its traffic, and an observer what the checker is told; further users may come by an address of their own.

--- a/internal/emulator/host/cloud.go
+++ b/internal/emulator/host/cloud.go
@@ -1,14 +1,12 @@
 package host
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +27,14 @@
 	Ended(m *rental.Machine, id ledger.TaskID, completed bool)
 }
 
+// Outside runs workers in processes of their own. Both methods return once it is done.
+type Outside interface {
+	// Begin lets a worker begin, and returns who answers commands that come straight to it.
+	Begin(name string, c machine.Config, f machine.Fault) (http.Handler, error)
+	// End ends a machine with all that is on it.
+	End(name string)
+}
+
 // Cloud serves the cloud's interface over HTTP and runs the machines' workers.
 type Cloud struct {
 	ctx     context.Context
@@ -41,6 +47,8 @@
 	client  *http.Client
 	facts   Facts
 	doors   map[string]net.Listener // of machines
+	outside Outside                 // nil: no worker has a process of its own
+	direct  sync.Map                // handlers of machines whose worker has, by name
 	log     *slog.Logger
 }
 
@@ -54,6 +62,9 @@
 	return c
 }
 
+// RunOutside sets who runs workers in processes of their own, before Run.
+func (c *Cloud) RunOutside(o Outside) { c.outside = o }
+
 // Run serves until the context ends.
 func (c *Cloud) Run() { c.loop.run(c.ctx) }
 
@@ -62,6 +73,11 @@
 	return c.loop.do(c.ctx, func(now unit.Micros) { f(now, c.site) })
 }
 
+// Tell runs a function on the model some time, and before what is asked after this call.
+func (c *Cloud) Tell(f func(s *site.Site)) {
+	c.loop.tell(c.ctx, func(unit.Micros) { f(c.site) })
+}
+
 // Upload makes a job's description known to the workers.
 func (c *Cloud) Upload(j *work.Job) bool {
 	return c.Do(func(_ unit.Micros, s *site.Site) {
@@ -80,6 +96,16 @@
 				_ = l.Close() // nothing to lose
 				delete(c.doors, e.Machine.Name)
 			}
+			if _, ok := c.direct.LoadAndDelete(e.Machine.Name); ok {
+				c.outside.End(e.Machine.Name)
+			}
+		case site.Handed:
+			h, err := c.outside.Begin(e.Machine.Name, e.Config, e.Fault)
+			if err != nil {
+				c.log.Error("a worker's process does not take a machine", "machine", e.Machine.Name, "err", err)
+				continue
+			}
+			c.direct.Store(e.Machine.Name, h)
 		case site.Send:
 			go c.send(e)
 		case site.Began:
@@ -101,44 +127,24 @@
 	}
 	m.Addr = l.Addr().String()
 	c.doors[m.Name] = l
-	go func() { _ = server(c.worker(m.Name)).Serve(l) }() // ends with the machine
+	inside := c.worker(m.Name)
+	go func() { // ends with the machine
+		_ = server(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if h, ok := c.direct.Load(m.Name); ok {
+				h.(http.Handler).ServeHTTP(w, req)
+				return
+			}
+			inside.ServeHTTP(w, req)
+		})).Serve(l)
+	}()
 }
 
 // send brings a report to a controller.
 func (c *Cloud) send(e site.Send) {
-	b, err := json.Marshal(wire.EncodeReport(e.Body, e.Saved))
-	a := machine.Answer{}
-	if err == nil {
-		a = c.post(c.nodes[e.Body.Zone][e.Node], b)
-	}
+	a := sendReport(c.client, c.nodes[e.Body.Zone][e.Node], e.Report)
 	c.loop.tell(c.ctx, func(now unit.Micros) { c.site.Answer(now, e.Machine, e.Number, a) })
 }
 
-func (c *Cloud) post(addr string, body []byte) machine.Answer {
-	resp, err := c.client.Post("http://"+addr+wire.ReportPath, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return machine.Answer{}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
-	if err != nil {
-		return machine.Answer{}
-	}
-	a := machine.Answer{Code: resp.StatusCode}
-	o, err := wire.DecodeOrders(b)
-	if err != nil {
-		if a.Code == http.StatusOK {
-			a.Code = 0
-		}
-		return a
-	}
-	a.Node, a.Commands, a.NoToken = o.Node, o.Commands, o.Token == nil
-	if o.Token != nil {
-		a.Token = *o.Token
-	}
-	return a
-}
-
 // Slow makes every answer of the cloud take longer by d.
 func (c *Cloud) Slow(d time.Duration) { c.slow.Store(d.Microseconds()) }
 
@@ -252,49 +258,21 @@
 
 // worker serves a machine's own address.
 func (c *Cloud) worker(name string) http.Handler {
-	r := chi.NewRouter()
-	r.Post(wire.CommandsPath, func(w http.ResponseWriter, req *http.Request) {
-		b, err := io.ReadAll(http.MaxBytesReader(w, req.Body, wire.MaxBody))
-		o, err2 := wire.DecodeOrders(b)
-		if err != nil || err2 != nil || o.Token == nil || o.Session == nil {
-			problem(w, http.StatusBadRequest, "malformed")
-			return
-		}
-		var body wire.MachineReport
-		var taken, found bool
-		if !c.loop.do(req.Context(), func(now unit.Micros) {
+	return workerHandler(func(ctx context.Context, o wire.ReceivedOrders) (body wire.MachineReport, taken, found bool) {
+		c.loop.do(ctx, func(now unit.Micros) {
 			r, saved, t, f := c.site.Direct(now, name, *o.Token, *o.Session, o.Commands)
 			if taken, found = t, f; f {
 				body = wire.EncodeReport(r, saved)
 			}
-		}) {
-			return
-		}
-		switch {
-		case !found: // a machine that stands still, or is not up yet, says nothing
-			<-req.Context().Done()
-		case taken:
-			answer(w, http.StatusOK, body)
-		default:
-			answer(w, http.StatusConflict, body)
-		}
-	})
-	r.Get("/status", func(w http.ResponseWriter, req *http.Request) {
-		var body wire.MachineReport
-		var found bool
-		if !c.loop.do(req.Context(), func(now unit.Micros) {
+		})
+		return body, taken, found
+	}, func(ctx context.Context) (body wire.MachineReport, found bool) {
+		c.loop.do(ctx, func(now unit.Micros) {
 			r, saved, f := c.site.Status(now, name)
 			if found = f; f {
 				body = wire.EncodeReport(r, saved)
 			}
-		}) {
-			return
-		}
-		if !found {
-			<-req.Context().Done()
-			return
-		}
-		answer(w, http.StatusOK, body)
+		})
+		return body, found
 	})
-	return r
 }
--- /dev/null
+++ b/internal/emulator/host/report.go
@@ -0,0 +1,77 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"shalestage.example/shalestage/internal/emulator/machine"
+	"shalestage.example/shalestage/internal/wire"
+)
+
+// sendReport brings a report to a controller and returns its answer; the zero answer
+// says that there was none that counts.
+func sendReport(client *http.Client, addr string, r machine.Report) machine.Answer {
+	body, err := json.Marshal(wire.EncodeReport(r.Body, r.Saved))
+	if err != nil {
+		return machine.Answer{}
+	}
+	resp, err := client.Post("http://"+addr+wire.ReportPath, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return machine.Answer{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return machine.Answer{}
+	}
+	a := machine.Answer{Code: resp.StatusCode}
+	o, err := wire.DecodeOrders(b)
+	if err != nil {
+		if a.Code == http.StatusOK {
+			a.Code = 0
+		}
+		return a
+	}
+	a.Node, a.Commands, a.NoToken = o.Node, o.Commands, o.Token == nil
+	if o.Token != nil {
+		a.Token = *o.Token
+	}
+	return a
+}
+
+// workerHandler serves a worker's own address. A machine that is not found stands still, or
+// is not up yet: it says nothing.
+func workerHandler(command func(context.Context, wire.ReceivedOrders) (body wire.MachineReport, taken, found bool),
+	status func(context.Context) (body wire.MachineReport, found bool)) http.Handler {
+	r := chi.NewRouter()
+	r.Post(wire.CommandsPath, func(w http.ResponseWriter, req *http.Request) {
+		b, err := io.ReadAll(http.MaxBytesReader(w, req.Body, wire.MaxBody))
+		o, err2 := wire.DecodeOrders(b)
+		if err != nil || err2 != nil || o.Token == nil || o.Session == nil {
+			problem(w, http.StatusBadRequest, "malformed")
+			return
+		}
+		switch body, taken, found := command(req.Context(), o); {
+		case !found:
+			<-req.Context().Done()
+		case taken:
+			answer(w, http.StatusOK, body)
+		default:
+			answer(w, http.StatusConflict, body)
+		}
+	})
+	r.Get("/status", func(w http.ResponseWriter, req *http.Request) {
+		body, found := status(req.Context())
+		if !found {
+			<-req.Context().Done()
+			return
+		}
+		answer(w, http.StatusOK, body)
+	})
+	return r
+}
--- a/internal/emulator/link/link.go
+++ b/internal/emulator/link/link.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -45,6 +46,8 @@
 type Link struct {
 	to string
 
+	sent, received atomic.Uint64 // bytes that were delivered to the address, and from it
+
 	mu          sync.Mutex
 	there, back Trouble // on the way to the address, and from it
 	conns       map[*pair]bool
@@ -74,6 +77,9 @@
 	}
 }
 
+// Bytes returns how many bytes the link has delivered to its address, and from it.
+func (l *Link) Bytes() (there, back uint64) { return l.sent.Load(), l.received.Load() }
+
 func (l *Link) trouble(there bool) Trouble {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -201,6 +207,11 @@
 		if _, err := to.Write(b[:n]); err != nil {
 			return err
 		}
+		if there {
+			l.sent.Add(uint64(n))
+		} else {
+			l.received.Add(uint64(n))
+		}
 		b = b[n:]
 	}
 	return nil
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -71,6 +71,16 @@
 	Commands []fleet.Command
 }
 
+// Starts returns the tasks that an answer starts, if it is acted on.
+func (a Answer) Starts() (out []ledger.TaskID) {
+	for _, c := range a.Commands {
+		if c.Op == fleet.Start {
+			out = append(out, c.ID)
+		}
+	}
+	return out
+}
+
 type task struct {
 	id      ledger.TaskID
 	attempt uint64
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -24,6 +24,7 @@
 	Lease       unit.Micros
 	Nodes       []string // controllers
 	MaxDrift    float64  // of workers' clocks, as a share
+	Apart       int      // machines at a time whose worker runs in a process of its own
 }
 
 // Effects.
@@ -31,6 +32,13 @@
 	// Up says that a machine's worker begins, Gone that the machine has ended.
 	Up   struct{ *rental.Machine }
 	Gone struct{ *rental.Machine }
+	// Handed says that a machine's worker begins in a process of its own, as it is
+	// described; its Gone tells that process to end it.
+	Handed struct {
+		*rental.Machine
+		Config machine.Config
+		Fault  machine.Fault
+	}
 	// Send is a report to be sent to a controller.
 	Send struct {
 		Machine string
@@ -57,6 +65,7 @@
 	rng     *rand.Rand
 	types   map[string]rental.Type
 	workers map[string]*member
+	apart   map[string]bool // machines whose worker runs in a process of its own
 	due     agenda.Agenda[*member]
 	out     []any
 }
@@ -70,7 +79,7 @@
 // New returns a site with nothing rented.
 func New(cfg Config, rng *rand.Rand) *Site {
 	s := &Site{Cloud: rental.New(cfg.Cloud, rand.New(rand.NewPCG(rng.Uint64(), 1))), Book: work.Book{}, cfg: cfg, rng: rng,
-		types: map[string]rental.Type{}, workers: map[string]*member{}}
+		types: map[string]rental.Type{}, workers: map[string]*member{}, apart: map[string]bool{}}
 	for _, t := range cfg.Cloud.Types {
 		s.types[t.Name] = t
 	}
@@ -108,6 +117,7 @@
 				s.collect(k)
 				delete(s.workers, e.Machine.Name)
 			}
+			delete(s.apart, e.Machine.Name)
 			s.out = append(s.out, Gone{e.Machine})
 		case rental.Noticed:
 			if k := s.workers[e.Machine.Name]; k != nil {
@@ -123,7 +133,13 @@
 	cfg := machine.Config{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 		Capacity: Capacity(t), CacheMB: unit.MilliDown(t.CacheGB), FetchMBs: max(1, int64(float64(unit.MilliDown(t.FetchGBs))*m.Fetch)),
 		ReportEvery: s.cfg.ReportEvery, Lease: s.cfg.Lease, Nodes: s.cfg.Nodes, Clock: 1 + s.cfg.MaxDrift*(2*s.rng.Float64()-1)}
-	k := &member{m: m, Worker: machine.New(cfg, machine.Fault{Speed: m.Speed, Sick: m.Sick}, s.Book, now, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))}
+	fault := machine.Fault{Speed: m.Speed, Sick: m.Sick}
+	if len(s.apart) < s.cfg.Apart {
+		s.apart[m.Name] = true
+		s.out = append(s.out, Up{m}, Handed{m, cfg, fault})
+		return
+	}
+	k := &member{m: m, Worker: machine.New(cfg, fault, s.Book, now, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))}
 	s.workers[m.Name] = k
 	s.out = append(s.out, Up{m})
 	k.Advance(now)
@@ -209,9 +225,10 @@
 }
 
 // Workers returns how many machines are up.
-func (s *Site) Workers() int { return len(s.workers) }
+func (s *Site) Workers() int { return len(s.workers) + len(s.apart) }
 
-// Running returns how many tasks are on machines with their image.
+// Running returns how many tasks are on machines with their image, but for machines whose
+// worker runs in a process of its own.
 func (s *Site) Running() int {
 	n := 0
 	for _, k := range s.workers {
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -39,6 +39,21 @@
 	Data     string // in which the state service keeps its data; "": nowhere
 	Host     string // address to listen on; 127.0.0.1 by default
 	Front    string // address for users; "": any port
+
+	// WorkerProcesses is how many machines have their worker in a process of its own;
+	// all others share the cloud's process.
+	WorkerProcesses int
+	// Observer is told what the checker is told, as it comes; nil: nobody is.
+	Observer Observer
+}
+
+// Observer is told what happens in a deployment. It is called from several goroutines.
+type Observer interface {
+	// Began and Ended say that a task is on a machine, and that it no longer is.
+	Began(at unit.Micros, m check.Machine, id ledger.TaskID)
+	Ended(at unit.Micros, m check.Machine, id ledger.TaskID, completed bool)
+	// User tells what a user did or was told: an effect of user.Crowd other than Call.
+	User(at unit.Micros, e any)
 }
 
 // Deployment is a running deployment.
@@ -52,6 +67,7 @@
 	links   map[string]*link.Link // by their name: from, a dash and an arrow, to
 	opened  []net.Listener
 	users   *host.Users
+	guests  []*host.Users // users who reach the balancer by a way of their own
 	facts   merger
 	mu      sync.Mutex // of the checker
 	checker *check.Checker
@@ -97,7 +113,7 @@
 	if err := d.readEarlier(); err != nil {
 		return err
 	}
-	p, open, err := newPlan(d.s, d.opt.Host, d.opt.Front)
+	p, open, err := newPlan(d.s, d.opt.Host, d.opt.Front, d.opt.WorkerProcesses)
 	if err != nil {
 		return err
 	}
@@ -121,16 +137,17 @@
 		d.procs[name] = pr
 		return pr
 	}
-	for _, role := range []string{RoleState, RoleCloud, RoleBalance} {
+	workers := p.workerRoles()
+	for _, role := range slices.Concat(workers, []string{RoleState, RoleCloud, RoleBalance}) {
 		pr := add(role, 200*time.Millisecond, "emulate", role, "--plan", planFile)
-		if role == RoleCloud {
+		if role != RoleState && role != RoleBalance {
 			pr.facts = d.heardFact
 		}
 		if err := pr.start(d.gone); err != nil {
 			return err
 		}
 	}
-	for _, role := range []string{RoleState, RoleCloud} {
+	for _, role := range slices.Concat(workers, []string{RoleState, RoleCloud}) {
 		if err := d.alive(role); err != nil {
 			return err
 		}
@@ -215,6 +232,8 @@
 	switch {
 	case p.name == RoleState && d.opt.Data == "":
 		d.fail(errors.New("the state service has ended, and its data with it; --data keeps it on disk"))
+	case isWorker(p.name): // the cloud goes on listing a machine that nobody runs
+		d.fail(fmt.Errorf("%s has ended: %s", p.name, p.lastLine()))
 	case byItself && slices.Contains([]string{RoleState, RoleCloud, RoleBalance}, p.name):
 		d.fail(fmt.Errorf("%s has ended: %s", p.name, p.lastLine()))
 	}
@@ -238,6 +257,11 @@
 	if err != nil {
 		return
 	}
+	if o := d.opt.Observer; o != nil && f.Began {
+		o.Began(f.At, f.Machine, id)
+	} else if o != nil {
+		o.Ended(f.At, f.Machine, id, f.Completed)
+	}
 	d.facts.add(f.At, func(at unit.Micros) {
 		if f.Began {
 			d.checker.Began(at, f.Machine, id)
@@ -248,6 +272,9 @@
 }
 
 func (d *Deployment) heardUser(e any) {
+	if o := d.opt.Observer; o != nil {
+		o.User(d.now(), e)
+	}
 	d.facts.add(d.now(), func(at unit.Micros) { user.Tell(d.checker, at, e) })
 }
 
@@ -378,11 +405,7 @@
 	for _, j := range jobs {
 		crowd.Add(j)
 	}
-	for _, j := range jobs {
-		if err := post(http.MethodPut, d.Plan.Roles[RoleCloud], "/jobs", upload{ID: j.ID, Spec: j.Spec, Run: j.Run, Vary: j.Vary, Broken: j.Broken}); err != nil {
-			d.note("a description could not be uploaded: %v", err)
-		}
-	}
+	d.describe(jobs)
 	go d.users.Run()
 	for _, f := range s.Faults {
 		if f.Kind == scenario.Surge {
@@ -399,6 +422,29 @@
 	return jobs
 }
 
+// describe makes the descriptions of jobs known to the workers.
+func (d *Deployment) describe(jobs []*user.Job) {
+	for _, j := range jobs {
+		if err := post(http.MethodPut, d.Plan.Roles[RoleCloud], "/jobs", upload{ID: j.ID, Spec: j.Spec, Run: j.Run, Vary: j.Vary, Broken: j.Broken}); err != nil {
+			d.note("a description could not be uploaded: %v", err)
+		}
+	}
+}
+
+// RunGuests lets further users go about jobs of their own. They reach the load balancer
+// by an address that the caller has put before it. Their jobs' numbers must not be those
+// of others.
+func (d *Deployment) RunGuests(front string, seed uint64, jobs []*user.Job) {
+	crowd := user.New(d.s.UserOptions(), rand.New(rand.NewPCG(seed, 16)))
+	u := host.NewUsers(d.ctx, crowd, front, d.heardUser)
+	for _, j := range jobs {
+		crowd.Add(j)
+	}
+	d.guests = append(d.guests, u)
+	d.describe(jobs)
+	go u.Run()
+}
+
 // Progress is how far a run has come.
 type Progress struct {
 	Jobs, Left int
@@ -409,7 +455,9 @@
 // Progress returns how far the run has come.
 func (d *Deployment) Progress() Progress {
 	var p Progress
-	d.users.Do(func(_ unit.Micros, c *user.Crowd) { p.Jobs, p.Left = len(c.Jobs()), c.Left() })
+	for _, u := range append([]*host.Users{d.users}, d.guests...) {
+		u.Do(func(_ unit.Micros, c *user.Crowd) { p.Jobs, p.Left = p.Jobs+len(c.Jobs()), p.Left+c.Left() })
+	}
 	p.Figures, _ = d.Figures() // zero while the cloud's process is away
 	d.checkUpTo(d.now() - unit.Micros(settleTime.Microseconds()))
 	d.mu.Lock()
--- a/internal/launch/plan.go
+++ b/internal/launch/plan.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -21,8 +22,20 @@
 	RoleState   = "state"
 	RoleCloud   = "cloud" // with the machines' workers
 	RoleBalance = "balancer"
+
+	workerPrefix = "worker-" // of roles that run one machine's worker each
 )
 
+func isWorker(role string) bool { return strings.HasPrefix(role, workerPrefix) }
+
+// workerRoles returns the roles that run one machine's worker each.
+func (p *Plan) workerRoles() (out []string) {
+	for i := range len(p.Direct) {
+		out = append(out, workerPrefix+strconv.Itoa(i))
+	}
+	return out
+}
+
 // Plan says where everything listens. It is written to a file that every process
 // of the deployment reads.
 type Plan struct {
@@ -33,6 +46,8 @@
 	Front   string            `json:"front"`   // load balancer, for users
 	Control string            `json:"control"` // of the deployment as a whole
 	Roles   map[string]string `json:"roles"`   // control addresses of the emulator's processes
+	// Direct is where the workers with a process of their own take direct commands, by role.
+	Direct map[string]string `json:"direct,omitempty"`
 
 	// The services listen for each controller apart, and every connection passes a
 	// link of the launching process: first the real address, then the link's.
@@ -60,7 +75,7 @@
 
 // newPlan reserves addresses on a host for every process of a deployment. The
 // listeners of links, and that of the control address, are returned open.
-func newPlan(s *scenario.Scenario, host, front string) (*Plan, map[string]net.Listener, error) {
+func newPlan(s *scenario.Scenario, host, front string, workers int) (*Plan, map[string]net.Listener, error) {
 	p := &Plan{Seed: s.Seed, Roles: map[string]string{}, State: map[string]Through{}, Cloud: map[string]Through{}, Listen: map[string]Through{},
 		Workers: map[string]map[string]string{}, Internal: map[string]string{}, Peers: map[string]map[string]string{}}
 	open := map[string]net.Listener{}
@@ -111,6 +126,11 @@
 	for _, r := range []string{RoleState, RoleCloud, RoleBalance} {
 		p.Roles[r] = free()
 	}
+	p.Direct = map[string]string{}
+	for i := range workers {
+		role := workerPrefix + strconv.Itoa(i)
+		p.Roles[role], p.Direct[role] = free(), free()
+	}
 	for _, n := range s.Nodes() {
 		p.State[n] = Through{free(), link()}
 		p.Cloud[n] = Through{free(), link()}
--- a/internal/launch/role.go
+++ b/internal/launch/role.go
@@ -48,12 +48,14 @@
 	}()
 	control := chi.NewRouter()
 	control.Get("/alive", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	switch role {
-	case RoleState:
+	switch {
+	case isWorker(role):
+		err = runWorker(ctx, cancel, role, p, control, log)
+	case role == RoleState:
 		err = runState(ctx, cancel, p, s, control, log)
-	case RoleCloud:
+	case role == RoleCloud:
 		err = runCloud(ctx, cancel, planFile, p, s, control, log)
-	case RoleBalance:
+	case role == RoleBalance:
 		err = runBalancer(ctx, cancel, p, s, control, log)
 	default:
 		err = fmt.Errorf("there is no role %q", role)
@@ -200,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.Cloud.First = first
+	cfg.Cloud.First, cfg.Apart = first, len(p.Direct)
 	st := site.New(cfg, rand.New(rand.NewPCG(p.Seed, 12)))
 	var facts host.Facts = newFactWriter(os.Stdout)
 	if p.Data != "" {
@@ -215,6 +217,10 @@
 	}
 	// Workers reach a controller by a link of their zone.
 	c := host.NewCloud(ctx, st, p.Workers, hostOf(p.Front), seconds(s.Cloud.LatencyMS/1000), facts, log)
+	if len(p.Direct) > 0 {
+		c.RunOutside(newOutside(p))
+		serveJobs(control, c)
+	}
 	go c.Run()
 	for _, a := range p.Cloud {
 		if err := serve(a.Real, c.Serve, cancel); err != nil {
