--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -51,6 +51,7 @@
 	Fault      faultCmd         `cmd:"" help:"Let something go wrong in a running deployment."`
 	Rehearse   rehearseCmd      `cmd:"" help:"Play scenarios from a seed and check every rule."`
 	Load       loadCmd          `cmd:"" help:"Ask a deployment at set rates, and tell how it bears them."`
+	Scale      scaleCmd         `cmd:"" help:"Run regions of real controllers at a share of a target size, and tell what they reach and spend."`
 	Explore    exploreCmd       `cmd:"" help:"Look for two holders of a block in all orders of what can happen."`
 	Experiment experimentCmd    `cmd:"" help:"Play settings against each other and tell what is more than noise."`
 	Backup     backupCmd        `cmd:"" help:"Save what the state service keeps, while it goes on."`
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -456,6 +456,9 @@
 func (d *Deployment) Progress() Progress {
 	var p Progress
 	for _, u := range append([]*host.Users{d.users}, d.guests...) {
+		if u == nil {
+			continue // Run has not been called
+		}
 		u.Do(func(_ unit.Micros, c *user.Crowd) { p.Jobs, p.Left = p.Jobs+len(c.Jobs()), p.Left+c.Left() })
 	}
 	p.Figures, _ = d.Figures() // zero while the cloud's process is away
