--- a/cmd/shalestage/scale.go
+++ b/cmd/shalestage/scale.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"shalestage.example/shalestage/internal/scalerun"
 )
@@ -42,7 +45,7 @@
 	if err != nil {
 		return unusable(err)
 	}
-	ctx, cancel := interruptible()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	fmt.Fprintf(os.Stderr, "%d workers, %d tasks, %.4g starts a second, %d teams in %d regions; logs in %s\n",
 		s.Want.Workers, s.Want.Tasks, s.Want.StartsPerS, s.Want.Teams, s.Want.Regions, logs)
@@ -119,6 +122,6 @@
 	for _, r := range s.Regions {
 		machines, running, starts, broken, left = machines+r.Machines, running+r.Running, starts+r.Starts, broken+r.Broken, left+r.Left
 	}
-	fmt.Fprintf(os.Stderr, "%5.0f s  %-14s %d of %d workers, %d of %d tasks, %.0f of %.0f starts a second, %d jobs left, %d rules broken; %.1f cores, %.0f MB, %d processes\n",
-		s.AtS, s.Phase, machines, p.want.Workers, running, p.want.Tasks, float64(starts)/s.TookS, p.want.StartsPerS, left, broken, s.CPU(), s.MemoryMB, s.Processes)
+	fmt.Fprintf(os.Stderr, "%5.0f s  %-14s %d of %d workers, %d of %d tasks, %.0f of %.0f starts a second, %d jobs left, %d rules broken; %.1f of %.1f cores in use, %.0f MB, %d processes\n",
+		s.AtS, s.Phase, machines, p.want.Workers, running, p.want.Tasks, float64(starts)/s.TookS, p.want.StartsPerS, left, broken, s.CPU(), s.Busy, s.MemoryMB, s.Processes)
 }
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -7,3 +7,8 @@
 //
 //go:embed sample.toml
 var Sample []byte
+
+// Scale is the run of "shalestage scale" that docs/experiments.md describes.
+//
+//go:embed scale.toml
+var Scale []byte
--- a/internal/scalerun/machine.go
+++ b/internal/scalerun/machine.go
@@ -166,3 +166,19 @@
 	}
 	return sum / ticksPerS
 }
+
+// waitedS returns for how many seconds something on the machine has waited for a
+// processor; 0 where the system does not say.
+func waitedS() float64 {
+	b, err := os.ReadFile("/proc/pressure/cpu")
+	if err != nil {
+		return 0
+	}
+	for l := range strings.Lines(string(b)) {
+		if _, total, ok := strings.Cut(l, "total="); ok && strings.HasPrefix(l, "some ") {
+			n, _ := strconv.ParseFloat(strings.TrimSpace(total), 64) // microseconds
+			return n / 1e6
+		}
+	}
+	return 0
+}
--- a/internal/scalerun/page.go
+++ b/internal/scalerun/page.go
@@ -108,7 +108,7 @@
 func (r *Result) notes() []string {
 	run, busy := mean(r.in(PhaseHold), Sample.CPU), mean(r.in(PhaseHold), func(s Sample) float64 { return s.Busy })
 	out := []string{
-		fmt.Sprintf("Began %s on %d cores and %.0f MB. While the target was held the run spent %.2f cores, and all else on the machine %.2f.", r.Began.Format("2006-01-02 15:04:05"), r.Host.Cores, r.Host.MemoryMB, run, max(0, busy-run)),
+		fmt.Sprintf("Began %s on %d cores and %.0f MB. While the target was held the run spent %.2f cores, and all else on the machine %.2f; something waited for a processor for %.0f%% of the time.", r.Began.Format("2006-01-02 15:04:05"), r.Host.Cores, r.Host.MemoryMB, run, max(0, busy-run), 100*mean(r.in(PhaseHold), func(s Sample) float64 { return s.Pressure })),
 		"All processes are on one machine and all traffic is on loopback; hollow workers speak the whole protocol and run nothing.",
 	}
 	if r.Stopped != "" {
@@ -189,7 +189,11 @@
 			row(i, reg.Name, "", reg.Phases[i])
 		}
 	}
-	return report.Section{Title: "Phases", Tables: []report.Table{t}}, nil
+	conns := report.Table{Caption: "Open connections of all regions' processes at the end of a phase, and those of them to an address of another region", Head: []string{"phase", "connections", "between regions"}}
+	for _, c := range r.Connections {
+		conns.Rows = append(conns.Rows, report.Row{Cells: []string{c.Phase, fmt.Sprint(c.Looked), fmt.Sprint(c.Between)}})
+	}
+	return report.Section{Title: "Phases", Tables: []report.Table{t, conns}}, nil
 }
 
 // phaseTook is how long a phase really took: the last one ends when all is over.
--- a/internal/scalerun/part.go
+++ b/internal/scalerun/part.go
@@ -40,10 +40,21 @@
 	return w, at, nil
 }
 
-// part lets nothing pass between regions for a time.
-func (w *ways) part(d time.Duration) {
+// pieceTime is more than it takes to deliver a piece that was let through.
+const pieceTime = 50 * time.Millisecond
+
+// part lets nothing pass between regions until they are joined.
+func (w *ways) part() {
+	for _, l := range w.links {
+		l.Set(link.Trouble{Mode: link.Drop, Until: time.Now().Add(maxTotalS * time.Second)}, true, true)
+	}
+	time.Sleep(pieceTime)
+}
+
+// join ends a parting: connections of before are reset, new ones pass.
+func (w *ways) join() {
 	for _, l := range w.links {
-		l.Set(link.Trouble{Mode: link.Drop, Until: time.Now().Add(d)}, true, true)
+		l.Set(link.Trouble{}, true, true)
 	}
 }
 
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -26,8 +26,9 @@
 	Stopped       string         `json:"stopped,omitempty"`
 	FaultsFailed  []string       `json:"faults_failed,omitempty"`
 	Regions       []RegionResult `json:"regions"`
-	All           []*Counts      `json:"all"` // by phase, all regions together
-	CrossedBytes  []uint64       `json:"crossed_bytes"`
+	All           []*Counts      `json:"all"`           // by phase, all regions together
+	CrossedBytes  []uint64       `json:"crossed_bytes"` // between regions, by phase
+	Connections   []Connections  `json:"connections"`   // at the end of each phase
 	Samples       []Sample       `json:"samples"`
 
 	crossed uint64
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -69,6 +69,7 @@
 		err = r.play()
 	}
 	if len(r.regions) > 0 {
+		r.look(PhaseDrain)
 		r.finish(err == nil)
 	}
 	if err != nil {
@@ -164,7 +165,7 @@
 		}
 		last := now == len(r.phases)-1
 		if last && at >= r.phases[now].ToS {
-			return nil
+			return nil // not all is over, which the result says
 		}
 		select {
 		case <-r.ctx.Done():
@@ -201,16 +202,22 @@
 
 // enter begins a phase, with its fault if it has one.
 func (r *run) enter(phase int) {
+	if phase > 0 {
+		r.look(r.phases[phase-1].Name)
+	}
+	f := r.phases[phase].Fault
+	parts := f != nil && f.Kind == FaultRegions
+	if parts {
+		r.ways.part() // before what crosses is counted for this phase
+	}
 	r.result.cross(r.ways.bytes())
+	if !parts {
+		r.ways.join()
+	}
 	for _, reg := range r.regions {
 		reg.seen.enter(phase)
 	}
-	f := r.phases[phase].Fault
-	if f == nil {
-		return
-	}
-	if f.Kind == FaultRegions {
-		r.ways.part(time.Duration(f.ForS * float64(time.Second)))
+	if f == nil || parts {
 		return
 	}
 	if err := r.regions[f.Region].d.Fault(r.faultOf(*f)); err != nil {
--- a/internal/scalerun/sample.go
+++ b/internal/scalerun/sample.go
@@ -49,8 +49,9 @@
 	Regions   []RegionSample     `json:"regions"`
 	Roles     map[string]RoleUse `json:"roles"`
 	Workers   []WorkerUse        `json:"workers"`
-	Traffic   map[string]float64 `json:"traffic"` // kilobytes a second between controllers and others
-	Busy      float64            `json:"busy"`    // cores that the whole machine spends, this run and others
+	Traffic   map[string]float64 `json:"traffic"`  // kilobytes a second between controllers and others
+	Busy      float64            `json:"busy"`     // cores that the whole machine spends, this run and others
+	Pressure  float64            `json:"pressure"` // share of the time in which something on the machine waited for a processor
 	MemoryMB  float64            `json:"memory_mb"`
 	Processes int                `json:"processes"`
 }
@@ -83,6 +84,7 @@
 	began   time.Time
 	last    time.Time
 	busy    float64
+	waited  float64
 	cpu     map[int]float64 // by process
 	starts  []int           // by region
 	state   []launch.StateFigures
@@ -91,7 +93,7 @@
 }
 
 func newSampler(regions int) *sampler {
-	return &sampler{began: time.Now(), last: time.Now(), busy: busyS(), cpu: map[int]float64{}, starts: make([]int, regions),
+	return &sampler{began: time.Now(), last: time.Now(), busy: busyS(), waited: waitedS(), cpu: map[int]float64{}, starts: make([]int, regions),
 		state: make([]launch.StateFigures, regions), workers: map[string]launch.WorkerFigures{}}
 }
 
@@ -102,6 +104,8 @@
 	s.last = now
 	busy := busyS()
 	out.Busy, s.busy = (busy-s.busy)/out.TookS, busy
+	waited := waitedS()
+	out.Pressure, s.waited = (waited-s.waited)/out.TookS, waited
 	s.process(&out, roleRunner, os.Getpid())
 	var traffic launch.Traffic
 	for i, r := range regions {
--- a/internal/scalerun/size.go
+++ b/internal/scalerun/size.go
@@ -33,6 +33,14 @@
 
 const machineType = "standard"
 
+const (
+	// headroom is how many machines the clouds have, as a multiple of the target's.
+	headroom = 1.05
+	// filled is the share of the target's machines that the target's tasks take: what is
+	// left is for tasks that end and others that begin in their place.
+	filled = 0.98
+)
+
 // Sized is a file at a size.
 type Sized struct {
 	*File
@@ -107,6 +115,18 @@
 	return math.Max(1, math.Ceil(batch/float64(f.Target.Workers)))
 }
 
+// replicaCPUs is what a replica of a service takes: what the other tasks leave of the
+// machines that are to be filled.
+func (f *File) replicaCPUs() float64 {
+	t := f.Target
+	replicas := float64(t.Tasks) * f.Load.ServiceShare
+	urgent := t.StartsPerS * f.Load.UrgentShare * f.Load.UrgentRunS
+	batch := float64(t.Tasks) - replicas - urgent
+	left := filled*float64(t.Workers)*f.slots()*batchCPUs - batch*batchCPUs - urgent*smallCPUs
+	most := f.slots() * batchCPUs / 2
+	return math.Round(100*min(max(left/max(replicas, 1), smallCPUs), most)) / 100
+}
+
 // batchTasks is how many tasks a batch job has. It falls with the root of the size, so that
 // jobs neither come too seldom nor become too small.
 func (s *Sized) batchTasks() int {
@@ -140,9 +160,10 @@
 	slots := s.slots()
 	c.Types = []scenario.MachineType{{Name: machineType, CPUs: slots * batchCPUs, MemoryGB: slots * batchGB, Price: 1, SpotPrice: 1, CacheGB: 40, FetchGBs: 1, BootS: s.BootS}}
 	workers := s.part(s.Want.Workers, region)
+	stock := int(math.Ceil(float64(workers) * headroom))
 	for i, z := range c.Controllers.Zones {
-		n := workers / len(c.Controllers.Zones)
-		if i < workers%len(c.Controllers.Zones) {
+		n := stock / len(c.Controllers.Zones)
+		if i < stock%len(c.Controllers.Zones) {
 			n++
 		}
 		c.Capacity = append(c.Capacity, scenario.Capacity{Type: machineType, Zone: z, Count: n})
@@ -176,7 +197,7 @@
 			n++
 		}
 		if n > 0 {
-			add(scenario.Job{Class: ClassService, Kind: "service", Team: teamName(i), Priority: "production", Tasks: n, CPUs: smallCPUs, MemoryGB: smallGB,
+			add(scenario.Job{Class: ClassService, Kind: "service", Team: teamName(i), Priority: "production", Tasks: n, CPUs: s.replicaCPUs(), MemoryGB: smallGB,
 				Image: ClassService, ImageGB: urgentImage, AtS: rng.Float64() * s.Time.FillS / 4})
 		}
 	}
