--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -285,7 +285,11 @@
 	d.facts.flush(before)
 }
 
-var controlClient = &http.Client{Timeout: 10 * time.Second}
+var (
+	controlClient = &http.Client{Timeout: 10 * time.Second}
+	// Figures are asked for again and again: late ones are of no use.
+	figuresClient = &http.Client{Timeout: 2 * time.Second}
+)
 
 // await waits until something is so. It fails when the deployment does, or, with what
 // late says, after a time.
@@ -326,7 +330,7 @@
 }
 
 func (d *Deployment) figures(role string, into any) error {
-	resp, err := controlClient.Get("http://" + d.Plan.Roles[role] + "/figures")
+	resp, err := figuresClient.Get("http://" + d.Plan.Roles[role] + "/figures")
 	if err != nil {
 		return err
 	}
--- a/internal/scalerun/sample.go
+++ b/internal/scalerun/sample.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"os"
+	"sync"
 	"time"
 
 	"shalestage.example/shalestage/internal/launch"
@@ -108,9 +109,10 @@
 	out.Pressure, s.waited = (waited-s.waited)/out.TookS, waited
 	s.process(&out, roleRunner, os.Getpid())
 	var traffic launch.Traffic
+	asked := ask(regions)
 	for i, r := range regions {
-		out.Regions = append(out.Regions, s.region(i, r))
-		s.processes(&out, r)
+		out.Regions = append(out.Regions, s.region(i, r, asked[i]))
+		s.processes(&out, r, asked[i].workers)
 		t := r.d.Traffic()
 		traffic = launch.Traffic{Workers: traffic.Workers + t.Workers, Users: traffic.Users + t.Users, State: traffic.State + t.State, Cloud: traffic.Cloud + t.Cloud, Peers: traffic.Peers + t.Peers}
 	}
@@ -126,12 +128,37 @@
 	return out
 }
 
-func (s *sampler) region(i int, r *region) RegionSample {
-	p := r.d.Progress()
+// answers are what a region's processes tell of themselves.
+type answers struct {
+	progress launch.Progress
+	state    launch.StateFigures
+	served   bool // the state service has told
+	workers  map[string]launch.WorkerFigures
+}
+
+// ask asks all regions at once: on a busy machine answers take their time.
+func ask(regions []*region) []answers {
+	out := make([]answers, len(regions))
+	var all sync.WaitGroup
+	for i, r := range regions {
+		a := &out[i]
+		all.Go(func() { a.progress = r.d.Progress() })
+		all.Go(func() { a.workers = r.d.WorkerFigures() })
+		all.Go(func() {
+			f, err := r.d.StateFigures()
+			a.state, a.served = f, err == nil
+		})
+	}
+	all.Wait()
+	return out
+}
+
+func (s *sampler) region(i int, r *region, a answers) RegionSample {
+	p := a.progress
 	running, starts, _ := r.seen.state()
 	out := RegionSample{Machines: p.Machines, Running: running, Starts: starts - s.starts[i], Left: p.Left, Broken: len(p.Broken)}
 	s.starts[i] = starts
-	if f, err := r.d.StateFigures(); err == nil {
+	if f := a.state; a.served {
 		out.Requests, out.Revisions = int(f.Requests-s.state[i].Requests), int(f.Revision-s.state[i].Revision)
 		s.state[i] = f
 	}
@@ -158,8 +185,7 @@
 	return cpu, use.memoryMB
 }
 
-func (s *sampler) processes(out *Sample, r *region) {
-	figures := r.d.WorkerFigures()
+func (s *sampler) processes(out *Sample, r *region, figures map[string]launch.WorkerFigures) {
 	for _, p := range r.d.Processes() {
 		cpu, memory := s.process(out, p.Role, p.PID)
 		f, ok := figures[p.Name]
