--- a/cmd/shalestage/scale_test.go
+++ b/cmd/shalestage/scale_test.go
@@ -29,6 +29,7 @@
 urgent_share = 0.3
 urgent_run_s = 1
 urgent_within = 1.9
+batch_within = 5
 service_share = 0.1
 cancel_share = 0.1
 abroad_share = 0.5
--- a/internal/scalerun/file.go
+++ b/internal/scalerun/file.go
@@ -50,6 +50,7 @@
 	UrgentShare  float64 `toml:"urgent_share"`  // of all starts
 	UrgentRunS   float64 `toml:"urgent_run_s"`  // of an urgent task
 	UrgentWithin float64 `toml:"urgent_within"` // seconds in which the first task of urgent work should start
+	BatchWithin  float64 `toml:"batch_within"`  // seconds in which batch tasks should start
 	ServiceShare float64 `toml:"service_share"` // of all tasks at once, replicas of services
 	CancelShare  float64 `toml:"cancel_share"`  // of batch jobs that are cancelled while they wait or run
 	AbroadShare  float64 `toml:"abroad_share"`  // of urgent jobs whose user is in another region
--- a/internal/scalerun/mistake.go
+++ b/internal/scalerun/mistake.go
@@ -58,6 +58,7 @@
 		{"load.urgent_share", l.UrgentShare, 0, 0.9},
 		{"load.urgent_run_s", l.UrgentRunS, 0.1, 600},
 		{"load.urgent_within", l.UrgentWithin, 0.1, 600},
+		{"load.batch_within", l.BatchWithin, 0.1, 600},
 		{"load.service_share", l.ServiceShare, 0, 0.9},
 		{"load.cancel_share", l.CancelShare, 0, 1},
 		{"load.abroad_share", l.AbroadShare, 0, 1},
--- a/internal/scalerun/size.go
+++ b/internal/scalerun/size.go
@@ -173,6 +173,10 @@
 	for i := range s.Want.Teams {
 		c.Teams = append(c.Teams, scenario.Team{Name: teamName(i), CPUs: math.Round(guarantee), CPUsMax: math.Round(limit)})
 	}
+	// Without an aim a job has the time of several runs: its tasks would wait for each other.
+	const wait, most = "wait", 0.95
+	c.Objectives = []scenario.Objective{{Kind: wait, Class: ClassBatch, WithinS: s.Load.BatchWithin, Share: most},
+		{Kind: wait, Class: ClassUrgent, WithinS: s.Load.UrgentWithin, Share: most}, {Kind: wait, Class: ClassAbroad, WithinS: s.Load.UrgentWithin, Share: most}}
 	c.Jobs = s.jobs(region)
 	// The text is what the processes read, and what checks it.
 	b, err := toml.Marshal(c)
