Scale runs: mistakes in a region's tables are told at the file's own line

Cause: they were told without line; and a region at full size took 40 s to be told at all, as the lines of its 500 KB were looked up. Change: the smallest size is checked, its field is told in the run's file.

--- a/internal/scalerun/file.go
+++ b/internal/scalerun/file.go
@@ -6,7 +6,9 @@
 package scalerun
 
 import (
+	"errors"
 	"math"
+	"strings"
 
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -124,15 +126,18 @@
 	if w, bad := f.mistake(); bad {
 		return nil, scenario.Wrong(path, b, w.at, "%s", w.text)
 	}
-	// What is left to check is what a region's own file is checked for.
-	sized, err := f.At(1)
+	// What is left to check is what a region's own file is checked for; the smallest will do.
+	sized, err := f.At(MinSize)
 	if err == nil {
 		_, err = sized.Region(0)
 	}
-	if err != nil {
-		return nil, &scenario.Mistake{File: path, Text: "as a deployment: " + err.Error()}
+	var m *scenario.Mistake
+	if errors.As(err, &m) {
+		// Tables of the region's file that come from this one have the same names here.
+		at, text, _ := strings.Cut(m.Text, ": ")
+		return nil, scenario.Wrong(path, b, at, "%s", text)
 	}
-	return f, nil
+	return f, err
 }
 
 func (f *File) totalS() float64 {
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -31,7 +31,8 @@
 		{"region = 2", "region = 3", "fault[3].region: want 0 to 2, got 3"},
 		{"hold_s = 60", "hold_s = 3500", "time: all phases take up to"},
 		{"count = 5", "count = 5\nzones = [\"a\"]", "controllers.zones: they follow from"},
-		{"rps = 400", "rps = -1", "state.rps: want 1 to"},
+		{"rps = 400", "rps = -1", "run.toml:45:1: state.rps: want 1 to 1e+06, got -1"},
+		{"poll_s = 5", "poll_s = 0", "users.poll_s: want 0.1 to"},
 	} {
 		if !strings.Contains(text, c.from) {
 			t.Fatalf("the example has no %q", c.from)
