--- a/internal/scalerun/size.go
+++ b/internal/scalerun/size.go
@@ -254,12 +254,10 @@
 	return out
 }
 
-// arrivals draws times at a rate, up to an end.
+// arrivals draws times at a rate, up to an end: one in each of equal parts of the time, so
+// that what comes in a minute is what was asked for.
 func arrivals(rng *rand.Rand, rate, until float64, f func(at float64)) {
-	if rate <= 0 {
-		return
-	}
-	for at := rng.ExpFloat64() / rate; at < until; at += rng.ExpFloat64() / rate {
-		f(at)
+	for k := 0.0; rate > 0 && (k+1)/rate <= until; k++ {
+		f((k + rng.Float64()) / rate)
 	}
 }
