Scale runs: a piece of the last part of the time counts too

At low rates no whole part fitted, so that no job came from abroad. Change: jobs come in a last part that is cut off, if their moment is in it.

--- a/internal/scalerun/size.go
+++ b/internal/scalerun/size.go
@@ -257,7 +257,9 @@
 // arrivals draws times at a rate, up to an end: one in each of equal parts of the time, so
 // that what comes in a minute is what was asked for.
 func arrivals(rng *rand.Rand, rate, until float64, f func(at float64)) {
-	for k := 0.0; rate > 0 && (k+1)/rate <= until; k++ {
-		f((k + rng.Float64()) / rate)
+	for k := 0.0; rate > 0 && k/rate < until; k++ {
+		if at := (k + rng.Float64()) / rate; at < until { // of the last part only a piece may be in it
+			f(at)
+		}
 	}
 }
