--- a/cmd/shalestage/scale_test.go
+++ b/cmd/shalestage/scale_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -137,3 +139,61 @@
 		t.Errorf("the report has no plots: %v", err)
 	}
 }
+
+// TestScaleInterrupted interrupts a run once its first region is up: it ends all that it
+// started and reports as far as it came. A file with a mistake starts nothing.
+func TestScaleInterrupted(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	dir := t.TempDir()
+	for name, text := range map[string]string{"small.toml": smallRun, "wrong.toml": strings.Replace(smallRun, "teams = 3", "teams = -3", 1)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if code, out := command(t, dir, "scale", "wrong.toml"); code != exitUnusable || !strings.Contains(out, "wrong.toml:9:1: target.teams: want 1 to") {
+		t.Errorf("a mistake in a file: exit status %d, %s", code, out)
+	}
+	if code, out := command(t, dir, "scale", "small.toml", "--size", "3"); code != exitUnusable || !strings.Contains(out, "--size") {
+		t.Errorf("a size beyond the target: exit status %d, %s", code, out)
+	}
+	var out bytes.Buffer
+	c := exec.Command(os.Args[0], "scale", "small.toml", "--size", "1")
+	c.Dir, c.Stdout, c.Stderr = dir, &out, &out
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	mine := func() int { return processesOf(t, filepath.Join(dir, "small")) }
+	until(t, "processes of a region", func() bool { return mine() >= 7 })
+	if err := c.Process.Signal(os.Interrupt); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Wait() // its status is looked at
+	if code := c.ProcessState.ExitCode(); code != exitFailed || !strings.Contains(out.String(), "interrupted") {
+		t.Errorf("exit status %d: %s", code, out.String())
+	}
+	if n := mine(); n != 0 {
+		t.Errorf("%d processes are left", n)
+	}
+	b, err := os.ReadFile(filepath.Join(dir, "small", "scale.json"))
+	if err != nil || !strings.Contains(string(b), `"stopped": "interrupted"`) {
+		t.Errorf("the report does not say that the run was interrupted: %v", err)
+	}
+}
+
+// processesOf counts the processes that were started with a file in a directory.
+func processesOf(t *testing.T, dir string) (n int) {
+	t.Helper()
+	files, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		b, _ := os.ReadFile(f) // one that has ended meanwhile
+		if bytes.Contains(b, []byte(dir)) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scalerun/run.go
+++ b/internal/scalerun/run.go
@@ -108,7 +108,9 @@
 		}
 		r.regions = append(r.regions, &region{s.Name, d, seen})
 		fronts = append(fronts, d.Plan.Front)
-		if err := r.serving(d); err != nil {
+		if err := r.serving(d); errors.Is(err, ErrInterrupted) {
+			return err
+		} else if err != nil {
 			return fmt.Errorf("%s: %w", s.Name, err)
 		}
 	}
