A large job that has waited for long begins, also at its team's limit

Cause: within a tier the order is by aims that can still be met and by least remaining work, so with more work than room the largest jobs come last for as long as smaller ones arrive, and a team's limit never has room for a task of large demand. Change: a job of four tasks or more of which none has begun in two minutes goes first in its tier with one task, and its team's limit keeps room for that task.

--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -43,8 +43,9 @@
 	active      map[string]*ledger.Job
 	order       []*ledger.Job // active jobs, by when they could first start
 	within      map[string]bool
-	owed        map[string]int64   // CPU of teams that have waited for long for their part of the guarantees
-	share       map[string]float64 // fair share of one job, by team
+	owed        map[string]int64    // CPU of teams that have waited for long for their part of the guarantees
+	promised    map[string]pack.Vec // demand of the first task of a job that is overdue, by team
+	share       map[string]float64  // fair share of one job, by team
 	orderStale  bool
 	usage       map[string]pack.Vec
 	total       pack.Vec         // capacity of all machines
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -245,6 +245,7 @@
 
 	Errors    map[string]int // machines on which tasks failed, while none has worked
 	Worked    bool           // some task completed
+	Begun     bool           // some task ran, as far as this controller knows
 	Failing   bool           // it is stored that the job fails everywhere
 	Replaced  int            // machines given up on account of this job alone
 	NotBefore unit.Micros    // failed lately: not started before this
@@ -353,6 +354,7 @@
 func (j *Job) Reset() {
 	j.Clear()
 	j.Worked = j.Worked || j.finished.Len() > 0
+	j.Begun = j.Begun || j.Worked
 	if j.Active() {
 		for t := j.Record.Tasks - 1; t >= 0; t-- {
 			if !j.finished.Has(t) {
@@ -382,6 +384,7 @@
 	}
 	j.places[task] = p
 	j.zones[p.Zone]++
+	j.Begun = j.Begun || p.Live
 }
 
 func (j *Job) unready(task int) {
@@ -395,6 +398,7 @@
 	p := j.places[task]
 	p.Live = true
 	j.places[task] = p
+	j.Begun = true
 }
 
 // Release records that an attempt is no longer anywhere; unless it is done the task is ready again.
@@ -415,7 +419,7 @@
 	if !j.Active() || task >= j.Record.Tasks || !j.finished.Add(task) {
 		return
 	}
-	j.Worked = true
+	j.Worked, j.Begun = true, true
 	j.Errors = map[string]int{}
 	j.dirty[l.Of(task, j.Record.Tasks).Lo] = true
 	if _, ok := j.places[task]; ok {
--- /dev/null
+++ b/internal/core/overdue_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/unit"
+)
+
+// TestLargestJobBegins has a team at its limit whose small jobs keep coming. The least
+// remaining work put the large one off for as long as they came, and what its tasks need was
+// never free at once. Once it has waited for long its first task goes ahead of all else, the
+// limit is kept free for it meanwhile, and then it has no more right than before.
+func TestLargestJobBegins(t *testing.T) {
+	job := func(tasks int, cpu int64) ledger.Record {
+		return ledger.Record{Status: ledger.Pending, Tasks: tasks, Submitted: 1000 * unit.Second,
+			Spec: &ledger.Spec{Team: "t", Tasks: tasks, AnyType: true, Demand: pack.Vec{cpu, 0, 1}, Estimate: 20 * unit.Second}}
+	}
+	values := map[string]any{
+		machPrefix + "r-1":      fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}},
+		jobPrefix + "wk-000000": job(200, 4000),
+	}
+	for i := 1; i <= 8; i++ {
+		values[jobPrefix+fmt.Sprintf("wk-%06d", i)] = job(beginTasks-1, 1000)
+	}
+	c := holding(t, values)
+	c.cfg.Pack = pack.Params{Fairness: 0.25, EpsilonScale: 3, ImagePenalty: 0.5}
+	c.shares[0] = shared{share: 1}
+	c.teams["t"].Limit = pack.Vec{8000, 0, 0}
+	bl := c.held[0]
+	bl.unaccounted, bl.hiddenStale = map[string]bool{}, true
+	m := bl.machines["n-1"]
+	m.Type = c.types["big"]
+	for _, j := range c.active {
+		j.Held = false
+	}
+	// fill gives the machine work and returns how many tasks are of the large job.
+	fill := func() (large, all int) {
+		c.sortJobs(bl)
+		c.rank(bl)
+		for _, cmd := range c.fill(bl, m) {
+			if all++; cmd.ID.Job == "wk-000000" {
+				large++
+			}
+		}
+		return large, all
+	}
+	// end ends n of the small tasks on the machine.
+	end := func(n int) {
+		for _, id := range sortedTasks(m.Tasks) {
+			if n > 0 && id.Job != "wk-000000" {
+				c.taskGone(bl, m, id)
+				n--
+			}
+		}
+	}
+	if large, all := fill(); large != 0 || all != 8 {
+		t.Fatalf("%d tasks of the large job among the first %d", large, all)
+	}
+	c.wall += beginWithin + unit.Second
+	end(3)
+	if _, all := fill(); all != 0 {
+		t.Errorf("%d small tasks take what is kept for the large job", all)
+	}
+	end(5)
+	if large, all := fill(); large != 1 || all != 5 {
+		t.Errorf("%d tasks of the large job among %d, want its first alone beside small ones", large, all)
+	}
+	end(1)
+	if large, all := fill(); large != 0 || all != 1 {
+		t.Errorf("%d tasks of the large job among %d, though it has begun", large, all)
+	}
+}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -116,7 +117,7 @@
 		j := cand.job
 		s := j.Spec()
 		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
-			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s.Team, s.Demand) || !j.ZonePermits(m.Record.Zone) {
 			continue
 		}
 		p := bl.preempted[j.ID]
@@ -131,6 +132,42 @@
 	return nil
 }
 
+const (
+	// beginWithin is how long a job may wait before its first task goes ahead of the other
+	// work of its tier.
+	beginWithin = 120 * unit.Second
+	// beginTasks is how many tasks such a job has at least: no more than one in that many
+	// goes out of order.
+	beginTasks = 4
+)
+
+// overdue reports whether no task of a job has begun although it has waited for long. Where
+// there is less room than work, the least remaining work and the aims that can still be met
+// would otherwise put off a large job for as long as smaller ones arrive
+// (docs/incidents/2026-12-02-largest-starved.md).
+func (c *Core) overdue(j *ledger.Job) bool {
+	return !j.Begun && j.Placed() == 0 && !j.Suspect() && j.Record.Tasks >= beginTasks && c.wall-j.Since > beginWithin
+}
+
+// urgency orders the jobs of one tier: those overdue, then by which aims can still be met.
+func (c *Core) urgency(bl *block, j *ledger.Job) int {
+	if c.overdue(j) {
+		return demand.Urgencies
+	}
+	return bl.demand.Urgency(c.wall, j)
+}
+
+// limitNeed is what a team's limit must have left for one more task of a job: beside the task
+// itself room for the first task of a job that is overdue, which tasks of less demand would
+// otherwise use up again and again.
+func (c *Core) limitNeed(bl *block, j *ledger.Job) pack.Vec {
+	s := j.Spec()
+	if c.overdue(j) {
+		return s.Demand
+	}
+	return s.Demand.Add(bl.promised[s.Team])
+}
+
 // tier orders jobs by right: within their team's guarantee, then by priority.
 func (c *Core) tier(bl *block, j *ledger.Job) int {
 	t := int(j.Aims.Priority)
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -410,6 +410,7 @@
 		c.sortJobs(bl)
 	}
 	bl.ranked, bl.roomy, bl.waiting, bl.ends = bl.ranked[:0], bl.roomy[:0], 0, 0
+	bl.promised = map[string]pack.Vec{}
 	for _, j := range bl.order {
 		s := j.Spec()
 		if s == nil {
@@ -420,7 +421,10 @@
 		}
 		if j.Ready() > 0 && c.startable(bl, j) {
 			bl.waiting += j.Trials()
-			tier := c.tier(bl, j)*demand.Urgencies + bl.demand.Urgency(c.wall, j)
+			if _, promised := bl.promised[s.Team]; !promised && c.overdue(j) {
+				bl.promised[s.Team] = s.Demand
+			}
+			tier := c.tier(bl, j)*(demand.Urgencies+1) + c.urgency(bl, j)
 			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
 		}
 	}
@@ -482,6 +486,9 @@
 		if j.Suspect() {
 			pending = c.trials(m, j)
 		}
+		if c.overdue(j) {
+			pending = min(pending, 1) // the others have no more right than before
+		}
 		if pending <= 0 {
 			continue
 		}
@@ -507,9 +514,12 @@
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s.Team, c.limitNeed(bl, j)) || !j.ZonePermits(m.Record.Zone) {
 			return false
 		}
+		if c.overdue(j) {
+			delete(bl.promised, s.Team)
+		}
 		bl.attempts++
 		n := lead.Attempt(bl.token, bl.attempts)
 		id := ledger.TaskID{Job: j.ID, Task: j.Take(ledger.Place{Machine: m.Name, Attempt: n, Zone: m.Record.Zone})}
@@ -520,10 +530,10 @@
 	return out
 }
 
-// permits reports whether a team's limit leaves room for one more task. Until
+// permits reports whether a team's limit leaves room for one more task of a demand. Until
 // all machines are accounted for, those that are not may be full of its tasks.
-func (c *Core) permits(bl *block, s *ledger.Spec) bool {
-	t := c.teams[s.Team]
+func (c *Core) permits(bl *block, team string, demand pack.Vec) bool {
+	t := c.teams[team]
 	if t == nil {
 		return false
 	}
@@ -540,7 +550,7 @@
 	if bl.untyped && t.Limit != (pack.Vec{}) {
 		return false
 	}
-	use := bl.usage[s.Team].Add(s.Demand).Add(bl.hidden)
+	use := bl.usage[team].Add(demand).Add(bl.hidden)
 	limit := t.Limit
 	for i := range limit {
 		if part := int64(float64(limit[i]) * c.shares[bl.n].share); limit[i] > 0 {
