--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -11,9 +11,11 @@
 
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/watch"
 )
@@ -34,7 +36,7 @@
 		m = c.newMachine(bl, r.Machine, strayKey(r.Machine), fleet.Record{Type: r.Type, Zone: r.Zone, Spot: r.Spot}, 0)
 	}
 	orders := Orders{Token: bl.token}
-	if !m.Newer(r) {
+	if !m.Newer(r) && c.keeps(guard.ReportOrder) {
 		c.reply(req, http.StatusOK, orders) // late: nobody waits for this answer
 		return
 	}
@@ -45,7 +47,7 @@
 		}
 		c.log.Info("machine up", "machine", m.Name, "type", r.Type, "spot", r.Spot, "after_s", (now - m.Rented).Seconds())
 	}
-	if void := func(t fleet.Task) bool { return t.State != fleet.Exited && t.Attempt <= m.Void }; slices.ContainsFunc(r.Tasks, void) {
+	if void := func(t fleet.Task) bool { return t.State != fleet.Exited && t.Attempt <= m.Void }; slices.ContainsFunc(r.Tasks, void) && c.keeps(guard.VoidAttempts) {
 		// The machine's lease ran out after these were started, and they ended with it: the
 		// report was sent before, and a cut held it back. Taken for true it would call tasks
 		// back that have been started elsewhere since (docs/incidents/2026-12-01-held-back.md).
@@ -61,7 +63,7 @@
 	} else {
 		m.Notice = unit.Never
 	}
-	if r.Token == bl.token {
+	if r.Token == bl.token || !c.keeps(guard.ReportToken) {
 		// The worker has taken an answer of this term, so that it drops every
 		// answer of earlier ones: its list shows all that can be there. A report
 		// without our token proves nothing, as it may have been under way while
@@ -122,7 +124,7 @@
 		c.wantSync(nil)
 		return nil
 	}
-	if bl.renter.Gone(r.Machine) {
+	if bl.renter.Gone(r.Machine) && c.keeps(guard.ReturnedMachine) {
 		// The cloud has said that it is gone: a cut held the report back. Taken for
 		// alive, it would keep the tasks that it shows from starting elsewhere.
 		c.log.Debug("late report of a returned machine", "machine", r.Machine)
@@ -194,10 +196,10 @@
 	if len(bl.held) == 0 {
 		return
 	}
-	if bl.newWork {
+	if bl.newWork && c.now >= bl.rankedAt+bl.queue.Gap() {
 		c.rank(bl)
 	}
-	fresh := bl.heldStale && len(bl.ranked) > 0
+	fresh := bl.heldStale && len(bl.queue.Ranked()) > 0
 	bl.heldStale = false
 	if fresh {
 		sort.SliceStable(bl.held, func(a, b int) bool { return preferred(bl.held[a].m, bl.held[b].m) })
@@ -382,13 +384,6 @@
 	return false
 }
 
-// candidate is a job with ready tasks and its place in the order.
-type candidate struct {
-	job     *ledger.Job
-	tier    int
-	deficit float64
-}
-
 // maxViews bounds the jobs that are weighed for one machine. They are those
 // furthest from fair share in the highest tiers, of those that fit.
 const maxViews = 64
@@ -397,21 +392,33 @@
 // looked at anew: a report looks only at the first few of each.
 const rankEvery = unit.Second / 4
 
-// rankGap is the least time between, when tasks have become ready.
+// rankGap is the least time between, when tasks have become ready. Both are longer where there
+// are so many jobs that rankings would take more and more of the processor.
 const rankGap = unit.Second / 40
 
+// rankDue reports whether jobs should be ranked anew.
+func (c *Core) rankDue(bl *block) bool {
+	return c.now >= bl.rankedAt+max(rankEvery, bl.queue.Gap()) || c.reorderDue(bl)
+}
+
+// reorderDue reports whether tasks have become ready that the ranking should have soon.
+func (c *Core) reorderDue(bl *block) bool {
+	return bl.newWork && c.now >= bl.rankedAt+max(rankGap, bl.queue.Gap())
+}
+
 // rank orders the jobs that have ready tasks by tier and distance from fair
 // share, and the machines that have free room by preference.
 func (c *Core) rank(bl *block) {
-	bl.rankedAt, bl.rankAt = c.now, c.now+rankEvery
+	bl.rankedAt = c.now
 	bl.heldStale = bl.heldStale || bl.newWork
 	bl.newWork = false
-	if bl.orderStale || bl.within == nil {
+	if bl.orderStale || bl.rights.Within == nil {
 		c.sortJobs(bl)
 	}
-	bl.ranked, bl.roomy, bl.waiting, bl.ends = bl.ranked[:0], bl.roomy[:0], 0, 0
+	bl.queue.Begin()
 	bl.promised = map[string]pack.Vec{}
-	for _, j := range bl.order {
+	bl.roomy, bl.waiting, bl.ends = bl.roomy[:0], 0, 0
+	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
 		if s == nil {
 			continue
@@ -425,22 +432,13 @@
 				bl.promised[s.Team] = s.Demand
 			}
 			tier := c.tier(bl, j)*(demand.Urgencies+1) + c.urgency(bl, j)
-			bl.ranked = append(bl.ranked, candidate{j, tier, c.deficit(bl, j)})
+			bl.queue.Propose(ranking.Candidate{Job: j, Tier: tier, Deficit: c.deficit(bl, j)})
 		}
 	}
-	if len(bl.ranked) == 0 {
+	bl.queue.Finish()
+	if len(bl.queue.Ranked()) == 0 {
 		return
 	}
-	sort.SliceStable(bl.ranked, func(a, b int) bool {
-		x, y := bl.ranked[a], bl.ranked[b]
-		if x.tier != y.tier {
-			return x.tier > y.tier
-		}
-		if f, g := x.job.Suspect(), y.job.Suspect(); f != g {
-			return g
-		}
-		return x.deficit > y.deficit
-	})
 	for _, m := range bl.machines {
 		if m.Settled() && m.Notice == unit.Never && c.zones.Reachable(m.Record.Zone) && c.now-m.LastSeen <= watch.NextReport(c.cfg.ReportEvery) && m.Free()[pack.CPU] > 0 {
 			bl.roomy = append(bl.roomy, m)
@@ -457,32 +455,33 @@
 // deficit is how far a job is from its fair share.
 func (c *Core) deficit(bl *block, j *ledger.Job) float64 {
 	s := j.Spec()
-	return bl.share[s.Team] - pack.Dominant(bl.total, s.Demand)*float64(j.Placed())
+	return bl.rights.Share[s.Team] - pack.Dominant(bl.total, s.Demand)*float64(j.Placed())
 }
 
 // fill starts tasks on a machine that has reported free room.
 func (c *Core) fill(bl *block, m *fleet.Machine) []fleet.Command {
-	if c.now >= bl.rankAt || bl.newWork && c.now >= bl.rankedAt+rankGap {
+	if c.rankDue(bl) {
 		c.rank(bl)
 	}
-	if len(bl.ranked) == 0 || c.zones.Gone(m.Record.Zone) {
+	if len(bl.queue.Ranked()) == 0 || c.zones.Gone(m.Record.Zone) {
 		return nil
 	}
 	free := m.Free()
 	elsewhere := bl.preferredRoom(c, m)
-	var jobs []*ledger.Job
-	var views []pack.Job
-	for _, cand := range bl.ranked {
-		j := cand.job
+	jobs, views := bl.viewed[:0], bl.views[:0]
+	suits := func(s *ledger.Spec) bool {
+		return s.Demand.Fits(free) && s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot)
+	}
+	bl.queue.Each(suits, func(cand ranking.Candidate, alike int) bool {
+		j := cand.Job
 		s := j.Spec()
-		if s == nil || j.Ready() == 0 || !c.startable(bl, j) ||
-			!s.Demand.Fits(free) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) {
-			continue
+		if s == nil || j.Ready() == 0 || !c.startable(bl, j) {
+			return true
 		}
 		if m.Spare != 0 && bl.demand.Idle(c.wall, j) {
-			continue // the machine would be kept for that alone
+			return true // the machine would be kept for that alone
 		}
-		pending := j.Ready() - elsewhere.take(j)
+		pending := j.Ready() - elsewhere.take(j, alike)
 		if j.Suspect() {
 			pending = c.trials(m, j)
 		}
@@ -490,7 +489,7 @@
 			pending = min(pending, 1) // the others have no more right than before
 		}
 		if pending <= 0 {
-			continue
+			return true
 		}
 		constrained := 0
 		if !m.Record.Spot && !s.Spot {
@@ -501,20 +500,19 @@
 			Pending:  pending,
 			Work:     float64(j.Record.Tasks-j.Finished()) * bl.demand.Runtime(s).Seconds(),
 			Deficit:  c.deficit(bl, j),
-			Tier:     2*cand.tier + constrained,
+			Tier:     2*cand.Tier + constrained,
 			Cached:   m.HasImage(s.Image),
 			Deferred: j.Suspect(),
 		})
 		jobs = append(jobs, j)
-		if len(jobs) == maxViews {
-			break
-		}
-	}
+		return len(jobs) < maxViews
+	})
+	bl.viewed, bl.views = jobs, views
 	var out []fleet.Command
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s.Team, c.limitNeed(bl, j)) || !j.ZonePermits(m.Record.Zone) {
+		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permitsDemand(bl, s.Team, c.limitNeed(bl, j)) || !j.ZonePermits(m.Record.Zone) && c.keeps(guard.ZoneOfJob) {
 			return false
 		}
 		if c.overdue(j) {
@@ -530,11 +528,16 @@
 	return out
 }
 
-// permits reports whether a team's limit leaves room for one more task of a demand. Until
-// all machines are accounted for, those that are not may be full of its tasks.
-func (c *Core) permits(bl *block, team string, demand pack.Vec) bool {
+// permits reports whether a team's limit leaves room for one more task.
+func (c *Core) permits(bl *block, s *ledger.Spec) bool {
+	return c.permitsDemand(bl, s.Team, s.Demand)
+}
+
+// permitsDemand reports whether a team's limit leaves room for a demand. Until all machines
+// are accounted for, those that are not may be full of its tasks.
+func (c *Core) permitsDemand(bl *block, team string, demand pack.Vec) bool {
 	t := c.teams[team]
-	if t == nil {
+	if t == nil || !c.config.MayStart(team, bl.n) {
 		return false
 	}
 	if bl.hiddenStale {
@@ -551,32 +554,14 @@
 		return false
 	}
 	use := bl.usage[team].Add(demand).Add(bl.hidden)
-	limit := t.Limit
-	for i := range limit {
-		if part := int64(float64(limit[i]) * c.shares[bl.n].share); limit[i] > 0 {
-			limit[i] = max(part, 1) // 0 would mean no limit
-		}
-	}
-	return withinLimit(limit, use)
-}
-
-// teamShare is a team's fair share of the whole: by guarantee where there are
-// any, else equal.
-func (c *Core) teamShare(team string) float64 {
-	var sum int64
-	for _, t := range c.cfg.Teams {
-		sum += t.Guarantee[pack.CPU]
-	}
-	if t := c.teams[team]; sum > 0 && t != nil {
-		return float64(t.Guarantee[pack.CPU]) / float64(sum)
-	}
-	return 1 / float64(max(len(c.cfg.Teams), 1))
+	return withinLimit(c.part(bl, t.Limit), use)
 }
 
 // room is free room on machines that are preferred to the one at hand.
 type room struct {
 	machines []*fleet.Machine
 	free     []pack.Vec
+	full     map[int]bool // for which tasks nothing is left: it only shrinks
 }
 
 // preferredRoom finds the free room that preferred machines are about to
@@ -615,8 +600,12 @@
 	return x.Name < m.Name
 }
 
-// take sets room aside for a job's ready tasks, and returns for how many.
-func (r *room) take(j *ledger.Job) int {
+// take sets room aside for a job's ready tasks, and returns for how many. Jobs that are alike
+// in what machines can take their tasks have the same number.
+func (r *room) take(j *ledger.Job, alike int) int {
+	if r.full[alike] {
+		return 0
+	}
 	s := j.Spec()
 	left := j.Ready()
 	for i, x := range r.machines {
@@ -628,6 +617,12 @@
 			left--
 		}
 	}
+	if left > 0 {
+		if r.full == nil {
+			r.full = map[int]bool{}
+		}
+		r.full[alike] = true
+	}
 	return j.Ready() - left
 }
 
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -51,6 +51,8 @@
 	asked  map[core.ReqID]func(core.Reply)
 	state  *rate.Limiter
 	cloud  *rate.Limiter
+	txns   int // transactions so far, in all lives
+	newest int // the newest of them that the state service has judged
 }
 
 // stamp turns simulated time into what rate limits are counted by.
@@ -58,6 +60,7 @@
 
 func (n *Node) start() {
 	w := n.w
+	w.nodeStarts(n)
 	n.lives++
 	n.life, n.born = n.lives, w.now
 	n.rate = 1 + (2*w.rng.Float64()-1)*scenario.MaxDrift
@@ -79,6 +82,9 @@
 	if w.opt.Log != nil {
 		cfg = set.Core(w.opt.Log(n.Name, func() unit.Micros { return w.now }))
 	}
+	if f := w.opt.Break.Core; f != nil {
+		f(&cfg)
+	}
 	n.core = core.New(cfg)
 	share := w.S.State.RPS / float64(len(w.Nodes))
 	n.state = rate.NewLimiter(rate.Limit(share), max(4, int(share)))
@@ -106,6 +112,7 @@
 	if n.life == 0 {
 		return
 	}
+	n.w.nodeEnds(n)
 	n.life = 0
 	if down == 0 {
 		down = unit.Seconds(n.w.S.Controllers.RestartS * (0.7 + 0.6*n.w.rng.Float64()))
@@ -186,6 +193,7 @@
 		n.w.after(n.frozen-n.w.now, func() { n.tick(life) })
 		return
 	}
+	n.w.opt.Traffic.Start(n.w.now, n.Name, "do tick")
 	n.core.Tick(n.local(), n.wall())
 	n.carryOut()
 	n.w.oneHolder()
@@ -203,6 +211,7 @@
 		n.next++
 		req := n.next
 		n.asked[req] = done
+		n.w.opt.Traffic.Start(n.w.now, n.Name, "do user")
 		f(req)
 		n.carryOut()
 		if within > 0 && n.asked[req] != nil {
@@ -217,7 +226,9 @@
 }
 
 func (n *Node) carryOut() {
-	for _, e := range n.core.Drain() {
+	effects := n.core.Drain()
+	n.w.opt.Traffic.Stop()
+	for _, e := range effects {
 		n.effect(e)
 	}
 }
@@ -229,6 +240,7 @@
 	}
 	n.awake(func() {
 		if n.life == life {
+			n.w.opt.Traffic.Start(n.w.now, n.Name, "do answer")
 			f()
 			n.carryOut()
 		}
@@ -238,8 +250,14 @@
 func (n *Node) effect(e core.Effect) {
 	w, life := n.w, n.life
 	w.sending(e)
+	n.countEffect(e)
 	switch e := e.(type) {
 	case core.Reply:
+		if o, ok := e.Body.(core.Orders); ok && w.opt.Break.Orders != nil {
+			w.opt.Break.Orders(n.Name, &o)
+			e.Body = o
+		}
+		w.ordered(e)
 		if f := n.asked[e.Req]; f != nil {
 			delete(n.asked, e.Req)
 			n.sent(func() { f(e) })
@@ -256,6 +274,7 @@
 			w.net.send(n.Name, o.Name, func() {
 				if o.life != 0 {
 					o.awake(func() {
+						w.opt.Traffic.Start(w.now, o.Name, "do peer")
 						o.core.OnPeer(o.local(), n.Name, e.Message)
 						o.carryOut()
 					})
@@ -276,6 +295,7 @@
 		n.watch(life, e)
 	case core.Commit:
 		n.commit(life, e)
+	case core.Abandon: // its answer may still come
 	case core.OpenLease:
 		var id uint64
 		n.call(callWait, false, func() int {
@@ -317,6 +337,7 @@
 			return code
 		}, func(o store.Outcome) {
 			if o == store.Refused && none {
+				w.happened(scenario.NoRoom)
 				o = store.Failed
 			}
 			n.back(life, func() { n.core.OnRent(n.local(), e, o, names) })
@@ -416,7 +437,10 @@
 				done(o, 0, nil, false)
 				return
 			}
-			done(store.OK, l.Rev, direct.Items(l.Items), l.More)
+			n.countItems(l.Items)
+			items := direct.Items(l.Items)
+			n.hasRead(items)
+			done(store.OK, l.Rev, items, l.More)
 		})
 	})
 }
@@ -447,7 +471,16 @@
 func (n *Node) watch(life int, e core.Watch) {
 	w := n.w
 	finish := func(o store.Outcome, c kv.Changes) {
-		n.back(life, func() { n.core.OnChanges(n.local(), e, o, c.Rev, direct.Events(c.Events), c.Code == http.StatusGone) })
+		n.countChanges(c.Events)
+		n.back(life, func() {
+			events := direct.Events(c.Events)
+			n.hasRead(events)
+			n.core.OnChanges(n.local(), e, o, c.Rev, events, c.Code == http.StatusGone)
+		})
+	}
+	if f := w.opt.Break.Read; f != nil && e.Fresh && !f() {
+		w.after(millis, func() { finish(store.OK, kv.Changes{Code: http.StatusOK, Rev: e.After}) })
+		return
 	}
 	if !n.state.AllowN(stamp(w.now), 1) {
 		w.after(0, func() { finish(store.Refused, kv.Changes{}) })
@@ -457,6 +490,10 @@
 	if e.Wait > 0 {
 		wait = callWait + e.Wait
 	}
+	if e.Fresh && w.opt.Break.Stale {
+		w.after(millis, func() { finish(store.OK, kv.Changes{Code: http.StatusOK, Rev: e.After}) })
+		return
+	}
 	var id uint64
 	n.sent(func() {
 		w.net.request(n.Name, scenario.PartyState, wait, func(answer func(func())) {
@@ -482,14 +519,22 @@
 func (n *Node) commit(life int, e core.Commit) {
 	w := n.w
 	t := direct.Txn(e.Txn)
+	if f := w.opt.Break.Commit; f != nil {
+		f(&t)
+	}
+	n.txns++
+	number := n.txns
 	var res kv.Result
 	run := func() int {
 		res = w.State.Commit(w.now, n.Name, t)
+		n.judged(number, res.Code)
 		if res.Code == http.StatusBadRequest && !res.NoLease {
 			w.Check.Break(w.now, check.TooLarge, "%d changes, %d guards, first %s", len(t.Changes), len(t.Guards), t.Changes[0].Key)
 		}
 		if res.Code == http.StatusOK {
+			w.combined.stored[n.Name]++
 			w.stored(t)
+			w.configured(t)
 		}
 		return res.Code
 	}
@@ -497,18 +542,32 @@
 		if o == store.Failed && code == http.StatusBadRequest && !res.NoLease {
 			o = store.TooLarge
 		}
+		if f := w.opt.Break.Outcome; f != nil {
+			o = f(*e.Txn, o)
+		}
 		n.back(life, func() { n.core.OnCommit(n.local(), e.Lane, e.Txn, o, res.Rev, res.Failed) })
 	}
 	switch {
 	case w.now < w.late && w.chance(w.lateShare) || w.noise && w.chance(0.002): // carried out late
-		w.after(w.span(1, 60), func() {
-			w.State.Commit(w.now, n.Name, t) // nobody waits for the answer
+		before := w.combined.stored[n.Name]
+		w.after(w.lateBy(), func() {
+			w.lateWrite(n, before)
+			r := w.State.Commit(w.now, n.Name, t) // nobody waits for the answer
+			if r.Code == http.StatusOK {
+				w.configured(t)
+			}
+			n.late(number, r)
 			w.takeState()
 		})
 		w.after(callWait, func() { done(store.Unknown, 0) })
-	case w.now < w.unanswered: // carried out, and the answer lost
+	case w.now < w.unanswered && (w.unansweredShare == 1 || w.chance(w.unansweredShare)): // carried out, and the answer lost
 		n.sent(func() {
-			w.net.send(n.Name, scenario.PartyState, func() { run(); w.takeState() })
+			w.net.send(n.Name, scenario.PartyState, func() {
+				if run() == http.StatusOK {
+					n.unanswered(t)
+				}
+				w.takeState()
+			})
 		})
 		w.after(callWait, func() { done(store.Unknown, 0) })
 	default:
@@ -611,12 +670,17 @@
 			done(store.Refused, nil)
 			return
 		}
+		sent := w.now
 		w.net.request(n.Name, zone, second, func(answer func(func())) {
+			w.requestArrives(sent)
 			r, _, taken, found := w.Site.Direct(w.now, e.Machine, e.Token, e.Session, nil)
 			w.takeSite()
 			if !found || w.noise && w.chance(0.02) {
 				return
 			}
+			if k := w.Site.Worker(e.Machine); k != nil && k.Mute(w.now) {
+				w.happened(scenario.MuteReached)
+			}
 			o := store.Failed
 			if taken {
 				o = store.OK
