--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,17 +5,19 @@
 
 import (
 	"log/slog"
-	"strings"
 
 	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/scale"
@@ -27,11 +29,7 @@
 )
 
 // Team holds a team's guarantee and limit, in thousandths; 0 means none.
-type Team struct {
-	Name      string
-	Guarantee pack.Vec
-	Limit     pack.Vec
-}
+type Team = configuration.Team
 
 // Objective is one of the users' aims for a class of jobs.
 type Objective = demand.Objective
@@ -76,6 +74,8 @@
 	KeepDone   int
 	PackSettle unit.Micros
 	Log        *slog.Logger
+	// LeftOut is a check that is left out; only tests set it.
+	LeftOut guard.Guard
 }
 
 // ReqID names a request that waits for an answer.
@@ -103,17 +103,22 @@
 		Lane LaneID
 		Txn  *store.Txn
 	}
-	// OpenLease, RenewLease and CloseLease keep a controller's seat (OnLease, OnRenew).
-	OpenLease  = seats.OpenLease
+	// Abandon gives up waiting for a transaction's answer; the Commit is still answered.
+	Abandon struct{ Txn *store.Txn }
+	// OpenLease asks for the lease of a controller's registration (OnLease).
+	OpenLease = seats.OpenLease
+	// RenewLease extends it (OnRenew).
 	RenewLease = seats.RenewLease
+	// CloseLease ends it; no answer.
 	CloseLease = seats.CloseLease
 	// FetchTypes reads the price list (OnTypes).
 	FetchTypes struct{}
-	// RentHosts, ReturnHosts and ListHosts rent machines, give them back and read the machine
-	// list (OnRent, OnReturn, OnHosts).
-	RentHosts   = renting.RentHosts
+	// RentHosts rents machines (OnRent).
+	RentHosts = renting.RentHosts
+	// ReturnHosts gives machines back (OnReturn).
 	ReturnHosts = renting.ReturnHosts
-	ListHosts   = renting.ListHosts
+	// ListHosts reads a page of the machine list (OnHosts).
+	ListHosts = renting.ListHosts
 	// CloudShare sets this node's part of the cloud's request budget; no answer.
 	CloudShare struct{ Part float64 }
 )
@@ -158,11 +163,13 @@
 	wall   unit.Micros // time of day
 	out    []Effect
 	teams  map[string]*Team
-	mirror *mirror.Mirror // the copy of the state service's keys
+	config *configuration.Book // teams and objectives as they are in force
+	mirror *mirror.Mirror      // the copy of the state service's keys
 	lanes  [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job // those that are not packed
 	active map[string]*ledger.Job // those that are not final
+	begun  ranking.Order          // those of them that await no others
 	graph  ledger.Graph           // which of them wait for which
 	parts  *parts.Shelf           // descriptions that are stored in parts
 	untidy map[string]bool        // jobs that are over and of which something is to be cleaned up in the state service
@@ -220,10 +227,12 @@
 	}
 	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
-	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log}, standing{c})
+	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log, LeftOut: cfg.LeftOut}, standing{c})
 	c.memory = recall.New(recallBytes)
 	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
+	c.config = configuration.New(configuration.Config{Node: cfg.Node, Initial: configuration.Content{Teams: cfg.Teams, Objectives: cfg.Objectives},
+		Peers: cfg.Peers, ValueMax: c.cfg.ValueMax, TxnOps: cfg.TxnOps, Bound: c.extension() + unit.Second, Log: cfg.Log}, configured{c})
 	c.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.Home, ReportEvery: cfg.ReportEvery, Log: cfg.Log})
 	c.reach = watch.NewReach(cfg.ReportEvery, c.leaseBound())
 	for i := range c.lanes {
@@ -247,12 +256,13 @@
 
 // pump sends what is due: transactions and reads of the state service.
 func (c *Core) pump() {
+	c.concludeCommits()
 	for _, k := range sortedBlocks(c.held) {
 		bl := c.held[k]
 		if !c.Holds(c.now, k) {
 			continue
 		}
-		if bl.newWork && c.now >= bl.rankedAt+rankGap || c.now >= bl.heldAt {
+		if c.reorderDue(bl) || c.now >= bl.heldAt {
 			bl.heldAt = c.now + unit.Second/20
 			c.answerHeld(bl)
 		}
@@ -269,6 +279,9 @@
 	c.pumpOld()
 }
 
+// keeps reports whether a check is made: all are, but for the one that a test leaves out.
+func (c *Core) keeps(g guard.Guard) bool { return c.cfg.LeftOut != g }
+
 // at moves time on; time never goes back.
 func (c *Core) at(now unit.Micros) { c.now = max(c.now, now) }
 
@@ -282,6 +295,7 @@
 	c.tickPeers()
 	c.seats.Tick(c.now)
 	c.tickLead()
+	c.config.Tick(c.now, c.wall, c.leader != nil)
 	c.tickTypes()
 	c.tickOld()
 	for _, k := range sortedBlocks(c.held) {
@@ -291,19 +305,6 @@
 	}
 }
 
-// OnCommit takes a transaction's outcome. What was put is known at once.
-func (c *Core) OnCommit(now unit.Micros, lane LaneID, t *store.Txn, o store.Outcome, rev uint64, failed []string) {
-	c.at(now)
-	o = c.heard(o)
-	if o == store.OK {
-		c.mirror.Committed(now, t, rev, func(key string) bool { return strings.HasPrefix(key, root) }) // buckets are in no copy
-	}
-	if o != store.OK {
-		c.wantSync(nil)
-	}
-	c.lanes[lane].Finish(now, o, rev, failed)
-}
-
 // Keys of the state service.
 const (
 	root         = "shalestage/"
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -67,7 +67,11 @@
 // changes since then.
 func (c *Core) OnChanges(now unit.Micros, w Watch, o store.Outcome, rev uint64, events []store.Event, gone bool) {
 	c.at(now)
+	taken := o == store.OK && w.After <= c.mirror.Rev
 	c.mirror.OnChanges(c.now, w, o, rev, events, gone)
+	if taken {
+		c.observeCommits(events)
+	}
 }
 
 // learn takes one change of the copy. Records that cannot be read are logged
@@ -86,6 +90,8 @@
 		err = c.seats.Learn(c.now, e.Key[len(seatPrefix):], e)
 	case strings.HasPrefix(e.Key, blockPrefix):
 		err = c.learnBlock(e)
+	case strings.HasPrefix(e.Key, configPrefix):
+		err = c.config.Learn(c.now, e)
 	case strings.HasPrefix(e.Key, wordPrefix):
 		err = c.learnWord(e)
 	case strings.HasPrefix(e.Key, followPrefix):
@@ -172,8 +178,7 @@
 	}
 	if r.Block != j.Record.Block {
 		if bl := c.held[j.Record.Block]; bl != nil {
-			delete(bl.active, id)
-			bl.orderStale = true
+			bl.dropJob(j)
 		}
 		j.Record.Block = r.Block
 		j.Clear()
@@ -184,6 +189,9 @@
 
 // joinBlock gives a job to its block, if this node holds that.
 func (c *Core) joinBlock(j *ledger.Job) {
+	if j.Awaiting == 0 {
+		c.begun.Add(j)
+	}
 	if bl := c.held[j.Record.Block]; bl != nil && bl.ready && j.Awaiting == 0 {
 		j.Reset()
 		bl.addJob(j)
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -30,6 +30,7 @@
 // another: what awaits it may start, or is cancelled too.
 func (c *Core) jobFinal(j *ledger.Job) {
 	delete(c.active, j.ID)
+	c.begun.Remove(j)
 	c.over(j)
 	if c.parts.Any(j.ID) {
 		c.untidy[j.ID] = true
@@ -37,6 +38,7 @@
 	ready, cancelled := c.graph.Over(j, c.wall)
 	for _, d := range cancelled {
 		delete(c.active, d.ID)
+		c.begun.Remove(d)
 		c.over(d)
 		c.cancelled(d)
 	}
@@ -250,7 +252,7 @@
 // release numbers tell what a controller understands. It is stored with its seat
 // and told with its status; those before it told none.
 const (
-	release       = 7
+	release       = 8
 	releaseAwaits = 3 // understands jobs that await others
 	releasePast   = 4 // finds packed jobs
 	releaseParts  = 5 // guards the first part of a description
@@ -258,6 +260,7 @@
 
 	releaseFollows = 6 // follows holders
 	releaseTells   = 7 // takes cancellations from others
+	releaseConfig  = 8 // goes by the stored configuration
 )
 
 // noteMixed keeps for how long all controllers have run certain releases.
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
+	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/unit"
 )
 
@@ -33,7 +35,7 @@
 // where another team runs beyond its own. It stops what loses least, and
 // nothing that would lose much beside what the job's task gains.
 func (c *Core) preempt(bl *block, m *fleet.Machine) []fleet.Command {
-	if len(m.Tasks) == 0 || len(bl.ranked) == 0 {
+	if len(m.Tasks) == 0 || len(bl.queue.Ranked()) == 0 {
 		return nil
 	}
 	for id := range m.Tasks {
@@ -112,12 +114,18 @@
 	if bl.ends > 0 && unit.Seconds(float64(bl.waiting)/bl.ends) < after {
 		return nil
 	}
-	for _, cand := range bl.ranked {
-		j := cand.job
+	if c.wall-bl.queue.Since() < after {
+		return nil // none has waited for that long
+	}
+	suits := func(s *ledger.Spec) bool {
+		return s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) && s.Demand.Fits(m.Type.Capacity)
+	}
+	var found *ledger.Job
+	bl.queue.Each(suits, func(cand ranking.Candidate, _ int) bool {
+		j := cand.Job
 		s := j.Spec()
-		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !s.Allows(m.Record.Type, m.Record.Zone, m.Record.Spot) ||
-			!s.Demand.Fits(m.Type.Capacity) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
-			continue
+		if s == nil || c.wall-j.Since < after || j.Suspect() || !c.startable(bl, j) || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) {
+			return true
 		}
 		p := bl.preempted[j.ID]
 		if c.now-p.at > preemptMemory {
@@ -125,19 +133,56 @@
 			p.count = 0
 		}
 		if j.Ready() > p.count {
-			return j
+			found = j
 		}
+		return found == nil
+	})
+	return found
+}
+
+const (
+	// beginWithin is how long a job may wait before its first task goes ahead of the other
+	// work of its tier.
+	beginWithin = 120 * unit.Second
+	// beginTasks is how many tasks such a job has at least: no more than one in that many
+	// goes out of order.
+	beginTasks = 4
+)
+
+// overdue reports whether no task of a job has begun although it has waited for long. Where
+// there is less room than work, the least remaining work and the aims that can still be met
+// would otherwise put off a large job for as long as smaller ones arrive
+// (docs/incidents/2026-12-02-largest-starved.md).
+func (c *Core) overdue(j *ledger.Job) bool {
+	return !j.Begun && j.Placed() == 0 && !j.Suspect() && j.Record.Tasks >= beginTasks && c.wall-j.Since > beginWithin
+}
+
+// urgency orders the jobs of one tier: those overdue, then by which aims can still be met.
+func (c *Core) urgency(bl *block, j *ledger.Job) int {
+	if c.overdue(j) {
+		return demand.Urgencies
+	}
+	return bl.demand.Urgency(c.wall, j)
+}
+
+// limitNeed is what a team's limit must have left for one more task of a job: beside the task
+// itself room for the first task of a job that is overdue, which tasks of less demand would
+// otherwise use up again and again.
+func (c *Core) limitNeed(bl *block, j *ledger.Job) pack.Vec {
+	s := j.Spec()
+	if c.overdue(j) {
+		return s.Demand
 	}
-	return nil
+	return s.Demand.Add(bl.promised[s.Team])
 }
 
 // tier orders jobs by right: within their team's guarantee, then by priority.
 func (c *Core) tier(bl *block, j *ledger.Job) int {
 	t := int(j.Aims.Priority)
-	if bl.within[j.ID] {
+	if bl.rights.Within[j.ID] {
 		t += int(ledger.Production) + 1
 	}
-	if s := j.Spec(); bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
+	if s := j.Spec(); (len(bl.owed) > 0 || s.Demand[pack.CPU] == 0) && bl.usage[s.Team][pack.CPU]+s.Demand[pack.CPU] <= bl.owed[s.Team] {
 		t += 2 * (int(ledger.Production) + 1)
 	}
 	return t
@@ -149,17 +194,17 @@
 // nothing at all.
 func (c *Core) owe(bl *block) {
 	bl.owed = map[string]int64{}
-	var guaranteed int64
-	for _, t := range c.cfg.Teams {
-		guaranteed += t.Guarantee[pack.CPU]
-	}
+	guaranteed, _ := guarantees{c}.Total()
 	room := bl.total[pack.CPU]
 	if guaranteed <= room {
 		return
 	}
-	for _, j := range bl.order {
+	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
-		if t := c.teams[s.Team]; t != nil && j.Ready() > 0 && !j.FailsEverywhere() && c.wall-j.Since > preemptAfter {
+		if j.Ready() == 0 || c.wall-j.Since <= preemptAfter || j.FailsEverywhere() || bl.owed[s.Team] > 0 {
+			continue
+		}
+		if t := c.teams[s.Team]; t != nil {
 			bl.owed[s.Team] = int64(float64(t.Guarantee[pack.CPU]) * float64(room) / float64(guaranteed))
 		}
 	}
@@ -171,10 +216,10 @@
 	if s.Team != v.Team && bl.usage[v.Team][pack.CPU] <= bl.owed[v.Team] {
 		return false
 	}
-	if victim.Aims.Priority < j.Aims.Priority && !(bl.within[victim.ID] && !bl.within[j.ID]) {
+	if victim.Aims.Priority < j.Aims.Priority && !(bl.rights.Within[victim.ID] && !bl.rights.Within[j.ID]) {
 		return true
 	}
-	return bl.within[j.ID] && s.Team != v.Team && !bl.within[victim.ID] && c.beyond(bl, v.Team)
+	return bl.rights.Within[j.ID] && s.Team != v.Team && !bl.rights.Within[victim.ID] && c.beyond(bl, v.Team)
 }
 
 // beyond reports whether a team uses more than its guarantee.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/parts"
@@ -104,7 +105,7 @@
 // those of packed jobs.
 func (c *Core) impossible(s *ledger.Spec, absent map[string]bool) string {
 	t := c.teams[s.Team]
-	if t == nil {
+	if t == nil || t.Removed != 0 {
 		return "unknown team"
 	}
 	if len(c.fitting(s)) == 0 {
@@ -172,6 +173,10 @@
 		c.send(Reply{Req: n.req, Code: http.StatusServiceUnavailable, Body: Problem{"a controller's memory is nearly full"}, RetryAfter: crowdedRetry})
 		return
 	}
+	if !c.mayAccept() {
+		c.unavailable(n.req, "the present configuration is not known")
+		return
+	}
 	c.loads()
 	spec, cancelled, ok := c.settleAwaits(n.spec)
 	// Nothing is accepted without a proof that it is not packed.
@@ -304,7 +309,7 @@
 		c.handOver(req, AskQuery, id, nil, "")
 		return
 	}
-	c.wantSync(func(ok bool) {
+	c.readFirst(func(ok bool) {
 		j := c.jobs[id]
 		switch {
 		case !ok:
@@ -317,6 +322,15 @@
 	})
 }
 
+// readFirst answers a poll once a read that begins now has ended.
+func (c *Core) readFirst(answer func(ok bool)) {
+	if !c.keeps(guard.FreshRead) {
+		answer(true)
+		return
+	}
+	c.wantSync(answer)
+}
+
 // Abort cancels a job and answers once that is stored.
 func (c *Core) Abort(now unit.Micros, req ReqID, id string) {
 	c.at(now)
--- a/internal/emulator/machine/machine.go
+++ b/internal/emulator/machine/machine.go
@@ -71,6 +71,12 @@
 	Commands []fleet.Command
 }
 
+// unread is an answer to a report that is read once the machine goes on.
+type unread struct {
+	number int
+	answer Answer
+}
+
 type task struct {
 	id      ledger.TaskID
 	attempt uint64
@@ -100,7 +106,9 @@
 	leaseFrom unit.Micros // when the last report that got an answer was sent
 	noticeAt  unit.Micros // when the cloud takes the machine, by its word; Never: no notice
 	hungTill  unit.Micros
+	unread    *unread // an answer that came while the machine stands still
 	deafTill  unit.Micros
+	muteTill  unit.Micros
 
 	reportAt   unit.Micros // the next report, unless something changes before
 	changed    bool
@@ -167,6 +175,39 @@
 	return running, fetching
 }
 
+// Free returns the room that is left, and the tasks that take the rest.
+func (w *Worker) Free() (free pack.Vec, taken []ledger.TaskID) {
+	for _, id := range w.ids() {
+		if w.tasks[id].state != fleet.Exited {
+			taken = append(taken, id)
+		}
+	}
+	return w.free, taken
+}
+
+// Left returns the tasks that are on the machine, in the order of their names, and how much
+// longer each is, while nothing stops it.
+func (w *Worker) Left(now unit.Micros) (out []Remaining) {
+	for _, id := range w.ids() {
+		if t := w.tasks[id]; t.on() {
+			out = append(out, Remaining{id, t.ends - now})
+		}
+	}
+	return out
+}
+
+// Remaining is a task on a machine, and how much longer it takes.
+type Remaining struct {
+	Task ledger.TaskID
+	Time unit.Micros
+}
+
+// Doubtful reports whether something is wrong with the machine, or the cloud is about to take
+// it away.
+func (w *Worker) Doubtful() bool {
+	return w.fault.Sick || w.noticeAt != unit.Never
+}
+
 func (t *task) on() bool { return t.state == fleet.Running || t.state == fleet.Saving }
 
 // SetFault changes what is wrong with the machine.
@@ -217,6 +258,12 @@
 // Deaf reports whether nothing reaches the worker.
 func (w *Worker) Deaf(now unit.Micros) bool { return now < w.deafTill }
 
+// Silence lets no report reach a controller until a time; direct commands reach the worker.
+func (w *Worker) Silence(until unit.Micros) { w.muteTill = max(w.muteTill, until) }
+
+// Mute reports whether the worker reaches no controller.
+func (w *Worker) Mute(now unit.Micros) bool { return now < w.muteTill }
+
 // Hangs reports whether the machine stands still.
 func (w *Worker) Hangs(now unit.Micros) bool { return now < w.hungTill }
 
@@ -288,6 +335,9 @@
 	if n := len(w.fetches); n > 0 {
 		next = min(next, w.fetched+w.fetchTime())
 	}
+	if w.unread != nil {
+		next = w.hungTill
+	}
 	return min(lease, max(next, w.hungTill))
 }
 
@@ -316,6 +366,12 @@
 	if w.now < w.hungTill {
 		return
 	}
+	if u := w.unread; u != nil {
+		w.unread = nil
+		if w.inFlight == u.number && w.now < w.sentAt+AnswerWithin {
+			w.take(u.answer)
+		}
+	}
 	w.fetchOn()
 	for _, id := range w.due() {
 		w.ended(w.tasks[id])
@@ -383,6 +439,9 @@
 	w.changed = false
 	w.reportAt = w.now + unit.Micros(float64(w.cfg.ReportEvery)*(0.75+0.5*w.rng.Float64()))
 	body, saved := w.List()
+	if w.Mute(w.now) {
+		return // the connection does not come about: the worker gives up after AnswerWithin
+	}
 	w.out = append(w.out, Report{w.cfg.Nodes[w.node], w.reports, body, saved})
 }
 
@@ -430,12 +489,22 @@
 }
 
 // Answer takes a controller's answer to a report. One that comes after 4 s, or
-// while a later report is under way, is nobody's.
+// while a later report is under way, is nobody's. A machine that stands still reads it
+// once it goes on, if that is soon enough.
 func (w *Worker) Answer(now unit.Micros, number int, a Answer) {
 	w.Advance(now)
 	if w.inFlight != number || number == 0 || w.Deaf(now) {
 		return
 	}
+	if w.Hangs(w.now) {
+		w.unread = &unread{number, a}
+		return
+	}
+	w.take(a)
+}
+
+// take reads the answer to the report that is under way.
+func (w *Worker) take(a Answer) {
 	w.inFlight = 0
 	if a.Code == http.StatusMisdirectedRequest {
 		if i := slices.Index(w.cfg.Nodes, a.Node); i >= 0 && i != w.node {
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -36,6 +36,7 @@
 	w.Check.Note(w.now, "fault: %s", f)
 	last := unit.Seconds(f.ForS)
 	until := w.now + last
+	w.faultComes(f)
 	switch f.Kind {
 	case scenario.ControllerCrash:
 		for _, n := range w.nodesOf(f.Node) {
@@ -79,14 +80,24 @@
 	case scenario.StateLate:
 		w.late, w.lateShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateUnanswered:
-		w.unanswered = until
+		w.unanswered, w.unansweredShare = until, cmp.Or(f.Share, 1)
 	case scenario.StateLose:
 		w.State.Lose(w.now, f.LosePrefix(), max(f.Count, 1))
 	case scenario.LateReports:
-		w.copies.until, w.copies.share = until, f.Share
+		w.copies.until, w.copies.share, w.copies.forNext = until, f.Share, f.ForNext
 	case scenario.PollStorm:
 		w.Crowd.Storm(f.Times)
 		w.after(last, func() { w.Crowd.Storm(1) })
+	case scenario.CancelNow:
+		w.cancelNow(f)
+	case scenario.CancelAtEnd:
+		w.users.endUntil, w.users.endShare = until, f.Share
+	case scenario.OddRequests:
+		w.oddRequests(until)
+	case scenario.CloseLooks:
+		w.Crowd.LookClosely(until)
+	case scenario.ConfigSet:
+		w.configSet(f)
 	case scenario.Surge: // in the jobs' times already
 	default:
 		if err := w.S.SiteFault(w.now, w.Site, f); err != nil {
@@ -258,6 +269,22 @@
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind, f.ForS, f.Node = scenario.ClockJump, 0, "any" },
 	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Times = scenario.PollStorm, span(rng, 5, 30) },
 	cutTo(scenario.PartyState), cutTo(scenario.PartyCloud), cutTo(scenario.PartyWorkers), cutTo(scenario.PartyPeers), cutTo(scenario.PartyUsers),
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.ForS, f.Count, f.HangS = scenario.CancelNow, 0, 1+rng.IntN(6), float64(rng.IntN(2))*span(rng, 1, 25)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.CancelAtEnd, span(rng, 0.2, 1)
+	},
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.OddRequests },
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.CloseLooks },
+	func(f *scenario.Fault, rng *rand.Rand) { f.Kind, f.Count = scenario.MachineMute, 1+rng.IntN(4) },
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.StateUnanswered, span(rng, 0.05, 0.5)
+	},
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share, f.ForNext = scenario.LateReports, span(rng, 0.1, 0.6), true
+	},
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.QuickBoots },
 }
 
 func someNode(rng *rand.Rand) string { return pick(rng, "any", "any", "holder", "leader") }
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -16,6 +16,7 @@
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/account"
 	"shalestage.example/shalestage/internal/emulator/agenda"
@@ -26,6 +27,7 @@
 	"shalestage.example/shalestage/internal/emulator/meter"
 	"shalestage.example/shalestage/internal/emulator/rental"
 	"shalestage.example/shalestage/internal/emulator/site"
+	"shalestage.example/shalestage/internal/emulator/traffic"
 	"shalestage.example/shalestage/internal/emulator/user"
 	"shalestage.example/shalestage/internal/scenario"
 )
@@ -53,6 +55,8 @@
 	MeterEvery unit.Micros
 	// Account, if set, is told what the rented machines do.
 	Account *account.Account
+	// Traffic, if set, counts what controllers are asked, ask and take of a processor.
+	Traffic *traffic.Tally
 }
 
 // Broken programs, for showing that the checker notices them. Each field, if set,
@@ -65,6 +69,15 @@
 	Clock    func(node int) float64      // rate of its steady clock
 	Peer     func(m any) bool            // whether a message to another controller is carried
 	Told     func(m any) any             // what another controller is told in place of a message
+	Commit   func(*kv.Txn)               // what it sends to the state service of a transaction
+	Stale    bool                        // its reads of the state service's keys bring nothing new, though they are answered
+	Orders   func(node string, o *core.Orders)
+	// Outcome is what a controller makes of a transaction's outcome.
+	Outcome func(t store.Txn, o store.Outcome) store.Outcome
+	// Read reports whether the state service is really asked what has changed when a
+	// controller wants that at once; else it is told that nothing has.
+	Read func() bool
+	Core func(*core.Config) // what its core is told, beyond the settings
 }
 
 // World is a scenario that is being played.
@@ -91,20 +104,28 @@
 	}
 	late, unanswered unit.Micros // until when transactions are
 	lateShare        float64     // of those that are late
+	unansweredShare  float64     // of those whose answer is lost
 	copies           struct {    // of reports that arrive again
-		until unit.Micros
-		share float64
+		until   unit.Micros
+		share   float64
+		forNext bool // when a new leader begins
 	}
-	zoneCut map[string]unit.Micros // until when zones are cut off
+	meetings    meetings
+	zoneCut     map[string]unit.Micros // until when zones are cut off
+	eventCounts map[string]int         // how often each of scenario.CountedEvents has happened
+	users       userTroubles
+	combined    combinations
+	// Changes are the operators' changes of the configuration so far.
+	Changes []*ConfigChange
 }
 
 // New returns a world in which nothing has happened yet.
 func New(s *scenario.Scenario, opt Options) *World {
 	seed := cmp.Or(opt.Seed, s.Seed)
 	stream := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, n)) }
-	w := &World{zoneCut: map[string]unit.Micros{}, S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
+	w := &World{zoneCut: map[string]unit.Micros{}, eventCounts: map[string]int{}, combined: newCombinations(), S: s, Check: check.New(s.Check()), State: kv.New(s.State.KV(), stream(11)), Site: site.New(s.Site(), stream(12)),
 		Crowd: user.New(s.UserOptions(), stream(14)),
-		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}}
+		opt:   opt, rng: stream(16), noise: opt.Noise, answers: map[uint64]func(kv.Changes){}, meetings: meetings{unread: map[string]string{}}}
 	w.net = network{w: w, ways: map[way]trouble{}}
 	w.front = balance.New(s.Controllers.Count, 0, stream(13))
 	for _, j := range s.Plan(0, stream(15)) {
@@ -120,6 +141,7 @@
 	w.count()
 	w.measure()
 	w.keepAccount()
+	w.lookForWaiting()
 	draws := stream(17)
 	for _, f := range s.Faults {
 		w.Faults = append(w.Faults, settled(f, draws))
@@ -206,7 +228,7 @@
 			w.report(e)
 		case site.Began:
 			w.starts++
-			w.Check.Began(w.now, machineOf(e.Machine), e.Task)
+			w.began(machineOf(e.Machine), e.Task)
 			if m := w.opt.Meter; m != nil {
 				m.Began(w.now, e.Machine.Name, e.Task)
 			}
@@ -217,7 +239,9 @@
 			w.Check.Ended(w.now, machineOf(e.Machine), e.Task, e.Completed)
 			if e.Completed {
 				w.happened(scenario.TaskDone)
+				w.ended(e.Task.Job)
 			}
+			w.taskEnded(e)
 			if m := w.opt.Meter; m != nil {
 				m.Ended(w.now, e.Machine.Name, e.Task, e.Completed)
 			}
@@ -231,16 +255,7 @@
 // report brings a worker's report to a controller and its answer back.
 func (w *World) report(e site.Send) {
 	n := w.node(e.Node)
-	arrives := func(req core.ReqID) {
-		body := e.Body
-		if f := w.opt.Break.Report; f != nil {
-			seen := *body
-			seen.Tasks = slices.Clone(seen.Tasks)
-			f(&seen)
-			body = &seen
-		}
-		n.core.Report(n.local(), req, body)
-	}
+	arrives := func(req core.ReqID) { n.report(req, e.Body) }
 	zone := scenario.ZoneParty(e.Body.Zone)
 	failed := func() {
 		w.Site.Answer(w.now, e.Machine, e.Number, machine.Answer{})
@@ -248,9 +263,13 @@
 	}
 	lost := w.noise && w.chance(0.003)
 	if w.now < w.copies.until && w.chance(w.copies.share) {
-		w.after(w.span(2, 3*w.S.Workers.LeaseS), func() {
-			n.ask(arrives, 0, func(core.Reply) {})
-		})
+		if w.copies.forNext {
+			w.keepReport(e.Body)
+		} else {
+			w.after(w.span(2, 3*w.S.Workers.LeaseS), func() {
+				n.ask(arrives, 0, func(core.Reply) {})
+			})
+		}
 	}
 	w.net.request(zone, n.Name, machine.AnswerWithin, func(answer func(func())) {
 		if n.life == 0 {
@@ -261,6 +280,7 @@
 			w.after(w.span(1, 90), func() { n.ask(arrives, 0, func(core.Reply) {}) })
 			return
 		}
+		w.gotReport(n, e.Body)
 		n.ask(arrives, 4*second, func(r core.Reply) {
 			if lost {
 				return
@@ -269,10 +289,14 @@
 			switch b := r.Body.(type) {
 			case core.Orders:
 				a.Token, a.NoToken, a.Commands = b.Token, false, b.Commands
+				w.acted(b.Token)
 			case core.Redirect:
 				a.Node = b.Node
 			}
+			sent := w.now
 			answer(func() {
+				w.answered(e.Machine, a.Commands)
+				w.answerArrives(sent, r)
 				w.Site.Answer(w.now, e.Machine, e.Number, a)
 				w.takeSite()
 			})
@@ -286,6 +310,19 @@
 	})
 }
 
+// report hands a worker's report to the core.
+func (n *Node) report(req core.ReqID, body *fleet.Report) {
+	n.w.reportArrives(n, body)
+	if f := n.w.opt.Break.Report; f != nil {
+		seen := *body
+		seen.Tasks = slices.Clone(seen.Tasks)
+		f(&seen)
+		body = &seen
+	}
+	n.w.opt.Traffic.As("do report")
+	n.core.Report(n.local(), req, body)
+}
+
 func (w *World) node(name string) *Node {
 	for _, n := range w.Nodes {
 		if n.Name == name {
@@ -303,7 +340,13 @@
 		} else {
 			user.Tell(w.Check, w.now, e)
 			if t, ok := e.(user.Told); ok && t.Kind == user.Cancel && t.Code == http.StatusOK {
-				w.happened(scenario.CancelTold)
+				w.cancelToldPastCut()
+				if t.Status == ledger.Cancelled {
+					w.cancelTold(t.ID)
+				}
+			}
+			if _, ok := e.(user.Looked); ok {
+				w.happened(scenario.CloseLook)
 			}
 			w.meter(e)
 		}
@@ -316,6 +359,10 @@
 		w.Crowd.Failed(w.now, e.Number)
 		w.takeCrowd()
 	}
+	if e.Node != "" {
+		w.callNode(e, failed)
+		return
+	}
 	i := w.front.Choose(w.now, tried)
 	if i < 0 {
 		w.after(millis, failed)
@@ -338,11 +385,28 @@
 		return
 	}
 	w.front.Opened(i)
+	w.serveCall(e, n, failed, func() { w.front.Closed(i) })
+}
+
+// callNode brings a user's call to one controller, past the balancer.
+func (w *World) callNode(e user.Call, failed func()) {
+	n := w.node(e.Node)
+	connects := w.net.open("users", n.Name)
+	if n.life == 0 || connects != carried {
+		w.after(millis, failed)
+		return
+	}
+	w.serveCall(e, n, failed, func() {})
+}
+
+// serveCall lets a controller answer a user's call; closed is told when the connection ends.
+func (w *World) serveCall(e user.Call, n *Node, failed, closed func()) {
 	w.net.request("users", n.Name, e.Wait+second, func(answer func(func())) {
 		within := 4 * second
 		if e.Kind == user.Poll {
 			within = 1900 * millis
 		}
+		w.gotCall(n, e)
 		n.ask(func(req core.ReqID) {
 			if f := w.opt.Break.Answer; f != nil {
 				if r := f(e); r != nil {
@@ -353,13 +417,16 @@
 			}
 			switch e.Kind {
 			case user.Submit:
-				spec := e.Spec
-				if f := w.opt.Break.Spec; f != nil {
+				spec, bad := e.Spec, ""
+				if spec == nil {
+					bad = "cores: missing"
+				}
+				if f := w.opt.Break.Spec; f != nil && spec != nil {
 					wrong := *spec
 					f(&wrong)
 					spec = &wrong
 				}
-				n.core.Submit(n.local(), req, e.ID, spec, "")
+				n.core.Submit(n.local(), req, e.ID, spec, bad)
 			case user.Poll:
 				n.core.Query(n.local(), req, e.ID)
 			case user.Cancel:
@@ -376,7 +443,7 @@
 			})
 		})
 	}, func(f func()) {
-		w.front.Closed(i)
+		closed()
 		if f != nil {
 			f()
 		} else {
@@ -439,26 +506,29 @@
 
 // Result is how a play went.
 type Result struct {
-	Broken  []check.Break
-	Digest  string
-	Starts  int
-	Jobs    int
-	Over    int
-	Rented  int
-	Money   float64
-	MaxWait unit.Micros // from a submission to the answer that the job is over
-	Missed  []string    // expectations that are no rules
-	Faults  []scenario.Fault
+	Broken []check.Break
+	Digest string
+	Starts int
+	// StartsCancelled counts the tasks that began after their job's cancellation was told.
+	StartsCancelled int
+	Jobs            int
+	Over            int
+	Rented          int
+	Money           float64
+	MaxWait         unit.Micros // from a submission to the answer that the job is over
+	Missed          []string    // expectations that are no rules
+	Faults          []scenario.Fault
 }
 
 // Play plays the whole scenario.
 func (w *World) Play() Result {
 	w.Run(unit.Seconds(w.S.DurationS))
 	w.Check.Finish(w.now, w.S.Expect.AllOver)
-	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
+	r := Result{Broken: w.Check.Broken(), Digest: w.Check.Digest(), Starts: w.starts, StartsCancelled: w.Check.StartsCancelled(), Rented: w.Site.Cloud.Rented(), Money: w.Site.Cloud.Spent(w.now), Faults: w.Faults}
 	r.Jobs = len(w.Crowd.Jobs())
 	r.Over, r.MaxWait = user.Summary(w.Crowd.Jobs(), w.now)
 	r.Missed = w.S.Expect.Missed(r.MaxWait, r.Money, user.Floor(w.Crowd.Jobs(), w.S.UserOptions(), w.Check.FirstBegan))
+	r.Missed = append(r.Missed, w.S.Expect.MissedEvents(w.EventCount)...)
 	return r
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,9 +11,11 @@
 
 	"shalestage.example/shalestage/internal/cloud"
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/peer"
 	"shalestage.example/shalestage/internal/state"
@@ -56,13 +58,14 @@
 
 	next    core.ReqID
 	waiting map[core.ReqID]chan core.Reply
+	commits map[*store.Txn]context.CancelFunc // transactions that wait for their answers
 }
 
 // New returns a node that does nothing until Run.
 func New(c *core.Core, s *state.Client, cl *cloud.Client, w *worker.Client, p *peer.Link, log *slog.Logger) *Node {
 	return &Node{core: c, state: s, cloud: cl, workers: w, peers: p, log: log, began: time.Now(),
 		control: make(chan message, controlQueue), reports: make(chan message, reportQueue), users: make(chan message, userQueue),
-		waiting: map[core.ReqID]chan core.Reply{}}
+		waiting: map[core.ReqID]chan core.Reply{}, commits: map[*store.Txn]context.CancelFunc{}}
 }
 
 // WatchMemory has the core refuse new jobs while memory is nearly full. It is called before
@@ -162,10 +165,11 @@
 			n.tell(func(c *core.Core, now unit.Micros) { c.OnScan(now, e, o, items, more) })
 		}()
 	case core.Commit:
-		go func() {
-			o, rev, failed := n.state.Commit(e.Txn)
-			n.tell(func(c *core.Core, now unit.Micros) { c.OnCommit(now, e.Lane, e.Txn, o, rev, failed) })
-		}()
+		n.commit(e)
+	case core.Abandon:
+		if stop := n.commits[e.Txn]; stop != nil {
+			stop()
+		}
 	case core.OpenLease:
 		go func() {
 			o, id := n.state.OpenLease(e.TTL)
@@ -213,6 +217,20 @@
 	}
 }
 
+// commit sends a transaction, whose answer is waited for until it is abandoned.
+func (n *Node) commit(e core.Commit) {
+	ctx, stop := context.WithCancel(context.Background())
+	n.commits[e.Txn] = stop
+	go func() {
+		o, rev, failed := n.state.CommitIn(ctx, e.Txn)
+		n.tell(func(c *core.Core, now unit.Micros) {
+			stop()
+			delete(n.commits, e.Txn)
+			c.OnCommit(now, e.Lane, e.Txn, o, rev, failed)
+		})
+	}()
+}
+
 // Hear takes a message of another controller; it is dropped when there is too
 // much to do.
 func (n *Node) Hear(from string, msg any) {
@@ -296,6 +314,26 @@
 // leaveTime is for the last request, that the seat ends, and for the answers under way.
 const leaveTime = 200 * time.Millisecond
 
+// Configure asks for a change of the configuration.
+func (n *Node) Configure(ctx context.Context, r configuration.Request) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.Configure(now, req, r) })
+}
+
+// ConfigContent asks for the configuration in force.
+func (n *Node) ConfigContent(ctx context.Context) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigContent(now, req) })
+}
+
+// ConfigHistory asks for the last versions.
+func (n *Node) ConfigHistory(ctx context.Context) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigHistory(now, req) })
+}
+
+// ConfigStatus asks how far a version of the configuration has come.
+func (n *Node) ConfigStatus(ctx context.Context, version uint64) core.Reply {
+	return n.ask(ctx, n.users, answerWithin, func(c *core.Core, now unit.Micros, req core.ReqID) { c.ConfigStatus(now, req, version) })
+}
+
 // Stats returns the present figures; ok is false where there is too much to do.
 func (n *Node) Stats(ctx context.Context) (core.Stats, bool) {
 	r := n.ask(ctx, n.users, answerWithin, func(c *core.Core, _ unit.Micros, req core.ReqID) { c.Stats(req) })
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 
 	"shalestage.example/shalestage/internal/config"
 	"shalestage.example/shalestage/internal/core/ledger"
@@ -73,6 +75,9 @@
 	for _, t := range s.Teams {
 		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: pack.Vec{unit.MilliDown(t.CPUsMax), unit.MilliDown(t.GPUsMax)}})
 	}
+	for _, t := range s.Site().Cloud.Types {
+		c.Types = append(c.Types, check.Type{Name: t.Name, Capacity: site.Capacity(t), Zones: t.Zones})
+	}
 	return c
 }
 
@@ -130,7 +135,7 @@
 
 // UserOptions says how the users behave.
 func (s *Scenario) UserOptions() user.Options {
-	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits}
+	return user.Options{PollEvery: unit.Seconds(s.Users.PollS), LateRetries: s.Users.LateRetries, Strangers: s.Users.Strangers, Revisits: s.Users.Revisits, Nodes: s.Nodes()}
 }
 
 // Work returns what is true of a job.
@@ -209,6 +214,12 @@
 		for _, m := range pick() {
 			st.Deafen(now, m, until)
 		}
+	case MachineMute:
+		for _, m := range pick() {
+			st.Mute(now, m, until)
+		}
+	case QuickBoots:
+		st.Cloud.BootQuickly(until)
 	case MachineSick:
 		for _, m := range pick() {
 			st.Spoil(now, m, machine.Fault{Speed: m.Speed, Sick: true})
@@ -233,6 +244,17 @@
 	return nil
 }
 
+// MissedEvents says which events happened less often than expected; count tells how often
+// one did.
+func (e Expect) MissedEvents(count func(event string) int) (out []string) {
+	for _, event := range slices.Sorted(maps.Keys(e.Events)) {
+		if got, want := count(event), e.Events[event]; got < want {
+			out = append(out, fmt.Sprintf("events.%s: happened %d times, %d are expected at least", event, got, want))
+		}
+	}
+	return out
+}
+
 // Missed says which expectations were not met, beside the rules.
 func (e Expect) Missed(longest unit.Micros, money float64, served []user.Served) (out []string) {
 	if e.MaxWaitS > 0 && longest > unit.Seconds(e.MaxWaitS) {
