--- a/internal/core/block.go
+++ b/internal/core/block.go
@@ -41,9 +41,10 @@
 	untyped     bool     // the capacity of some of them is not known
 	hiddenStale bool
 	active      map[string]*ledger.Job
-	queue       ranking.Queue    // active jobs, and the order in which they are served
-	rights      ranking.Rights   // of theirs, by their teams' guarantees
-	owed        map[string]int64 // CPU of teams that have waited for long for their part of the guarantees
+	queue       ranking.Queue       // active jobs, and the order in which they are served
+	rights      ranking.Rights      // of theirs, by their teams' guarantees
+	owed        map[string]int64    // CPU of teams that have waited for long for their part of the guarantees
+	promised    map[string]pack.Vec // demand of the first task of a job that is overdue, by team
 	orderStale  bool
 	usage       map[string]pack.Vec
 	total       pack.Vec         // capacity of all machines
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -416,6 +416,7 @@
 		c.sortJobs(bl)
 	}
 	bl.queue.Begin()
+	bl.promised = map[string]pack.Vec{}
 	bl.roomy, bl.waiting, bl.ends = bl.roomy[:0], 0, 0
 	for _, j := range bl.queue.Jobs() {
 		s := j.Spec()
@@ -427,7 +428,10 @@
 		}
 		if j.Ready() > 0 && c.startable(bl, j) {
 			bl.waiting += j.Trials()
-			tier := c.tier(bl, j)*demand.Urgencies + bl.demand.Urgency(c.wall, j)
+			if _, promised := bl.promised[s.Team]; !promised && c.overdue(j) {
+				bl.promised[s.Team] = s.Demand
+			}
+			tier := c.tier(bl, j)*(demand.Urgencies+1) + c.urgency(bl, j)
 			bl.queue.Propose(ranking.Candidate{Job: j, Tier: tier, Deficit: c.deficit(bl, j)})
 		}
 	}
@@ -481,6 +485,9 @@
 		if j.Suspect() {
 			pending = c.trials(m, j)
 		}
+		if c.overdue(j) {
+			pending = min(pending, 1) // the others have no more right than before
+		}
 		if pending <= 0 {
 			return true
 		}
@@ -505,9 +512,12 @@
 	pack.Fill(m.Type.Capacity, free, views, c.cfg.Pack, func(i int) bool {
 		j := jobs[i]
 		s := j.Spec()
-		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permits(bl, s) || !j.ZonePermits(m.Record.Zone) && c.keeps(guard.ZoneOfJob) {
+		if len(out) == MaxStarts || m.Listed+len(out) >= MaxListed || !c.permitsDemand(bl, s.Team, c.limitNeed(bl, j)) || !j.ZonePermits(m.Record.Zone) && c.keeps(guard.ZoneOfJob) {
 			return false
 		}
+		if c.overdue(j) {
+			delete(bl.promised, s.Team)
+		}
 		bl.attempts++
 		n := lead.Attempt(bl.token, bl.attempts)
 		id := ledger.TaskID{Job: j.ID, Task: j.Take(ledger.Place{Machine: m.Name, Attempt: n, Zone: m.Record.Zone})}
@@ -518,11 +528,16 @@
 	return out
 }
 
-// permits reports whether a team's limit leaves room for one more task. Until
-// all machines are accounted for, those that are not may be full of its tasks.
+// permits reports whether a team's limit leaves room for one more task.
 func (c *Core) permits(bl *block, s *ledger.Spec) bool {
-	t := c.teams[s.Team]
-	if t == nil || !c.config.MayStart(s.Team, bl.n) {
+	return c.permitsDemand(bl, s.Team, s.Demand)
+}
+
+// permitsDemand reports whether a team's limit leaves room for a demand. Until all machines
+// are accounted for, those that are not may be full of its tasks.
+func (c *Core) permitsDemand(bl *block, team string, demand pack.Vec) bool {
+	t := c.teams[team]
+	if t == nil || !c.config.MayStart(team, bl.n) {
 		return false
 	}
 	if bl.hiddenStale {
@@ -538,7 +553,7 @@
 	if bl.untyped && t.Limit != (pack.Vec{}) {
 		return false
 	}
-	use := bl.usage[s.Team].Add(s.Demand).Add(bl.hidden)
+	use := bl.usage[team].Add(demand).Add(bl.hidden)
 	return withinLimit(c.part(bl, t.Limit), use)
 }
 
