--- a/internal/core/overdue_test.go
+++ b/internal/core/overdue_test.go
@@ -65,6 +65,12 @@
 	if _, all := fill(); all != 0 {
 		t.Errorf("%d small tasks take what is kept for the large job", all)
 	}
+	c.wall += keepRoomFor
+	if _, all := fill(); all != 3 {
+		t.Errorf("%d small tasks begin, want 3: room was kept for long enough", all)
+	}
+	end(3)
+	c.wall -= keepRoomFor
 	end(5)
 	if large, all := fill(); large != 1 || all != 5 {
 		t.Errorf("%d tasks of the large job among %d, want its first alone beside small ones", large, all)
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -144,6 +144,9 @@
 	// beginWithin is how long a job may wait before its first task goes ahead of the other
 	// work of its tier.
 	beginWithin = 120 * unit.Second
+	// keepRoomFor is for how long after that its team's limit keeps room for it: a job that can
+	// start nowhere must not hold up its team for good.
+	keepRoomFor = 120 * unit.Second
 	// beginTasks is how many tasks such a job has at least: no more than one in that many
 	// goes out of order.
 	beginTasks = 4
@@ -157,6 +160,11 @@
 	return !j.Begun && j.Placed() == 0 && !j.Suspect() && j.Record.Tasks >= beginTasks && c.wall-j.Since > beginWithin
 }
 
+// keepsRoom reports whether a team's limit keeps room for a job's first task.
+func (c *Core) keepsRoom(j *ledger.Job) bool {
+	return c.overdue(j) && c.wall-j.Since < beginWithin+keepRoomFor
+}
+
 // urgency orders the jobs of one tier: those overdue, then by which aims can still be met.
 func (c *Core) urgency(bl *block, j *ledger.Job) int {
 	if c.overdue(j) {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -428,7 +428,7 @@
 		}
 		if j.Ready() > 0 && c.startable(bl, j) {
 			bl.waiting += j.Trials()
-			if _, promised := bl.promised[s.Team]; !promised && c.overdue(j) {
+			if _, promised := bl.promised[s.Team]; !promised && c.keepsRoom(j) {
 				bl.promised[s.Team] = s.Demand
 			}
 			tier := c.tier(bl, j)*(demand.Urgencies+1) + c.urgency(bl, j)
