--- a/internal/core/configuration/confirm.go
+++ b/internal/core/configuration/confirm.go
@@ -20,7 +20,6 @@
 	names     []string
 	adoptions []adoption // here, by version
 	confirmed uint64
-	at        unit.Micros // when that was found
 }
 
 // peerWord is what another controller has last said.
