--- a/internal/core/parts/parts.go
+++ b/internal/core/chunks/chunks.go
@@ -1,8 +1,8 @@
-// Package parts keeps descriptions that are stored in parts, as one value of the
+// Package chunks keeps descriptions that are stored in parts, as one value of the
 // state service is too small for them: the texts until a job's record has been read
 // with them, records that came before all of their parts, and parts whose record
 // never came. It is pure.
-package parts
+package chunks
 
 import (
 	"fmt"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,7 +16,7 @@
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/recall"
 	"shalestage.example/shalestage/internal/core/renting"
@@ -171,7 +171,7 @@
 	active map[string]*ledger.Job // those that are not final
 	begun  ranking.Order          // those of them that await no others
 	graph  ledger.Graph           // which of them wait for which
-	parts  *parts.Shelf           // descriptions that are stored in parts
+	parts  *chunks.Shelf           // descriptions that are stored in parts
 	untidy map[string]bool        // jobs that are over and of which something is to be cleaned up in the state service
 	flowAt unit.Micros            // when aims next pass back along the graph
 	types  map[string]*fleet.Type
@@ -215,7 +215,7 @@
 	c := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{}, jobs: map[string]*ledger.Job{}, active: map[string]*ledger.Job{},
 		types: map[string]*fleet.Type{}, blocks: map[int]granted{}, shares: map[int]shared{},
 		groups: map[string]fleet.Group{}, where: map[string]int{},
-		parts: parts.New(), untidy: map[string]bool{}, releases: map[string]int{}, mixedAt: map[int]unit.Micros{}, pictures: map[int]*picture{},
+		parts: chunks.New(), untidy: map[string]bool{}, releases: map[string]int{}, mixedAt: map[int]unit.Micros{}, pictures: map[int]*picture{},
 		follows: map[int]follow.Record{}, sink: follow.NewSink(),
 		held: map[int]*block{}, load: make([]load, cfg.Size), layout: ledger.Layout{Chunk: ledger.ChunkTasks(cfg.ValueKB)}}
 	if c.cfg.ValueMax == 0 {
@@ -309,7 +309,7 @@
 const (
 	root         = "shalestage/"
 	jobPrefix    = root + "job/"
-	partPrefix   = parts.Prefix       // of a description that does not fit one value; listed after the jobs
+	partPrefix   = chunks.Prefix       // of a description that does not fit one value; listed after the jobs
 	donePrefix   = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
 	machPrefix   = root + "machine/"
 	typePrefix   = root + "type/"
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -12,7 +12,7 @@
 	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/past"
 	"shalestage.example/shalestage/internal/core/store"
 )
@@ -196,7 +196,7 @@
 		default:
 			have := 0
 			for n := range j.parts {
-				if slices.ContainsFunc(list, func(e store.Event) bool { return e.Key == parts.Key(id, j.sum, n) }) {
+				if slices.ContainsFunc(list, func(e store.Event) bool { return e.Key == chunks.Key(id, j.sum, n) }) {
 					have++
 				}
 			}
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -127,9 +127,9 @@
 		bl.lone = ""
 		return
 	}
-	first := parts.First(keys[0])
+	first := chunks.First(keys[0])
 	n := 1
-	for n < min(len(keys), c.cfg.TxnOps) && parts.First(keys[n]) == first {
+	for n < min(len(keys), c.cfg.TxnOps) && chunks.First(keys[n]) == first {
 		n++
 	}
 	keys = keys[:n]
@@ -158,7 +158,7 @@
 // forgetPart notes that a part is no longer stored.
 func (c *Core) forgetPart(key string) {
 	if c.parts.Drop(key) {
-		id := parts.Owner(key)
+		id := chunks.Owner(key)
 		if j := c.jobs[id]; j != nil && j.Through == "" {
 			delete(c.untidy, id)
 		}
@@ -172,7 +172,7 @@
 		c.forgetPart(e.Key)
 		return nil
 	}
-	id := parts.Owner(e.Key)
+	id := chunks.Owner(e.Key)
 	j := c.jobs[id]
 	head, waits, err := c.parts.Put(c.now, e, j != nil)
 	switch {
--- a/internal/core/pipeline_test.go
+++ b/internal/core/pipeline_test.go
@@ -11,7 +11,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -206,7 +206,7 @@
 	if j == nil || j.Awaiting != 1 || len(j.Spec().Awaits) != 2500 || j.Since != 1010*unit.Second {
 		t.Fatalf("read anew: %+v", j)
 	}
-	delete(all, parts.Key("wk-900000", j.Record.Sum, 1))
+	delete(all, chunks.Key("wk-900000", j.Record.Sum, 1))
 	if j := holding(t, all).jobs["wk-900000"]; j != nil {
 		t.Fatal("a job whose awaited names cannot be read is taken for one that may start")
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -8,7 +8,7 @@
 	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/parts"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -226,7 +226,7 @@
 	// record from one that was over and packed meanwhile.
 	w := &store.Write{Guards: []store.Guard{{Key: key}, {Key: pastKey, Stamp: n.mark}}}
 	last := n.stored == len(n.parts)
-	first := parts.Key(n.id, n.record.Sum, 0)
+	first := chunks.Key(n.id, n.record.Sum, 0)
 	if last {
 		w.Changes = []store.Change{{Key: key, Value: n.value}}
 		if n.first != 0 { // who clears parts without a record begins with that one
@@ -243,7 +243,7 @@
 		n.there = n.first != 0
 	}
 	for ; len(w.Changes) < c.cfg.TxnOps && n.stored < len(n.parts); n.stored++ {
-		k := parts.Key(n.id, n.record.Sum, n.stored)
+		k := chunks.Key(n.id, n.record.Sum, n.stored)
 		if !n.there || c.mirror.Stamp(k) == 0 {
 			w.Changes = append(w.Changes, store.Change{Key: k, Value: n.parts[n.stored]})
 		}
