--- a/internal/backup/audit.go
+++ b/internal/backup/audit.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/wire"
 )
@@ -56,7 +56,7 @@
 		prefix string
 		page   int
 		f      func(store.Event)
-	}{{core.Root, pageKeys, in.Look}, {past.Prefix, 64, in.LookBucket}} {
+	}{{core.Root, pageKeys, in.Look}, {archive.Prefix, 64, in.LookBucket}} {
 		for after, more := "", true; more; {
 			var items []store.Event
 			var err error
@@ -131,7 +131,7 @@
 	in := core.NewInspector()
 	err := pass(func(n int, e store.Event) {
 		switch {
-		case strings.HasPrefix(e.Key, past.Prefix):
+		case strings.HasPrefix(e.Key, archive.Prefix):
 			last[e.Key] = n
 		case !strings.HasPrefix(e.Key, core.Root):
 		case e.Value == nil:
--- a/internal/backup/restore.go
+++ b/internal/backup/restore.go
@@ -9,7 +9,7 @@
 
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/lead"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 )
 
@@ -73,7 +73,7 @@
 			return nil
 		}
 		if e.Key == core.PastKey && e.Value != nil {
-			var m past.Mark
+			var m archive.Mark
 			if err := json.Unmarshal(e.Value, &m); err != nil {
 				return fmt.Errorf("%s: %w", e.Key, err)
 			}
--- a/internal/backup/scale_test.go
+++ b/internal/backup/scale_test.go
@@ -14,7 +14,7 @@
 
 	"shalestage.example/shalestage/internal/backup"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/host"
@@ -96,8 +96,8 @@
 
 // history is so many packed jobs.
 func history(jobs int) []store.Event {
-	return packed.Buckets(jobs, func(i uint64) (uint64, past.Answer) {
-		return 1_000_000 + i*7919%90_000_000_000, past.Answer{Status: ledger.Done, Tasks: int(1 + i%300), Ended: unit.Micros(1_790_000_000+i/2) * unit.Second}
+	return packed.Buckets(jobs, func(i uint64) (uint64, archive.Answer) {
+		return 1_000_000 + i*7919%90_000_000_000, archive.Answer{Status: ledger.Done, Tasks: int(1 + i%300), Ended: unit.Micros(1_790_000_000+i/2) * unit.Second}
 	})
 }
 
--- a/internal/core/past/past.go
+++ b/internal/core/archive/archive.go
@@ -1,4 +1,4 @@
-// Package past holds the answers of jobs that are over and have left the
+// Package archive holds the answers of jobs that are over and have left the
 // controllers' memory. They are packed into buckets, by a hash of the job's id, under
 // keys of their own in the state service: looked up when somebody asks, never listed
 // nor watched. The package decides what to read, what an id's absence proves, and
@@ -11,7 +11,7 @@
 // Who accepts a job guards the version of the mark. Every job that is packed was over
 // at a revision below the mark's cut, and the mark was written after that: a late
 // acceptance of a packed job's id fails, as the mark has changed since it was sent.
-package past
+package archive
 
 import (
 	"cmp"
--- a/internal/core/past/filter.go
+++ b/internal/core/archive/filter.go
@@ -1,4 +1,4 @@
-package past
+package archive
 
 import "github.com/bits-and-blooms/bloom/v3"
 
--- a/internal/core/past/pack.go
+++ b/internal/core/archive/pack.go
@@ -1,4 +1,4 @@
-package past
+package archive
 
 import (
 	"container/list"
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -13,7 +13,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/chunks"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 )
 
@@ -42,7 +42,7 @@
 	groups []store.Event
 	types  []store.Event
 	awaits map[string][]string // ids that are awaited and have no record, by whom
-	mark   *past.Mark
+	mark   *archive.Mark
 	bits   map[uint32]int // of buckets
 	packed int
 }
@@ -102,7 +102,7 @@
 		s.types = append(s.types, store.Event{Key: e.Key, Stamp: e.Stamp})
 		err = json.Unmarshal(e.Value, &fleet.Type{})
 	case e.Key == pastKey:
-		s.mark = &past.Mark{}
+		s.mark = &archive.Mark{}
 		err = json.Unmarshal(e.Value, s.mark)
 	case e.Key == leadKeyFirst || e.Key == leadKeyPast:
 		err = json.Unmarshal(e.Value, &lead.Claim{})
@@ -134,8 +134,8 @@
 
 // LookBucket takes a key of packed jobs.
 func (s *Inspector) LookBucket(e store.Event) {
-	s.keys[strings.TrimSuffix(past.Prefix, "/")]++
-	b, err := past.Decode(e.Key, e.Value)
+	s.keys[strings.TrimSuffix(archive.Prefix, "/")]++
+	b, err := archive.Decode(e.Key, e.Value)
 	if err != nil {
 		s.find("unreadable", e.Key, nil, "packed jobs that cannot be read: %v", err)
 		return
@@ -244,7 +244,7 @@
 		}
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.bits)) {
-		if key, why := past.Misplaced(n, s.bits); why != "" {
+		if key, why := archive.Misplaced(n, s.bits); why != "" {
 			s.find("misplaced", key, nil, "%s", why)
 		}
 	}
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -9,7 +9,7 @@
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/mirror"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -19,8 +19,8 @@
 
 // oldJobs is what a controller keeps for that.
 type oldJobs struct {
-	past   *past.Past
-	packer *past.Packer
+	past   *archive.Past
+	packer *archive.Packer
 	markAt unit.Micros // the mark is not written before
 	doubts []string    // jobs of which it is not sure that the service still has them
 	asked  int         // of those, being looked up
@@ -31,11 +31,11 @@
 type (
 	// ReadKey reads one bucket (OnKey).
 	ReadKey struct {
-		past.Read
+		archive.Read
 		Known uint64 // the highest revision that was known when it was sent
 	}
 	// ScanKeys reads some buckets (OnScan).
-	ScanKeys struct{ past.Scan }
+	ScanKeys struct{ archive.Scan }
 )
 
 const (
@@ -87,8 +87,8 @@
 }
 
 func newOldJobs() oldJobs {
-	p := past.New()
-	return oldJobs{past: p, packer: past.NewPacker(p), leads: map[string]store.Event{}}
+	p := archive.New()
+	return oldJobs{past: p, packer: archive.NewPacker(p), leads: map[string]store.Event{}}
 }
 
 // leadKey is where the leader's claim is stored.
@@ -161,19 +161,19 @@
 	}
 }
 
-func answerOf(j *ledger.Job) past.Answer {
-	return past.Answer{Status: j.Record.Status, Tasks: j.Record.Tasks, Ended: j.Record.Ended / unit.Second * unit.Second}
+func answerOf(j *ledger.Job) archive.Answer {
+	return archive.Answer{Status: j.Record.Status, Tasks: j.Record.Tasks, Ended: j.Record.Ended / unit.Second * unit.Second}
 }
 
 // Packable says what is to be packed of a job that is over. One that an unfinished
 // job awaits stays, as whoever learns of that one has to learn how it ended; so does
 // one of which something is left to clean up.
-func (c *Core) Packable(id string, cut uint64) (past.Job, bool) {
+func (c *Core) Packable(id string, cut uint64) (archive.Job, bool) {
 	j := c.jobs[id]
 	if j == nil {
-		return past.Job{}, false
+		return archive.Job{}, false
 	}
-	out := past.Job{Answer: answerOf(j), Key: jobPrefix + id, Stamp: j.Stamp}
+	out := archive.Job{Answer: answerOf(j), Key: jobPrefix + id, Stamp: j.Stamp}
 	if j.Active() || j.Through != "" || j.Stamp >= cut || j.Placed() > 0 || c.graph.Named(id) || c.parts.Any(id) || c.untidy[id] {
 		return out, false
 	}
@@ -218,7 +218,7 @@
 		share = packShareMost
 	}
 	c.lanes[PackLane].Rate = c.cfg.WriteRate * share
-	lim := past.Limits{Value: past.Limit(c.cfg.ValueMax), Ops: c.cfg.TxnOps, Size: c.lanes[PackLane].MaxBytes}
+	lim := archive.Limits{Value: archive.Limit(c.cfg.ValueMax), Ops: c.cfg.TxnOps, Size: c.lanes[PackLane].MaxBytes}
 	o.packer.Step(c.now, c.packAge(), c, lim, func(w *store.Write) bool {
 		if c.leader != l {
 			return false
@@ -244,7 +244,7 @@
 				return true
 			}
 		}
-		mark = past.Mark{Release: releasePast, Cut: c.mirror.Rev + 1}
+		mark = archive.Mark{Release: releasePast, Cut: c.mirror.Rev + 1}
 		l.write(c, []store.Guard{{Key: pastKey}, {Key: leadKeyPast, Stamp: c.mirror.Stamp(leadKeyPast)}, {Key: seatPrefix + c.cfg.Node, Stamp: c.seats.ID()}},
 			store.Change{Key: leadKeyPast, Value: store.Value(lead.Claim{Term: l.term, Node: c.cfg.Node, Seat: c.seats.ID()}), Lease: c.seats.Pass()},
 			nobodys,
@@ -310,7 +310,7 @@
 }
 
 // answerOld tells how a packed job ended.
-func (c *Core) answerOld(req ReqID, id string, a past.Answer, counts bool) {
+func (c *Core) answerOld(req ReqID, id string, a archive.Answer, counts bool) {
 	out := JobAnswer{ID: id, Status: a.Status, Counts: counts}
 	if a.Status == ledger.Done {
 		out.Done = a.Tasks
@@ -321,11 +321,11 @@
 // findOld answers a poll or a cancellation of a job whose record is not there, as of
 // a read that began after the request came.
 func (c *Core) findOld(req ReqID, id string, counts bool) {
-	c.old.past.Find(id, false, func(v past.Verdict, a past.Answer) {
+	c.old.past.Find(id, false, func(v archive.Verdict, a archive.Answer) {
 		switch v {
-		case past.Found:
+		case archive.Found:
 			c.answerOld(req, id, a, counts)
-		case past.Absent:
+		case archive.Absent:
 			c.reply(req, http.StatusNotFound, Problem{"no such job"})
 		default:
 			c.send(Reply{Req: req, Code: http.StatusServiceUnavailable, Body: Problem{"too many requests for old jobs"}, RetryAfter: retryOld})
@@ -368,9 +368,9 @@
 			continue
 		}
 		left++
-		c.old.past.Find(id, true, func(v past.Verdict, _ past.Answer) {
-			all = all && v != past.Unknown
-			if v == past.Absent {
+		c.old.past.Find(id, true, func(v archive.Verdict, _ archive.Answer) {
+			all = all && v != archive.Unknown
+			if v == archive.Absent {
 				n.absent[id] = true
 			}
 			ended()
@@ -390,7 +390,7 @@
 	out := *s
 	out.Awaits = nil
 	for _, id := range s.Awaits {
-		var a past.Answer
+		var a archive.Answer
 		j := c.jobs[id]
 		switch {
 		case j == nil:
@@ -445,7 +445,7 @@
 			continue
 		}
 		o.asked++
-		o.past.Bucket(id, func(b *past.Bucket, _ uint64) {
+		o.past.Bucket(id, func(b *archive.Bucket, _ uint64) {
 			o.asked--
 			if b == nil {
 				o.doubts = append(o.doubts, id)
--- a/internal/core/recover.go
+++ b/internal/core/recover.go
@@ -9,7 +9,7 @@
 	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -127,7 +127,7 @@
 		b, err2 := lead.DecodeBlock(listed)
 		return known.Value, err1 == nil && (err2 != nil || laterGrant(a, b))
 	case known.Key == pastKey:
-		var a, b past.Mark
+		var a, b archive.Mark
 		return known.Value, json.Unmarshal(known.Value, &a) == nil && (json.Unmarshal(listed, &b) != nil || a.Cut > b.Cut)
 	case known.Key == termKey:
 		var a, b lead.Term
--- a/internal/emulator/packed/packed.go
+++ b/internal/emulator/packed/packed.go
@@ -4,28 +4,28 @@
 import (
 	"fmt"
 
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 )
 
 // Buckets returns the keys and values of so many packed jobs, some 100 to 200 in each
 // bucket: the i-th has the given number and answer.
-func Buckets(jobs int, job func(i uint64) (number uint64, a past.Answer)) []store.Event {
+func Buckets(jobs int, job func(i uint64) (number uint64, a archive.Answer)) []store.Event {
 	depth := 0
 	for jobs>>depth > 200 {
 		depth++
 	}
-	buckets := make([]*past.Bucket, 1<<depth)
+	buckets := make([]*archive.Bucket, 1<<depth)
 	for i := range buckets {
-		buckets[i] = &past.Bucket{N: uint32(i), Bits: depth, Jobs: map[uint64]past.Answer{}}
+		buckets[i] = &archive.Bucket{N: uint32(i), Bits: depth, Jobs: map[uint64]archive.Answer{}}
 	}
 	for i := range uint64(jobs) {
 		n, a := job(i)
-		buckets[past.Place(fmt.Sprintf("wk-%06d", n), depth)].Jobs[n] = a
+		buckets[archive.Place(fmt.Sprintf("wk-%06d", n), depth)].Jobs[n] = a
 	}
 	out := make([]store.Event, len(buckets))
 	for i, b := range buckets {
-		out[i] = store.Event{Key: past.Key(b.N), Value: b.Encode()}
+		out[i] = store.Event{Key: archive.Key(b.N), Value: b.Encode()}
 	}
 	return out
 }
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -9,7 +9,7 @@
 
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/fleet"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
@@ -286,7 +286,7 @@
 			n.core.OnList(n.local(), e, o, rev, items, more)
 		})
 	case core.ScanKeys:
-		n.list(past.Prefix, e.After, e.Page, func(o store.Outcome, _ uint64, items []store.Event, more bool) {
+		n.list(archive.Prefix, e.After, e.Page, func(o store.Outcome, _ uint64, items []store.Event, more bool) {
 			n.core.OnScan(n.local(), e, o, items, more)
 		})
 	case core.ReadKey:
--- a/internal/emulator/sim/past_test.go
+++ b/internal/emulator/sim/past_test.go
@@ -14,7 +14,7 @@
 	"shalestage.example/shalestage/internal/backup"
 	"shalestage.example/shalestage/internal/core"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
@@ -46,8 +46,8 @@
 	packed, kinds := 0, 0
 	for _, it := range l.Items {
 		switch {
-		case strings.HasPrefix(it.Key, past.Prefix):
-			b, err := past.Decode(it.Key, it.Value)
+		case strings.HasPrefix(it.Key, archive.Prefix):
+			b, err := archive.Decode(it.Key, it.Value)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -159,8 +159,8 @@
 func preload(w *World, jobs int) {
 	var items []kv.Item
 	rev := uint64(0)
-	for _, e := range packed.Buckets(jobs, func(i uint64) (uint64, past.Answer) {
-		return 1_000_000 + i, past.Answer{Status: ledger.Done, Tasks: 2, Ended: second}
+	for _, e := range packed.Buckets(jobs, func(i uint64) (uint64, archive.Answer) {
+		return 1_000_000 + i, archive.Answer{Status: ledger.Done, Tasks: 2, Ended: second}
 	}) {
 		rev++
 		items = append(items, kv.Item{Key: e.Key, Value: e.Value, Stamp: rev})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,7 @@
 	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/past"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/peer"
@@ -161,7 +161,7 @@
 		}()
 	case core.ScanKeys:
 		go func() {
-			o, _, items, more := n.state.List(past.Prefix, e.After, e.Page)
+			o, _, items, more := n.state.List(archive.Prefix, e.After, e.Page)
 			n.tell(func(c *core.Core, now unit.Micros) { c.OnScan(now, e, o, items, more) })
 		}()
 	case core.Commit:
