--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,7 +18,7 @@
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/ranking"
-	"shalestage.example/shalestage/internal/core/recall"
+	"shalestage.example/shalestage/internal/core/replaylog"
 	"shalestage.example/shalestage/internal/core/renting"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/seats"
@@ -186,7 +186,7 @@
 	loadAt unit.Micros
 
 	old       oldJobs
-	memory    *recall.Memory // what may have to be written again
+	memory    *replaylog.Memory // what may have to be written again
 	cancels   *cancels.Book  // which cancellations are known, and up to when all are
 	seats     *seats.Seats
 	releases  map[string]int      // of the other controllers, as last heard or read
@@ -228,7 +228,7 @@
 	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log, LeftOut: cfg.LeftOut}, standing{c})
-	c.memory = recall.New(recallBytes)
+	c.memory = replaylog.New(recallBytes)
 	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
 	c.config = configuration.New(configuration.Config{Node: cfg.Node, Initial: configuration.Content{Teams: cfg.Teams, Objectives: cfg.Objectives},
--- a/internal/core/recall/recall.go
+++ b/internal/core/replaylog/replaylog.go
@@ -1,7 +1,7 @@
-// Package recall remembers what the state service answered lately. Should the
+// Package replaylog remembers what the state service answered lately. Should the
 // service go back behind an answer that it gave (a restored copy, a lost write), it
 // tells what was lost, so that those who know it can write it again.
-package recall
+package replaylog
 
 import (
 	"bytes"
--- a/internal/core/recall/recall_test.go
+++ b/internal/core/replaylog/replaylog_test.go
@@ -1,4 +1,4 @@
-package recall
+package replaylog
 
 import (
 	"encoding/json"
