--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,7 @@
 	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/mirror"
+	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/pack"
 	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/ranking"
@@ -96,8 +96,8 @@
 		RetryAfter unit.Micros
 	}
 	// List and Watch read the state service's keys (OnList, OnChanges).
-	List  = mirror.List
-	Watch = mirror.Watch
+	List  = watchcache.List
+	Watch = watchcache.Watch
 	// Commit sends a transaction (OnCommit).
 	Commit struct {
 		Lane LaneID
@@ -164,7 +164,7 @@
 	out    []Effect
 	teams  map[string]*Team
 	config *configuration.Book // teams and objectives as they are in force
-	mirror *mirror.Mirror      // the copy of the state service's keys
+	mirror *watchcache.Mirror      // the copy of the state service's keys
 	lanes  [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job // those that are not packed
@@ -225,7 +225,7 @@
 	for i := range cfg.Teams {
 		c.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
 	}
-	c.mirror = mirror.New(mirror.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
+	c.mirror = watchcache.New(watchcache.Config{Size: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, Fresh: min(freshFor, c.extension()/4), Log: cfg.Log}, copied{c})
 	c.old = newOldJobs()
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log, LeftOut: cfg.LeftOut}, standing{c})
 	c.memory = replaylog.New(recallBytes)
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -9,7 +9,7 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/mirror"
+	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
@@ -17,23 +17,23 @@
 // copied is what the copy of the state service's keys tells this controller.
 type copied struct{ *Core }
 
-// Emit implements mirror.Host.
+// Emit implements watchcache.Host.
 func (c copied) Emit(e any) { c.emit(e) }
 
-// Learn implements mirror.Host.
+// Learn implements watchcache.Host.
 func (c copied) Learn(e store.Event) { c.learn(e) }
 
-// Removed implements mirror.Host.
+// Removed implements watchcache.Host.
 func (c copied) Removed(key string) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		c.old.past.Packed(id)
 	}
 }
 
-// Gap implements mirror.Host.
+// Gap implements watchcache.Host.
 func (c copied) Gap() { c.old.past.Lost() }
 
-// Limited implements mirror.Host: from now on the rates count that the state service was
+// Limited implements watchcache.Host: from now on the rates count that the state service was
 // to have later.
 func (c copied) Limited() {
 	if next := c.cfg.NextWriteRate; 0 < next && next < c.cfg.WriteRate {
@@ -43,11 +43,11 @@
 	}
 }
 
-// Reload implements mirror.Host.
+// Reload implements watchcache.Host.
 func (c copied) Reload(rev uint64, items []store.Event) { c.reload(rev, items) }
 
 // ListPage is how many keys are listed at once.
-const ListPage = mirror.Page
+const ListPage = watchcache.Page
 
 // wantSync asks for a fresh read; f, if any, is told whether it worked.
 func (c *Core) wantSync(f func(ok bool)) { c.mirror.Want(f) }
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -8,7 +8,7 @@
 
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/mirror"
+	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
@@ -195,7 +195,7 @@
 	o := &c.old
 	c.noteMixed()
 	c.settleDoubts()
-	if !c.mirror.Loaded() || c.stateAge() > mirror.Heartbeat+unit.Second/2 || c.mirror.Recovering() {
+	if !c.mirror.Loaded() || c.stateAge() > watchcache.Heartbeat+unit.Second/2 || c.mirror.Recovering() {
 		return
 	}
 	rate := c.mirror.Rate() / float64(c.cfg.Size) * lookShare
--- a/internal/core/mirror/mirror.go
+++ b/internal/core/watchcache/watchcache.go
@@ -1,4 +1,4 @@
-// Package mirror keeps a controller's copy of the state service's keys. A listing in
+// Package watchcache keeps a controller's copy of the state service's keys. A listing in
 // pages fills it, a watch keeps it fresh, and a read without waiting proves it fresh: a
 // request that must not get an old answer waits for a read that began after the request
 // arrived. Requests that arrive together share one read. Where the service goes back
@@ -6,7 +6,7 @@
 //
 // It is pure: answers and the time go in by method calls, requests come out by its host's
 // Emit. It does not know what the keys mean.
-package mirror
+package watchcache
 
 import (
 	"fmt"
--- a/internal/core/mirror/mirror_test.go
+++ b/internal/core/watchcache/watchcache_test.go
@@ -1,4 +1,4 @@
-package mirror
+package watchcache
 
 import (
 	"encoding/json"
