--- a/internal/core/cancels/cancels.go
+++ b/internal/core/cancellations/cancellations.go
@@ -1,4 +1,4 @@
-// Package cancels keeps what a controller knows of stored cancellations, and up to when it
+// Package cancellations keeps what a controller knows of stored cancellations, and up to when it
 // surely knew every one that any user had been told of. A holder answers its workers only as
 // long as that is recent enough for their leases to end in time (docs/design.md,
 // "Cancelling").
@@ -10,7 +10,7 @@
 // the state service serves nobody, or not this controller.
 //
 // It is pure: messages and the time go in by method calls.
-package cancels
+package cancellations
 
 import (
 	"cmp"
--- a/internal/core/cancels/cancels_test.go
+++ b/internal/core/cancellations/cancellations_test.go
@@ -1,4 +1,4 @@
-package cancels
+package cancellations
 
 import (
 	"fmt"
--- a/internal/core/cancelling.go
+++ b/internal/core/cancelling.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
 )
@@ -14,9 +14,9 @@
 // its answers to workers need not end. See package cancels.
 
 // tellCancels answers a controller that asks for a promise.
-func (c *Core) tellCancels(m PeerStatus) cancels.Told {
+func (c *Core) tellCancels(m PeerStatus) cancellations.Told {
 	if m.Release < releaseTells {
-		return cancels.Told{}
+		return cancellations.Told{}
 	}
 	return c.cancels.Tell(c.now, m.Known, c.mirror.Begun(), c.mirror.Rev, c.mirror.Loaded() && !c.mirror.Recovering())
 }
--- a/internal/core/cancelling_test.go
+++ b/internal/core/cancelling_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"testing"
 
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
@@ -30,7 +30,7 @@
 	bl := c.held[0]
 	seat := c.seats.ID()
 	tell := func(list ...store.Event) {
-		c.toldCancels("b", PeerPromise{Seat: seat, Sent: c.now, Told: cancels.Told{Since: c.mirror.Rev, Upto: 190, Whole: true, List: list}})
+		c.toldCancels("b", PeerPromise{Seat: seat, Sent: c.now, Told: cancellations.Told{Since: c.mirror.Rev, Upto: 190, Whole: true, List: list}})
 	}
 	for _, e := range []store.Event{{}, {Key: jobPrefix + "wk-000001", Value: json.RawMessage(`{"status"`), Stamp: 150}, cancelled("../x", 150),
 		cancelled("wk-000001", 0), {Key: machPrefix + "r-1", Value: cancelled("wk-000001", 150).Value, Stamp: 150}} {
@@ -71,7 +71,7 @@
 func TestOldCopyAnswersNobody(t *testing.T) {
 	c := holding(t, map[string]any{machPrefix + "r-1": fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}}})
 	c.cfg.CancelIn, c.cfg.Lease, c.cfg.LeaderTTL = 60*unit.Second, 20*unit.Second, unit.Second
-	c.cancels = cancels.New(cancels.Config{Peers: 2})
+	c.cancels = cancellations.New(cancellations.Config{Peers: 2})
 	from, seq := c.now, uint64(0)
 	answered := func() bool {
 		seq++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,7 @@
 import (
 	"log/slog"
 
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -187,7 +187,7 @@
 
 	old       oldJobs
 	memory    *replaylog.Memory // what may have to be written again
-	cancels   *cancels.Book  // which cancellations are known, and up to when all are
+	cancels   *cancellations.Book  // which cancellations are known, and up to when all are
 	seats     *seats.Seats
 	releases  map[string]int      // of the other controllers, as last heard or read
 	mixedAt   map[int]unit.Micros // by release: when another controller was last not known to run it or a later one
@@ -229,7 +229,7 @@
 	c.old = newOldJobs()
 	c.seats = seats.New(seats.Config{Node: cfg.Node, Size: cfg.Size, Release: release, TTL: cfg.LeaderTTL, Extend: c.extension(), Short: min(c.extension(), shortFor*cfg.LeaderTTL), Log: cfg.Log, LeftOut: cfg.LeftOut}, standing{c})
 	c.memory = replaylog.New(recallBytes)
-	c.cancels = cancels.New(cancels.Config{Peers: len(cfg.Peers)})
+	c.cancels = cancellations.New(cancellations.Config{Peers: len(cfg.Peers)})
 	c.peers = newPeers(cfg.Peers)
 	c.config = configuration.New(configuration.Config{Node: cfg.Node, Initial: configuration.Content{Teams: cfg.Teams, Objectives: cfg.Objectives},
 		Peers: cfg.Peers, ValueMax: c.cfg.ValueMax, TxnOps: cfg.TxnOps, Bound: c.extension() + unit.Second, Log: cfg.Log}, configured{c})
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"slices"
 
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/zones"
@@ -45,7 +45,7 @@
 	PeerPromise struct {
 		Seat uint64
 		Sent unit.Micros
-		Told cancels.Told
+		Told cancellations.Told
 		// ConfigKnown is the latest version of the configuration that the sender knows.
 		ConfigKnown uint64
 	}
--- a/internal/explore/cancelling/cancelling.go
+++ b/internal/explore/cancelling/cancelling.go
@@ -13,7 +13,7 @@
 	"slices"
 	"strings"
 
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/explore"
@@ -83,11 +83,11 @@
 	from int8 // whom it is from or to
 	sent unit.Micros
 	rev  uint64
-	told cancels.Told
+	told cancellations.Told
 }
 
 type process struct {
-	book   *cancels.Book
+	book   *cancellations.Book
 	rate   float64
 	rev    uint64          // up to which its copy is complete
 	begun  uint64          // revision at which that was begun
@@ -120,14 +120,14 @@
 }
 
 func (w *World) process(i int) *process {
-	cfg := cancels.Config{Peers: count - 1, Kept: 2, AtOnce: 1}
+	cfg := cancellations.Config{Peers: count - 1, Kept: 2, AtOnce: 1}
 	if w.o.Fault == Dropped {
 		cfg.Kept = 1
 	}
 	if w.o.Fault == One {
 		cfg.Peers = 1
 	}
-	return &process{book: cancels.New(cfg), rate: drift[i], knows: map[uint64]bool{}}
+	return &process{book: cancellations.New(cfg), rate: drift[i], knows: map[uint64]bool{}}
 }
 
 func (w *World) local(i int) unit.Micros { return unit.Micros(float64(w.now) * drift[i]) }
--- a/internal/rehearse/gap_test.go
+++ b/internal/rehearse/gap_test.go
@@ -6,7 +6,7 @@
 
 	"shalestage.example/shalestage/internal/config"
 	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/emulator/check"
 	"shalestage.example/shalestage/internal/emulator/sim"
 	"shalestage.example/shalestage/internal/scenario"
@@ -45,7 +45,7 @@
 func TestGapUntold(t *testing.T) {
 	silent := func(m any) any {
 		if p, ok := m.(core.PeerPromise); ok {
-			p.Told = cancels.Told{}
+			p.Told = cancellations.Told{}
 			return p
 		}
 		return m
--- a/internal/rehearse/users_test.go
+++ b/internal/rehearse/users_test.go
@@ -7,7 +7,7 @@
 
 	"shalestage.example/shalestage/internal/config"
 	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/cancels"
+	"shalestage.example/shalestage/internal/core/cancellations"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/emulator/check"
@@ -49,7 +49,7 @@
 // untold tells no other controller of cancellations.
 func untold(m any) any {
 	if p, ok := m.(core.PeerPromise); ok {
-		p.Told = cancels.Told{}
+		p.Told = cancellations.Told{}
 		return p
 	}
 	return m
