--- a/internal/backup/restore.go
+++ b/internal/backup/restore.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/archive"
+	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/store"
 )
 
--- a/internal/backup/scale_test.go
+++ b/internal/backup/scale_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"shalestage.example/shalestage/internal/backup"
-	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/archive"
+	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/host"
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"log/slog"
 
 	"shalestage.example/shalestage/internal/core/cancellations"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/demand"
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -14,17 +15,16 @@
 	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/ranking"
-	"shalestage.example/shalestage/internal/core/replaylog"
 	"shalestage.example/shalestage/internal/core/renting"
+	"shalestage.example/shalestage/internal/core/replaylog"
 	"shalestage.example/shalestage/internal/core/scale"
 	"shalestage.example/shalestage/internal/core/seats"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/core/watch"
+	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/zones"
 )
 
@@ -164,14 +164,14 @@
 	out    []Effect
 	teams  map[string]*Team
 	config *configuration.Book // teams and objectives as they are in force
-	mirror *watchcache.Mirror      // the copy of the state service's keys
+	mirror *watchcache.Mirror  // the copy of the state service's keys
 	lanes  [lanes]*store.Lane
 
 	jobs   map[string]*ledger.Job // those that are not packed
 	active map[string]*ledger.Job // those that are not final
 	begun  ranking.Order          // those of them that await no others
 	graph  ledger.Graph           // which of them wait for which
-	parts  *chunks.Shelf           // descriptions that are stored in parts
+	parts  *chunks.Shelf          // descriptions that are stored in parts
 	untidy map[string]bool        // jobs that are over and of which something is to be cleaned up in the state service
 	flowAt unit.Micros            // when aims next pass back along the graph
 	types  map[string]*fleet.Type
@@ -186,8 +186,8 @@
 	loadAt unit.Micros
 
 	old       oldJobs
-	memory    *replaylog.Memory // what may have to be written again
-	cancels   *cancellations.Book  // which cancellations are known, and up to when all are
+	memory    *replaylog.Memory   // what may have to be written again
+	cancels   *cancellations.Book // which cancellations are known, and up to when all are
 	seats     *seats.Seats
 	releases  map[string]int      // of the other controllers, as last heard or read
 	mixedAt   map[int]unit.Micros // by release: when another controller was last not known to run it or a later one
@@ -309,7 +309,7 @@
 const (
 	root         = "shalestage/"
 	jobPrefix    = root + "job/"
-	partPrefix   = chunks.Prefix       // of a description that does not fit one value; listed after the jobs
+	partPrefix   = chunks.Prefix      // of a description that does not fit one value; listed after the jobs
 	donePrefix   = root + "progress/" // JOB/CHUNK; listed after the jobs and their parts
 	machPrefix   = root + "machine/"
 	typePrefix   = root + "type/"
--- a/internal/core/inspect.go
+++ b/internal/core/inspect.go
@@ -7,13 +7,13 @@
 	"slices"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/archive"
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/follow"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/chunks"
-	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 )
 
--- a/internal/core/learn.go
+++ b/internal/core/learn.go
@@ -9,9 +9,9 @@
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/watchcache"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watchcache"
 )
 
 // copied is what the copy of the state service's keys tells this controller.
--- a/internal/core/oldjobs.go
+++ b/internal/core/oldjobs.go
@@ -6,12 +6,12 @@
 	"slices"
 	"strings"
 
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/watchcache"
-	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
+	"shalestage.example/shalestage/internal/core/watchcache"
 )
 
 // Jobs that are over leave memory once there are many: the leader packs their answers
--- a/internal/core/pipeline.go
+++ b/internal/core/pipeline.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/chunks"
+	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
--- a/internal/core/pipeline_test.go
+++ b/internal/core/pipeline_test.go
@@ -8,10 +8,10 @@
 	"strings"
 	"testing"
 
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/lead"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"slices"
 
+	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/ledger"
 	"shalestage.example/shalestage/internal/core/pack"
-	"shalestage.example/shalestage/internal/core/chunks"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 )
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -8,8 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"shalestage.example/shalestage/internal/core"
-	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/archive"
+	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/emulator/check"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,10 +11,10 @@
 
 	"shalestage.example/shalestage/internal/cloud"
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/configuration"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/ledger"
-	"shalestage.example/shalestage/internal/core/archive"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/unit"
 	"shalestage.example/shalestage/internal/peer"
