--- a/internal/scalerun/machine.go
+++ b/internal/scalerun/machine.go
@@ -20,8 +20,8 @@
 // What a run is reckoned to take before it starts. The figures are rounded up from
 // measured runs, see docs/results.md.
 const (
-	processMB   = 60.0 // of each process, before it does any work
-	perWorkerMB = 0.6  // of each worker, in all processes together
+	processMB   = 40.0 // of each process, before it does any work
+	perWorkerMB = 0.3  // of each worker, in all processes together
 	perTaskMB   = 0.05 // of each task at once, in all processes together
 	spareFiles  = 1000
 )
--- a/internal/scalerun/page.go
+++ b/internal/scalerun/page.go
@@ -80,11 +80,15 @@
 func (r *Result) roleUses() map[string]RoleUse {
 	out := map[string]RoleUse{}
 	hold := r.in(PhaseHold)
+	took := 0.0
+	for _, s := range hold {
+		took += s.TookS
+	}
 	for _, s := range hold {
 		for role, u := range s.Roles {
 			o := out[role]
 			o.Processes = max(o.Processes, u.Processes)
-			o.CPU += u.CPU / float64(len(hold))
+			o.CPU += u.CPU * s.TookS / took
 			o.MostCPU, o.MemoryMB, o.MostMB = max(o.MostCPU, u.MostCPU), max(o.MemoryMB, u.MemoryMB), max(o.MostMB, u.MostMB)
 			out[role] = o
 		}
--- a/internal/scalerun/part.go
+++ b/internal/scalerun/part.go
@@ -76,8 +76,9 @@
 	}
 }
 
-// isAbroad tells the jobs of users in other regions by their number.
+// isAbroad tells the jobs of users in other regions by their number; those that nobody
+// submitted have higher ones.
 func isAbroad(id string) bool {
 	n, err := strconv.Atoi(strings.TrimPrefix(id, "wk-"))
-	return err == nil && n >= firstAbroad
+	return err == nil && n >= firstAbroad && n < firstAbroad+maxRegions*abroadPart
 }
--- a/internal/scalerun/result.go
+++ b/internal/scalerun/result.go
@@ -82,13 +82,16 @@
 	return out
 }
 
-// mean averages a figure over samples.
+// mean averages a figure over samples, each for as long as it took.
 func mean(list []Sample, f func(Sample) float64) float64 {
-	sum := 0.0
+	sum, took := 0.0, 0.0
 	for _, s := range list {
-		sum += f(s)
+		sum, took = sum+f(s)*s.TookS, took+s.TookS
+	}
+	if took == 0 {
+		return 0
 	}
-	return sum / float64(max(len(list), 1))
+	return sum / took
 }
 
 // Goal is a part of the target with what was reached.
@@ -139,14 +142,7 @@
 
 // rate adds a figure up over samples, a second.
 func (r *Result) rate(list []Sample, f func(Sample) float64) float64 {
-	sum, took := 0.0, 0.0
-	for _, s := range list {
-		sum, took = sum+f(s), took+s.TookS
-	}
-	if took == 0 {
-		return 0
-	}
-	return sum / took
+	return mean(list, func(s Sample) float64 { return f(s) / s.TookS })
 }
 
 // histogram merges a histogram of a phase; "" means all phases.
@@ -163,7 +159,7 @@
 // WorkerUses returns what each worker with a process of its own used over the hold phase:
 // the means of processor and bytes, the most of memory.
 func (r *Result) WorkerUses() (out []WorkerUse) {
-	n := map[string]float64{}
+	took := map[string]float64{}
 	for _, s := range r.in(PhaseHold) {
 		for _, u := range s.Workers {
 			i := slices.IndexFunc(out, func(o WorkerUse) bool { return o.Name == u.Name })
@@ -172,10 +168,11 @@
 				out = append(out, WorkerUse{Name: u.Name})
 			}
 			o := &out[i]
-			n[u.Name]++
-			o.CPU += (u.CPU - o.CPU) / n[u.Name]
-			o.KilobytesPS += (u.KilobytesPS - o.KilobytesPS) / n[u.Name]
-			o.Reports += (u.Reports - o.Reports) / n[u.Name]
+			took[u.Name] += s.TookS
+			part := s.TookS / took[u.Name]
+			o.CPU += (u.CPU - o.CPU) * part
+			o.KilobytesPS += (u.KilobytesPS - o.KilobytesPS) * part
+			o.Reports += (u.Reports - o.Reports) * part
 			o.MemoryMB, o.Tasks = max(o.MemoryMB, u.MemoryMB), max(o.Tasks, u.Tasks)
 		}
 	}
--- a/internal/scalerun/scalerun_test.go
+++ b/internal/scalerun/scalerun_test.go
@@ -159,6 +159,7 @@
 	o.User(2*at, told(user.Submit, "wk-000001", 201))
 	o.User(at, user.Planned{Job: job("wk-800001", ClassAbroad)})
 	o.User(at, told(user.Submit, "wk-800001", 0))
+	o.User(at, told(user.Poll, "wk-9123451234", 404)) // of a job that nobody submitted, asked at home
 	o.enter(1)
 	m := check.Machine{Name: "n-1"}
 	first, second := ledger.TaskID{Job: "wk-000001", Task: 0}, ledger.TaskID{Job: "wk-000001", Task: 1}
@@ -167,7 +168,7 @@
 	o.Ended(6*at, m, first, true)
 	o.User(6*at, told(user.Poll, "wk-000001", 200))
 	a, b := o.counts[0], o.counts[1]
-	if a.Submitted != 2 || a.Accepted != 1 || a.Home != (Calls{OK: 1, Shed: 1}) || a.Abroad != (Calls{None: 1}) || a.Starts != 0 {
+	if a.Submitted != 2 || a.Accepted != 1 || a.Home != (Calls{OK: 2, Shed: 1}) || a.Abroad != (Calls{None: 1}) || a.Starts != 0 {
 		t.Errorf("first phase: %+v", a)
 	}
 	if b.Starts != 2 || b.Completed != 1 || b.Home.OK != 1 {
--- a/internal/scalerun/size.go
+++ b/internal/scalerun/size.go
@@ -236,8 +236,12 @@
 		Image: ClassUrgent, ImageGB: urgentImage, RunS: s.Load.UrgentRunS, Vary: 0.3, AtS: at}
 }
 
-// firstAbroad is the number of the first job that users of other regions submit.
-const firstAbroad = 800_000
+// firstAbroad is the number of the first job that users of other regions submit, and
+// abroadPart how many numbers those of one region have.
+const (
+	firstAbroad = 800_000
+	abroadPart  = 10_000
+)
 
 // Abroad returns the jobs that users of one region submit to another.
 func (s *Sized) Abroad(from, to int) (out []*user.Job) {
@@ -248,7 +252,7 @@
 	rate := s.urgentRate() * s.abroad() / float64(s.Want.Regions-1)
 	arrivals(rng, rate, s.submitUntil(), func(at float64) {
 		j := s.urgent(rng, at, ClassAbroad)
-		id := fmt.Sprintf("wk-%06d", firstAbroad+from*10_000+len(out))
+		id := fmt.Sprintf("wk-%06d", firstAbroad+from*abroadPart+len(out))
 		out = append(out, &user.Job{Job: j.Work(id, j.Spec()), At: unit.Seconds(at)})
 	})
 	return out
