--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -117,93 +117,145 @@
 	if s.ID == nil || !ledger.ValidID(*s.ID) {
 		return "", nil, errors.New("name_id: missing or wrongly formed")
 	}
+	spec := &ledger.Spec{}
+	for _, read := range []func(*ledger.Spec) error{s.readNames, s.readKind, s.readAmounts, s.readDeadline, s.readPlaces} {
+		if err := read(spec); err != nil {
+			return "", nil, err
+		}
+	}
+	if b, _ := json.Marshal(spec); len(b) > maxDescription {
+		return "", nil, errors.New("description too long")
+	}
+	if err := s.readAwaits(spec); err != nil {
+		return "", nil, err
+	}
+	return *s.ID, spec, nil
+}
+
+const (
+	// maxDescription bounds a description without the jobs that it awaits, in bytes as stored.
+	maxDescription = 6 << 10
+	// maxTypes bounds the machine types that a job may name.
+	maxTypes = 64
+)
+
+// readNames reads the class, the team and the image.
+func (s *submission) readNames(spec *ledger.Spec) error {
 	for _, f := range []struct {
 		name string
-		v    *string
-	}{{"jobline", s.Class}, {"crew", s.Team}, {"reel", s.Image}} {
-		if err := text(f.name, f.v); err != nil {
-			return "", nil, err
+		from *string
+		to   *string
+	}{{"jobline", s.Class, &spec.Class}, {"crew", s.Team, &spec.Team}, {"reel", s.Image, &spec.Image}} {
+		if err := text(f.name, f.from); err != nil {
+			return err
 		}
+		*f.to = *f.from
 	}
-	spec := &ledger.Spec{Class: *s.Class, Team: *s.Team, Image: *s.Image}
+	return nil
+}
+
+// readKind reads whether it is a service, its priority and how many tasks it has.
+func (s *submission) readKind(spec *ledger.Spec) error {
 	switch {
 	case s.Shape == nil:
-		return "", nil, errors.New("shape: missing")
+		return errors.New("shape: missing")
 	case *s.Shape == "daemon":
 		spec.Service = true
 	case *s.Shape != "sweep":
-		return "", nil, errors.New("shape: unknown")
+		return errors.New("shape: unknown")
 	}
 	if s.Urgency == nil {
-		return "", nil, errors.New("urgency: missing")
+		return errors.New("urgency: missing")
 	}
 	p, ok := priorities[*s.Urgency]
 	if !ok {
-		return "", nil, errors.New("urgency: unknown")
+		return errors.New("urgency: unknown")
 	}
 	spec.Priority = p
 	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > ledger.MaxTasks {
-		return "", nil, errors.New("cues: missing or out of range")
+		return errors.New("cues: missing or out of range")
 	}
 	spec.Tasks = int(*s.Tasks)
-	var nums [7]float64
-	for i, f := range []struct {
+	return nil
+}
+
+// readAmounts reads what a task takes, and its times.
+func (s *submission) readAmounts(spec *ledger.Spec) error {
+	for _, f := range []struct {
 		name string
-		v    *float64
-	}{{"cores", s.Cores}, {"cards", s.Cards}, {"memory_gb", s.MemoryGB}, {"image_gb", s.ImageGB},
-		{"runtime_s", s.Estimate}, {"bookmark_s", s.Checkpoint}, {"stow_s", s.Save}} {
-		v, err := amount(f.name, f.v)
+		from *float64
+		to   func(float64)
+	}{
+		{"cores", s.Cores, func(v float64) { spec.Demand[pack.CPU] = unit.Milli(v) }},
+		{"cards", s.Cards, func(v float64) { spec.Demand[pack.GPU] = unit.Milli(v) }},
+		{"memory_gb", s.MemoryGB, func(v float64) { spec.Demand[pack.Memory] = unit.Milli(v) }},
+		{"image_gb", s.ImageGB, func(v float64) { spec.ImageMB = unit.Milli(v) }},
+		{"runtime_s", s.Estimate, func(v float64) { spec.Estimate = unit.Seconds(v) }},
+		{"bookmark_s", s.Checkpoint, func(v float64) { spec.Checkpoint = unit.Seconds(v) }},
+		{"stow_s", s.Save, func(v float64) { spec.Save = unit.Seconds(v) }},
+	} {
+		v, err := amount(f.name, f.from)
 		if err != nil {
-			return "", nil, err
+			return err
 		}
-		nums[i] = v
+		f.to(v)
 	}
-	spec.Demand = pack.Vec{unit.Milli(nums[0]), unit.Milli(nums[1]), unit.Milli(nums[2])}
-	spec.ImageMB = unit.Milli(nums[3])
-	spec.Estimate, spec.Checkpoint, spec.Save = unit.Seconds(nums[4]), unit.Seconds(nums[5]), unit.Seconds(nums[6])
-	if s.Deadline != nil {
-		v, err := amount("curtain_s", s.Deadline)
-		if err != nil {
-			return "", nil, err
-		}
-		spec.Deadline = max(unit.Seconds(v), 1)
+	return nil
+}
+
+// readDeadline reads the deadline, if there is one.
+func (s *submission) readDeadline(spec *ledger.Spec) error {
+	if s.Deadline == nil {
+		return nil
 	}
+	v, err := amount("curtain_s", s.Deadline)
+	if err != nil {
+		return err
+	}
+	spec.Deadline = max(unit.Seconds(v), 1)
+	return nil
+}
+
+// readPlaces reads on which machines and in which zones tasks may run.
+func (s *submission) readPlaces(spec *ledger.Spec) error {
 	if s.OneZone == nil || s.Spread == nil || s.Spot == nil {
-		return "", nil, errors.New("same_place, apart or standby: missing")
+		return errors.New("same_place, apart or standby: missing")
 	}
 	spec.OneZone, spec.Spread, spec.Spot = *s.OneZone, *s.Spread, *s.Spot
 	spec.AnyType = s.Types == nil
 	if s.Types != nil {
-		if len(*s.Types) > 64 {
-			return "", nil, errors.New("rigs: too many")
+		if len(*s.Types) > maxTypes {
+			return errors.New("rigs: too many")
 		}
 		for _, t := range *s.Types {
 			if err := text("rigs", &t); err != nil {
-				return "", nil, err
+				return err
 			}
 		}
 		spec.Types = *s.Types
 	}
 	if s.Zone != nil {
 		if err := text("hall", s.Zone); err != nil {
-			return "", nil, err
+			return err
 		}
 		spec.Zone = *s.Zone
 	}
-	if b, _ := json.Marshal(spec); len(b) > 6<<10 {
-		return "", nil, errors.New("description too long")
-	}
+	return nil
+}
+
+// readAwaits reads which jobs it awaits, each once.
+func (s *submission) readAwaits(spec *ledger.Spec) error {
 	seen := map[string]bool{}
 	for _, id := range s.Awaits {
 		if id == nil || !ledger.ValidID(*id) {
-			return "", nil, errors.New("awaits: not the form of a job's id")
+			return errors.New("awaits: not the form of a job's id")
 		}
 		if !seen[*id] {
 			seen[*id] = true
 			spec.Awaits = append(spec.Awaits, *id)
 		}
 	}
-	return *s.ID, spec, nil
+	return nil
 }
 
 // JobStatus is the answer to every user call about a job.
