--- a/cmd/shalestage/rehearse.go
+++ b/cmd/shalestage/rehearse.go
@@ -42,60 +42,95 @@
 	return "Exit status: 0 rules and expectations are kept, 1 some are not, 2 unusable input."
 }
 
+// plannedPlay is one play of a file with one seed.
+type plannedPlay struct {
+	file string
+	s    *scenario.Scenario
+	seed uint64
+}
+
 // Run plays every file.
 func (o *rehearseCmd) Run() error {
-	type play struct {
-		file string
-		s    *scenario.Scenario
-		seed uint64
+	plays, err := o.plan()
+	if err != nil {
+		return unusable(err)
+	}
+	if (o.Census != "" || o.Traffic != "") && (len(plays) != 1 || o.Real) {
+		return unusable(errors.New("--census and --traffic are for one play in simulated time"))
+	}
+	opt, finish, err := o.options()
+	if err != nil {
+		return unusable(err)
+	}
+	defer finish()
+	// A play makes much that is soon garbage, and little that stays.
+	debug.SetGCPercent(400)
+	list, err := o.playAll(plays, opt)
+	if err != nil {
+		return unusable(err)
+	}
+	if err := o.tell(list); err != nil {
+		return err
 	}
-	var plays []play
+	return o.judge(plays, list)
+}
+
+// plan reads all files.
+func (o *rehearseCmd) plan() ([]plannedPlay, error) {
+	var plays []plannedPlay
 	for _, f := range o.Files {
 		s, err := scenario.Load(f)
 		if err != nil {
-			return unusable(err)
+			return nil, err
 		}
 		for i := range max(o.Plays, 1) {
 			seed := s.Seed
 			if o.Seed != 0 {
 				seed = o.Seed
 			}
-			plays = append(plays, play{f, s, seed + uint64(i)})
+			plays = append(plays, plannedPlay{f, s, seed + uint64(i)})
+		}
+	}
+	return plays, nil
+}
+
+// options opens the files that plays write to; finish completes and closes them.
+func (o *rehearseCmd) options() (opt sim.Options, finish func(), err error) {
+	var files []*os.File
+	finish = func() {
+		if opt.Traffic != nil {
+			if err := opt.Traffic.Write(files[len(files)-1]); err != nil {
+				fmt.Fprintf(os.Stderr, "shalestage: %v\n", err)
+			}
+		}
+		for _, f := range files {
+			f.Close()
 		}
 	}
-	opt := sim.Options{}
 	if o.Log != "" {
 		opt.Log = logInto(o.Log)
 	}
 	if o.Census != "" {
-		if len(plays) != 1 || o.Real {
-			return unusable(errors.New("--census is for one play in simulated time"))
-		}
 		f, err := os.Create(o.Census)
 		if err != nil {
-			return unusable(err)
+			return opt, finish, err
 		}
-		defer f.Close()
+		files = append(files, f)
 		opt.Census, opt.CensusEvery = rehearse.WriteCensus(f), unit.Seconds(o.Every)
 	}
 	if o.Traffic != "" {
-		if len(plays) != 1 || o.Real {
-			return unusable(errors.New("--traffic is for one play in simulated time"))
-		}
 		f, err := os.Create(o.Traffic)
 		if err != nil {
-			return unusable(err)
+			return opt, finish, err
 		}
-		defer f.Close()
+		files = append(files, f)
 		opt.Traffic = traffic.New(unit.Seconds(o.From))
-		defer func() {
-			if err := opt.Traffic.Write(f); err != nil {
-				fmt.Fprintf(os.Stderr, "shalestage: %v\n", err)
-			}
-		}()
 	}
-	// A play makes much that is soon garbage, and little that stays.
-	debug.SetGCPercent(400)
+	return opt, finish, nil
+}
+
+// playAll plays and tells each verdict as it comes, unless all are printed as JSON.
+func (o *rehearseCmd) playAll(plays []plannedPlay, opt sim.Options) ([]rehearse.Verdict, error) {
 	var list []rehearse.Verdict
 	got := func(v rehearse.Verdict) {
 		list = append(list, v)
@@ -103,15 +138,7 @@
 			o.print(v)
 		}
 	}
-	if o.Real {
-		for _, p := range plays {
-			v, err := rehearse.PlayReal(p.file, p.s)
-			if err != nil {
-				return unusable(err)
-			}
-			got(v)
-		}
-	} else {
+	if !o.Real {
 		rehearse.Each(len(plays), func(i int) rehearse.Verdict {
 			op := opt
 			op.Seed = plays[i].seed
@@ -120,7 +147,20 @@
 			}
 			return rehearse.Play(plays[i].file, plays[i].s, op)
 		}, got)
+		return list, nil
+	}
+	for _, p := range plays {
+		v, err := rehearse.PlayReal(p.file, p.s)
+		if err != nil {
+			return list, err
+		}
+		got(v)
 	}
+	return list, nil
+}
+
+// tell writes what was asked for of all verdicts together.
+func (o *rehearseCmd) tell(list []rehearse.Verdict) error {
 	if o.JSON {
 		if err := printJSON(list); err != nil {
 			return err
@@ -134,6 +174,12 @@
 	if !o.JSON {
 		printMet(list)
 	}
+	return nil
+}
+
+// judge reports plays that broke a rule or missed an expectation as an error; of the first one
+// it prints the shrunk scenario where that was asked for.
+func (o *rehearseCmd) judge(plays []plannedPlay, list []rehearse.Verdict) error {
 	broken := 0
 	for i, v := range list {
 		if v.Kept {
@@ -141,13 +187,9 @@
 		}
 		broken++
 		if o.Shrink && !o.Real && broken == 1 {
-			s, used := rehearse.Shrink(plays[i].s, v.Seed, v, 400)
-			s.Seed = v.Seed
-			b, err := toml.Marshal(s)
-			if err != nil {
+			if err := printShrunk(plays[i].s, v); err != nil {
 				return err
 			}
-			fmt.Printf("# shrunk in %d plays: %d faults, %d jobs\n%s", used, len(s.Faults), len(s.Jobs), b)
 		}
 	}
 	if broken > 0 {
@@ -156,6 +198,18 @@
 	return nil
 }
 
+// printShrunk prints the smallest scenario found that breaks the rule that a play broke.
+func printShrunk(s *scenario.Scenario, v rehearse.Verdict) error {
+	small, used := rehearse.Shrink(s, v.Seed, v, 400)
+	small.Seed = v.Seed
+	b, err := toml.Marshal(small)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("# shrunk in %d plays: %d faults, %d jobs\n%s", used, len(small.Faults), len(small.Jobs), b)
+	return nil
+}
+
 // printMet tells which kinds of trouble began at which events, and which never did.
 func printMet(list []rehearse.Verdict) {
 	count, of := map[string]map[string]int{}, 0
