--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -149,7 +149,7 @@
 	keepRoomFor = 120 * unit.Second
 	// beginTasks is how many tasks such a job has at least: no more than one in that many
 	// goes out of order.
-	beginTasks = 4
+	beginTasks = 2
 )
 
 // overdue reports whether no task of a job has begun although it has waited for long. Where
