--- a/internal/emulator/sim/combinations.go
+++ b/internal/emulator/sim/combinations.go
@@ -1,7 +1,7 @@
 package sim
 
 import (
-	"encoding/json"
+	"strconv"
 	"strings"
 
 	"shalestage.example/shalestage/internal/core"
@@ -115,14 +115,13 @@
 // blockStored notes who holds a block from now on.
 func (w *World) blockStored(ch kv.Change) {
 	c := &w.combined
-	var b lead.Block
-	k, known := strings.CutPrefix(ch.Key, "shalestage/block/")
-	if !known || ch.Value == nil || json.Unmarshal(ch.Value, &b) != nil || b.Node == "" {
+	number, err := strconv.Atoi(strings.TrimPrefix(ch.Key, "shalestage/block/"))
+	if err != nil || ch.Value == nil {
 		return
 	}
-	number := 0
-	for _, digit := range k {
-		number = 10*number + int(digit-'0')
+	b, err := lead.DecodeBlock(ch.Value)
+	if err != nil || b.Node == "" {
+		return
 	}
 	c.granted[b.Node] = true
 	c.changes++
