review: a restarted controller takes old answers for its own

Cause: forwarded requests are numbered from 1 in each process, and an answer names the number alone. Answers to the last process's requests that come late are given to other users.

Change: review/2 shows it with five real controllers: the state service refuses one of them, which crashes in a burst of submissions and is back 0.2 s later. The stand-ins lose what no case uses; the latency of case 1 is 5 ms now.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -15,6 +15,10 @@
 		return set, staleReport
 	case "service":
 		return Quito(), serviceLost
+	case "foreign":
+		set := QuitoFleet()
+		set.Capacity = 8
+		return set, foreignAnswer
 	}
 	return Settings{}, nil
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -73,7 +73,6 @@
 	machines map[string]*host
 	bookings map[string][]string
 	last     int
-	down     bool
 	history  []listing
 	rate     bucket
 	RPS      float64
@@ -170,21 +169,12 @@
 	return out
 }
 
-// SetDown begins or ends an outage of the cloud's interface.
-func (f *Fleet) SetDown(down bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.down = down
-}
-
 func (f *Fleet) handle(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	f.mu.Lock()
-	down, ok := f.down, f.rate.takeBurst(f.RPS, 2)
+	ok := f.rate.takeBurst(f.RPS, 2)
 	f.mu.Unlock()
 	switch {
-	case down:
-		reply(w, 503, problem{"trouble"})
 	case !ok:
 		reply(w, 429, problem{"too many requests"})
 	case r.URL.Path == "/machine_types":
@@ -357,11 +347,8 @@
 	images   map[string]bool
 	usedC    float64
 	usedM    float64
-	commands int // requests to /commands
 	// OnCommand, if set, is called when a controller's direct request arrives, also while the machine hangs.
 	OnCommand func()
-	// BeforeReport, if set, is called after a report was made and before it is sent.
-	BeforeReport func(node string, tally uint64)
 }
 
 type task struct {
@@ -379,7 +366,7 @@
 }
 
 func newWorker(f *Fleet, h *host, rig Rig, l net.Listener) *Worker {
-	w := &Worker{Name: h.name, Hall: h.hall, Path: NewPath(f.Delay), fleet: f, host: h, rig: rig, listener: l, shift: 1, renewed: time.Now(),
+	w := &Worker{Name: h.name, Hall: h.hall, Path: &Path{f.Delay}, fleet: f, host: h, rig: rig, listener: l, shift: 1, renewed: time.Now(),
 		node: rand.IntN(len(f.Nodes)), wake: make(chan struct{}, 1), tasks: map[string]*task{}, images: map[string]bool{}, batonAt: time.Now().Add(-time.Hour)}
 	w.resumed = sync.NewCond(&w.mu)
 	w.client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: w.Path.Dial, DisableCompression: true, MaxIdleConnsPerHost: 1}}
@@ -539,14 +526,10 @@
 		w.changed = false
 		body, tally := w.body()
 		sent, shift, node := time.Now(), w.shift, w.fleet.Nodes[w.node]
-		before := w.BeforeReport
 		w.inFlight = true
 		w.mu.Unlock()
 		last = sent
 		next = sent.Add(time.Duration(w.fleet.ReportS * (0.75 + 0.5*rand.Float64()) * float64(time.Second)))
-		if before != nil {
-			before(node, tally)
-		}
 		code, answer := w.post(node, body)
 		w.mu.Lock()
 		w.inFlight = false
@@ -752,11 +735,7 @@
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	time.Sleep(w.Path.Delay)
-	if !w.Path.wait(r.Context().Done()) {
-		return
-	}
 	w.mu.Lock()
-	w.commands++
 	arrived := w.OnCommand
 	w.mu.Unlock()
 	if arrived != nil {
@@ -766,7 +745,7 @@
 	if w.hung { // what was due while the machine hung goes before what has arrived
 		w.awake()
 		w.mu.Unlock()
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(time.Millisecond)
 		w.mu.Lock()
 	}
 	w.awake()
@@ -796,7 +775,6 @@
 	w.fleet.Record.Printf("direct   %s answers a controller's %s with %d, tally %d", w.Name, r.URL.Path, code, tally)
 	w.mu.Unlock()
 	time.Sleep(w.Path.Delay)
-	w.Path.wait(r.Context().Done())
 	reply(rw, code, json.RawMessage(answer))
 }
 
--- a/review/stand/link.go
+++ b/review/stand/link.go
@@ -7,51 +7,12 @@
 	"time"
 )
 
-// Path is the network between one machine and all controllers. Every connection that the machine opens passes
-// it; Worker applies it to the requests that controllers send to the machine. Packets take Delay one way. While the path is
-// cut, packets are held back and delivered in order afterwards, and connections are not established.
-type Path struct {
-	Delay time.Duration
-
-	mu      sync.Mutex
-	cut     bool
-	changed chan struct{}
-}
-
-// NewPath returns a path with a latency.
-func NewPath(delay time.Duration) *Path { return &Path{Delay: delay, changed: make(chan struct{})} }
-
-// Cut interrupts the path, or ends the interruption.
-func (p *Path) Cut(cut bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cut = cut
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-// wait waits while the path is cut. It returns false if done is closed first.
-func (p *Path) wait(done <-chan struct{}) bool {
-	for {
-		p.mu.Lock()
-		cut, changed := p.cut, p.changed
-		p.mu.Unlock()
-		if !cut {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-done:
-			return false
-		}
-	}
-}
+// Path is the network between one machine and all controllers. Packets take Delay one way. Every connection that
+// the machine opens passes it; Worker applies it to the requests that controllers send to the machine.
+type Path struct{ Delay time.Duration }
 
 // Dial opens a connection over the path. Establishing it takes a round trip.
 func (p *Path) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	if !p.wait(ctx.Done()) {
-		return nil, ctx.Err()
-	}
 	select {
 	case <-time.After(2 * p.Delay):
 	case <-ctx.Done():
@@ -62,162 +23,99 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.wrap(conn), nil
-}
-
-// wrap returns the machine's end of a connection that passes the path.
-func (p *Path) wrap(conn net.Conn) net.Conn {
-	c := &pathConn{Conn: conn, path: p, done: make(chan struct{})}
-	c.out, c.in = newPipe(), newPipe()
-	go c.pump(c.out, func(b []byte) error { _, err := conn.Write(b); return err }, func() { _ = conn.Close() })
+	c := &pathConn{Conn: conn, path: p, out: make(chan piece, 64), in: make(chan piece, 64), done: make(chan struct{})}
+	go c.send()
 	go c.receive()
-	return c
+	return c, nil
 }
 
-// pathConn delays and holds what passes in either direction.
+// pathConn is the machine's end of a connection that passes a path. It delays what passes in either direction.
 type pathConn struct {
 	net.Conn
 	path    *Path
-	out, in *pipe
+	out, in chan piece
+	rest    []byte // of the piece that is being read
 	once    sync.Once
 	done    chan struct{}
 }
 
-// pipe holds pieces with the times at which they arrive at the other end.
-type pipe struct {
-	mu     sync.Mutex
-	more   chan struct{}
-	pieces []piece
-}
-
+// piece is some data with the time at which it arrives at the other end.
 type piece struct {
 	data []byte
 	at   time.Time
-	last bool // the end of the connection
 }
 
-func newPipe() *pipe { return &pipe{more: make(chan struct{}, 1)} }
-
-func (q *pipe) push(p piece) {
-	q.mu.Lock()
-	q.pieces = append(q.pieces, p)
-	q.mu.Unlock()
-	select {
-	case q.more <- struct{}{}:
-	default:
-	}
-}
-
-func (q *pipe) pop() (piece, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.pieces) == 0 {
-		return piece{}, false
-	}
-	p := q.pieces[0]
-	q.pieces = q.pieces[1:]
-	return p, true
-}
-
-// pump delivers the pieces of a direction in order. What was sent before the sender closed is still delivered.
-func (c *pathConn) pump(q *pipe, deliver func([]byte) error, end func()) {
-	defer end()
+// send delivers what the machine has sent.
+func (c *pathConn) send() {
+	defer func() { _ = c.Conn.Close() }()
 	for {
-		p, ok := q.pop()
-		if !ok {
-			<-q.more
-			continue
-		}
-		time.Sleep(time.Until(p.at))
-		c.path.wait(nil)
-		if p.last || deliver(p.data) != nil {
+		select {
+		case p := <-c.out:
+			time.Sleep(time.Until(p.at))
+			if _, err := c.Conn.Write(p.data); err != nil {
+				return
+			}
+		case <-c.done:
 			return
 		}
 	}
 }
 
-// receive reads from the controller's end.
+// receive takes what the controller has sent.
 func (c *pathConn) receive() {
+	defer close(c.in)
 	for {
 		b := make([]byte, 32<<10)
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.in.push(piece{data: b[:n], at: time.Now().Add(c.path.Delay)})
+			select {
+			case c.in <- piece{b[:n], time.Now().Add(c.path.Delay)}:
+			case <-c.done:
+				return
+			}
 		}
 		if err != nil {
-			c.in.push(piece{at: time.Now().Add(c.path.Delay), last: true})
 			return
 		}
 	}
 }
 
+// Write implements net.Conn.
 func (c *pathConn) Write(b []byte) (int, error) {
 	select {
+	case c.out <- piece{append([]byte(nil), b...), time.Now().Add(c.path.Delay)}:
+		return len(b), nil
 	case <-c.done:
 		return 0, net.ErrClosed
-	default:
 	}
-	c.out.push(piece{data: append([]byte(nil), b...), at: time.Now().Add(c.path.Delay)})
-	return len(b), nil
 }
 
+// Read implements net.Conn.
 func (c *pathConn) Read(b []byte) (int, error) {
-	for {
+	if len(c.rest) == 0 {
 		select {
-		case <-c.done:
-			return 0, net.ErrClosed
-		default:
-		}
-		c.in.mu.Lock()
-		if len(c.in.pieces) > 0 {
-			p := &c.in.pieces[0]
-			wait := time.Until(p.at)
-			if wait <= 0 && c.path.isOpen() {
-				if p.last {
-					c.in.mu.Unlock()
-					return 0, net.ErrClosed
-				}
-				n := copy(b, p.data)
-				if p.data = p.data[n:]; len(p.data) == 0 {
-					c.in.pieces = c.in.pieces[1:]
-				}
-				c.in.mu.Unlock()
-				return n, nil
-			}
-			c.in.mu.Unlock()
-			if wait > 0 {
-				select {
-				case <-time.After(wait):
-				case <-c.done:
-				}
-			} else {
-				c.path.wait(c.done)
+		case p, ok := <-c.in:
+			if !ok {
+				return 0, net.ErrClosed
 			}
-			continue
-		}
-		c.in.mu.Unlock()
-		select {
-		case <-c.in.more:
+			time.Sleep(time.Until(p.at))
+			c.rest = p.data
 		case <-c.done:
+			return 0, net.ErrClosed
 		}
 	}
+	n := copy(b, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
 }
 
-func (p *Path) isOpen() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.cut
-}
-
+// Close implements net.Conn.
 func (c *pathConn) Close() error {
-	c.once.Do(func() {
-		close(c.done)
-		c.out.push(piece{at: time.Now().Add(c.path.Delay), last: true})
-	})
+	c.once.Do(func() { close(c.done) })
 	return nil
 }
 
-// SetDeadline and the others do nothing: HTTP clients that use contexts do not need them.
+// SetDeadline does nothing, as SetReadDeadline and SetWriteDeadline: HTTP clients with contexts do not need them.
 func (c *pathConn) SetDeadline(time.Time) error { return nil }
 
 // SetReadDeadline does nothing.
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,9 +31,9 @@
 	Client  *http.Client
 	Trouble bool
 
+	stopped atomic.Bool // no process may be started any more
 	mu      sync.Mutex
 	broken  []string // what broke the rule
-	cleanup []func()
 }
 
 // Node is a controller.
@@ -78,7 +79,7 @@
 		Teams:   []Team{{Name: "equipo-sierra", CPUs: 320, CPUsMax: 512}, {Name: "equipo-costa", CPUs: 320, CPUsMax: 1152}, {Name: "equipo-oriente", CPUs: 576, CPUsMax: 1280}},
 		ReportS: 3, LeaseS: 18, CancelS: 43, State: StateLimits{200, 80, 8, 12}, CloudRPS: 5, ListLagS: 8, CPU: 0.18, RAMMB: 179, FDs: 1800,
 		Rigs:     []Rig{{Sku: "condor-32", Cores: 32, MemoryGB: 256, CacheGB: 200, Fetch: 1, Price: 2.34, LowPrice: 0.53, Startup: 3, Halls: []string{"quito-norte"}}},
-		Capacity: 48, Boot: 2 * time.Second, Delay: 10 * time.Millisecond}
+		Capacity: 48, Boot: 2 * time.Second, Delay: 5 * time.Millisecond}
 }
 
 // freeAddr returns a free address below the ports that the system gives to outgoing connections.
@@ -127,20 +128,12 @@
 		peers := []map[string]string{}
 		for j, p := range s.Nodes {
 			if j != i {
-				addr := p.Internal
-				if set.PeerAddr != nil {
-					addr = set.PeerAddr(i, j, addr)
-				}
-				peers = append(peers, map[string]string{"node_name": p.Name, "site": p.Zone, "endpoint": addr})
+				peers = append(peers, map[string]string{"node_name": p.Name, "site": p.Zone, "endpoint": p.Internal})
 			}
 		}
-		state := n.StateAddr
-		if set.StateAddr != nil {
-			state = set.StateAddr(i, state)
-		}
 		file := map[string]any{
 			"node_name": n.Name, "site": n.Zone, "listen": n.Listen, "internal_addr": n.Internal, "peers": peers,
-			"services": map[string]string{"cloud": cloud, "state": state},
+			"services": map[string]string{"cloud": cloud, "state": n.StateAddr},
 			"deployment": map[string]any{"size": len(s.Nodes), "zones": zones, "teams": set.Teams, "objectives": []any{},
 				"workers": map[string]float64{"report_s": set.ReportS, "lease_s": set.LeaseS, "gang_wait_s": 35, "gang_peer_s": 5, "cancel_s": set.CancelS},
 				"state":   map[string]any{"rps": set.State.RPS, "write_rps": set.State.WriteRPS, "value_kb": set.State.ValueKB, "txn_ops": set.State.TxnOps},
@@ -163,6 +156,9 @@
 func (n *Node) Start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.site.stopped.Load() {
+		return errors.New("the case is over")
+	}
 	log, err := os.OpenFile(filepath.Join(n.site.Dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -219,6 +215,7 @@
 
 // Stop ends all controllers.
 func (s *Site) Stop() {
+	s.stopped.Store(true)
 	for _, n := range s.Nodes {
 		n.mu.Lock()
 		if n.cmd != nil {
@@ -296,6 +293,10 @@
 
 // Ask sends a user's request to a controller.
 func (s *Site) Ask(n *Node, method, path string, body any, limit time.Duration) Answer {
+	return s.askBy(s.Client, n, method, path, body, limit)
+}
+
+func (s *Site) askBy(by *http.Client, n *Node, method, path string, body any, limit time.Duration) Answer {
 	var reader io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -310,9 +311,9 @@
 	if err != nil {
 		panic(err)
 	}
-	s.Record.Printf("user     %s %s to %s", method, path, n.Name)
+	s.Record.Printf("user     %s %s of %s to %s", method, path, jobOf(body), n.Name)
 	var a Answer
-	res, err := s.Client.Do(req)
+	res, err := by.Do(req)
 	if err == nil {
 		defer res.Body.Close()
 		text, err := io.ReadAll(res.Body)
@@ -320,7 +321,7 @@
 			a.Code = res.StatusCode
 		}
 	}
-	s.Record.Printf("user     %s %s at %s: %d %s %s", method, path, n.Name, a.Code, a.Status, a.Error)
+	s.Record.Printf("user     %s %s of %s at %s: %d %s %s %s", method, path, jobOf(body), n.Name, a.Code, a.ID, a.Status, a.Error)
 	return a
 }
 
@@ -409,3 +410,22 @@
 	}
 	return n
 }
+
+// jobOf returns the id in the body of a submission; "-" if there is none.
+func jobOf(body any) string {
+	if b, ok := body.(map[string]any); ok {
+		return fmt.Sprint(b["name_id"])
+	}
+	return "-"
+}
+
+// QuitoFleet are the settings of audioruta-quito-fleet.
+func QuitoFleet() Settings {
+	set := Quito()
+	set.Zones = []string{"quito-norte", "quito-norte", "quito-norte", "quito-norte", "quito-norte"}
+	set.Teams = []Team{{Name: "equipo-sierra", CPUs: 9000, CPUsMax: 15000}, {Name: "equipo-costa", CPUs: 9000, CPUsMax: 35000}, {Name: "equipo-oriente", CPUs: 18000, CPUsMax: 35000}}
+	set.ReportS, set.LeaseS, set.CancelS = 6, 31, 56
+	set.State = StateLimits{350, 150, 8, 12}
+	set.CloudRPS, set.CPU, set.RAMMB, set.FDs = 7, 0.30, 322, 3059
+	return set
+}
--- a/review/stand/state.go
+++ b/review/stand/state.go
@@ -27,14 +27,7 @@
 	limits   StateLimits
 	requests bucket
 	writes   bucket
-	down     bool
 	refused  map[string]bool // controllers that alone get 503
-	delay    map[string]time.Duration
-	// Hook, if set, decides about each transaction before it is carried out: hold is how long it is held
-	// up, and lost means that its answer is lost.
-	Hook func(client string, body []byte) (hold time.Duration, lost bool)
-	// OnPut is told of each stored value; it must not call the State.
-	OnPut func(key string, value json.RawMessage)
 }
 
 // StateLimits are the limits of the settings.
@@ -85,7 +78,7 @@
 
 // NewState returns an empty state service.
 func NewState(limits StateLimits) *State {
-	s := &State{keys: map[string]*stateKey{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), limits: limits, refused: map[string]bool{}, delay: map[string]time.Duration{}}
+	s := &State{keys: map[string]*stateKey{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), limits: limits, refused: map[string]bool{}}
 	go func() {
 		for range time.Tick(10 * time.Millisecond) {
 			s.mu.Lock()
@@ -97,9 +90,6 @@
 }
 
 func (s *State) endLeases(now time.Time) {
-	if s.down {
-		return
-	}
 	for pass, lease := range s.leases {
 		if now.After(lease.ends.Add(20 * time.Millisecond)) { // up to 100 ms late, never early
 			s.endLease(pass)
@@ -136,23 +126,6 @@
 	s.changed = make(chan struct{})
 }
 
-// SetDown begins or ends an outage. After it every lease has its full time again.
-func (s *State) SetDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down && !down {
-		now := time.Now()
-		for _, lease := range s.leases {
-			lease.ends = now.Add(lease.ttl)
-		}
-	}
-	s.down = down
-	if !down {
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}
-}
-
 // Refuse makes the service refuse one controller alone, or serve it again.
 func (s *State) Refuse(client string, refuse bool) {
 	s.mu.Lock()
@@ -192,7 +165,7 @@
 // admit answers requests that are not served. The caller holds the lock.
 func (s *State) admit(w http.ResponseWriter, client string) bool {
 	switch {
-	case s.down || s.refused[client]:
+	case s.refused[client]:
 		s.mu.Unlock()
 		reply(w, 503, problem{"not served"})
 	case !s.requests.take(1, s.limits.RPS):
@@ -301,18 +274,7 @@
 }
 
 func (s *State) commit(w http.ResponseWriter, client string, body []byte) {
-	var hold time.Duration
-	var lost bool
-	if s.Hook != nil {
-		hold, lost = s.Hook(client, body)
-	}
-	if hold > 0 {
-		time.Sleep(hold)
-	}
 	code, answer := s.apply(client, body)
-	if lost {
-		panic(http.ErrAbortHandler) // the connection ends without an answer
-	}
 	reply(w, code, answer)
 }
 
@@ -324,7 +286,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.down || s.refused[client]:
+	case s.refused[client]:
 		return 503, problem{"not served"}
 	case !s.requests.take(1, s.limits.RPS), !s.writes.take(float64(len(txn.Apply)), s.limits.WriteRPS):
 		return 429, problem{"too many requests"}
@@ -359,9 +321,6 @@
 		if change.Write != "" {
 			s.keys[change.Write] = &stateKey{change.Data, s.rev, change.Pass}
 			s.history = append(s.history, stateEvent{Write: change.Write, Data: change.Data, Stamp: s.rev})
-			if s.OnPut != nil {
-				s.OnPut(change.Write, change.Data)
-			}
 		} else if s.keys[change.Remove] != nil {
 			delete(s.keys, change.Remove)
 			s.history = append(s.history, stateEvent{Remove: change.Remove, Stamp: s.rev})
@@ -442,7 +401,7 @@
 				events = append(events, e)
 			}
 		}
-		served := !s.down && !s.refused[client] // open watches wait in an outage
+		served := !s.refused[client] // open watches wait in an outage
 		if served && (len(events) > 0 || expired) {
 			rev := s.rev
 			s.mu.Unlock()
