review: case 1 leaves its machines a quarter of a second

Cause: the second hang began with the answer to the report, as if that moment mattered. Any moment before the next report does.

Change: it begins 0.25 s later.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -77,7 +77,7 @@
 		if asked[w] && !again[w] && code == 200 {
 			again[w] = true
 			s.Record.Printf("report   %s: report %d to %s is answered with 200 %s", w.Name, tally, node, body)
-			go w.Hang(true)
+			time.AfterFunc(250*time.Millisecond, func() { w.Hang(true) })
 			time.AfterFunc(time.Until(sent.Add(time.Duration((s.Fleet.LeaseS-0.2)*float64(time.Second)))), func() { w.Hang(false) })
 		}
 	}
