--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -27,8 +27,8 @@
 // and go on again, within their leases each time.
 func staleReport(s *Site) error {
 	places := s.Watch()
-	long := &Job{ID: "wk-000001", Tasks: 9, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.2, Run: 75 * time.Second, Curtain: 85 * time.Second, Team: "equipo-sierra"}
-	short := &Job{ID: "wk-000002", Tasks: 2, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.2, Run: 16 * time.Second, Estimate: 40 * time.Second, Team: "equipo-sierra"}
+	long := &Job{ID: "wk-000001", Tasks: 9, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.04, Run: 75 * time.Second, Curtain: 85 * time.Second, Team: "equipo-sierra"}
+	short := &Job{ID: "wk-000002", Tasks: 2, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.04, Run: 16 * time.Second, Estimate: 40 * time.Second, Team: "equipo-sierra"}
 	for _, job := range []*Job{short, long} {
 		if err := s.Submit(job, "standard"); err != nil {
 			return err
--- a/review/stand/service.go
+++ b/review/stand/service.go
@@ -11,9 +11,9 @@
 	places := s.Watch()
 	var services []*Job
 	for i := range 4 {
-		services = append(services, &Job{ID: fmt.Sprintf("wk-%06d", i+1), Tasks: 1, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.2, Service: true, Team: "equipo-sierra"})
+		services = append(services, &Job{ID: fmt.Sprintf("wk-%06d", i+1), Tasks: 1, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.04, Service: true, Team: "equipo-sierra"})
 	}
-	batch := &Job{ID: "wk-000009", Tasks: 3, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.2, Run: 4 * time.Second, Estimate: 60 * time.Second, Curtain: 70 * time.Second, Team: "equipo-sierra"}
+	batch := &Job{ID: "wk-000009", Tasks: 3, Cores: 26, MemoryGB: 60, Image: "img-1", ImageGB: 0.04, Run: 4 * time.Second, Estimate: 60 * time.Second, Curtain: 70 * time.Second, Team: "equipo-sierra"}
 	for _, job := range append([]*Job{batch}, services...) {
 		if err := s.Submit(job, "standard"); err != nil {
 			return err
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -78,7 +78,7 @@
 	return Settings{Zones: []string{"quito-norte", "quito-norte", "quito-norte"},
 		Teams:   []Team{{Name: "equipo-sierra", CPUs: 320, CPUsMax: 512}, {Name: "equipo-costa", CPUs: 320, CPUsMax: 1152}, {Name: "equipo-oriente", CPUs: 576, CPUsMax: 1280}},
 		ReportS: 3, LeaseS: 18, CancelS: 43, State: StateLimits{200, 80, 8, 12}, CloudRPS: 5, ListLagS: 8, CPU: 0.18, RAMMB: 179, FDs: 1800,
-		Rigs:     []Rig{{Sku: "condor-32", Cores: 32, MemoryGB: 256, CacheGB: 200, Fetch: 1, Price: 2.34, LowPrice: 0.53, Startup: 3, Halls: []string{"quito-norte"}}},
+		Rigs:     []Rig{{Sku: "condor-32", Cores: 32, MemoryGB: 256, CacheGB: 35, Fetch: 0.2, Price: 2.34, LowPrice: 0.53, Startup: 50, Halls: []string{"quito-norte"}}},
 		Capacity: 48, Boot: 2 * time.Second, Delay: 5 * time.Millisecond}
 }
 
