Logs and metrics: why an answer to a machine was allowed

Cause: the records of an incident (a cancelled task ran on) do not tell which controller renewed the lease of the task's machine, on which path and with what knowledge: answers to heartbeats, refusals, starts, stops and reads of the state service left no line. Change: debug lines for each accepted and refused heartbeat (status, sequence number, both tokens, tasks of finished jobs, stops), each start and stop with its reason, answered probes, reads and stored cancellations; `shard ready` and `shard no longer owned` name token, revision and age of what was read. Attributes of debug lines are computed only where these are logged. `refused a heartbeat of a deprovisioned machine` is now `heartbeat refused` with its reason.

--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"shalestage.example/shalestage/internal/core"
+	"shalestage.example/shalestage/internal/core/reconcile"
 	"shalestage.example/shalestage/internal/core/zones"
 )
 
@@ -45,24 +46,34 @@
 	descZoneLosses     = desc("zone_times_lost", "How often a zone was lost lately.", "zone")
 	descZoneMachines   = desc("zone_machines", "Machines of a zone that are up, as a holder of blocks sees them.", "zone", "heard")
 	descMachines       = desc("block_machines", "Machines of a held block.", "block", "kind", "state")
+	descToken          = desc("block_token", "Fencing token of a held block.", "block")
+	descOwnedFor       = desc("block_held_seconds", "How long a block has been held.", "block")
+	descTerm           = desc("leader_term", "Term of the stored leader, 0 without one.")
+	descRevision       = desc("state_revision", "Revision of the state service up to which the controller has read.")
+	descStateAge       = desc("state_age_seconds", "Time since the last successful read of the state service was sent.")
+	descHeartbeats     = desc("heartbeats_accepted_total", "Heartbeats answered with status 200, by what they prove.", "status")
+	descRefused        = desc("heartbeats_refused_total", "Heartbeats not answered with status 200, by reason.", "reason")
+	descStops          = desc("task_stops_total", "Commands that stop a task that must not run on its machine, by reason.", "reason")
+	descProbeAnswers   = desc("probe_answers_total", "Answers to probes that told all tasks on a machine.")
 	descCPUs           = desc("block_cpus", "CPUs of a held block's machines.", "block", "kind", "state")
 )
 
 // Describe implements prometheus.Collector.
-func (c collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descMember, descLeading, descMemoryFull, descKnownJobs, descFinishedJobs, descArchived, descLookups, descRefusedLookups, descActiveJobs, descBlockedJobs, descWrites, descTasks, descUnreconciled, descHasStandby, descZone, descZoneStateAge, descZoneLosses, descZoneMachines, descMachines, descCPUs} {
-		ch <- d
+func (c collector) Describe(results chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descMember, descLeading, descMemoryFull, descKnownJobs, descFinishedJobs, descArchived, descLookups, descRefusedLookups, descActiveJobs, descBlockedJobs, descWrites, descTasks, descUnreconciled, descHasStandby, descZone, descZoneStateAge, descZoneLosses, descZoneMachines, descMachines, descCPUs,
+		descToken, descOwnedFor, descTerm, descRevision, descStateAge, descHeartbeats, descRefused, descStops, descProbeAnswers} {
+		results <- d
 	}
 }
 
 // Collect implements prometheus.Collector.
-func (c collector) Collect(ch chan<- prometheus.Metric) {
+func (c collector) Collect(results chan<- prometheus.Metric) {
 	stats, ok := c.node.Stats(context.Background())
 	if !ok {
 		return // the controller is overloaded; this scrape has no statistics
 	}
 	put := func(d *prometheus.Desc, v float64, labels ...string) {
-		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+		results <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 	}
 	flag := map[bool]float64{true: 1}
 	put(descMember, flag[stats.Member])
@@ -76,6 +87,10 @@
 	put(descActiveJobs, float64(stats.ActiveJobs))
 	put(descBlockedJobs, float64(stats.BlockedJobs))
 	put(descWrites, float64(stats.Writes))
+	put(descTerm, float64(stats.Term))
+	put(descRevision, float64(stats.Revision))
+	put(descStateAge, stats.StateAge.Seconds())
+	collectHeartbeats(results, &stats.Heartbeats)
 	for _, z := range stats.Zones {
 		for _, st := range zones.States {
 			put(descZone, flag[z.State == st], z.Zone, st.String())
@@ -90,6 +105,8 @@
 		put(descTasks, float64(b.Waiting), n, "waiting")
 		put(descTasks, float64(b.Placed), n, "placed")
 		put(descUnreconciled, float64(b.Unreconciled), n)
+		put(descToken, float64(b.FencingToken), n)
+		put(descOwnedFor, b.OwnedFor.Seconds(), n)
 		put(descHasStandby, flag[b.Standby != ""], n)
 		for _, p := range []struct {
 			kind string
@@ -104,6 +121,23 @@
 	}
 }
 
+// collectHeartbeats collects the counters of answers to heartbeats and probes.
+func collectHeartbeats(results chan<- prometheus.Metric, counters *reconcile.Counters) {
+	count := func(d *prometheus.Desc, n uint64, labels ...string) {
+		results <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
+	}
+	for _, status := range reconcile.HeartbeatStatuses {
+		count(descHeartbeats, counters.Accepted[status], status.String())
+	}
+	for _, refusal := range reconcile.Refusals {
+		count(descRefused, counters.Refused[refusal], refusal.String())
+	}
+	for _, reason := range reconcile.StopReasons {
+		count(descStops, counters.Stops[reason], reason.String())
+	}
+	count(descProbeAnswers, counters.ProbeAnswers)
+}
+
 // metrics returns the handler of the Prometheus metrics: the controller's, the process's and the extra ones.
 func metrics(n Node, extra ...prometheus.Collector) http.Handler {
 	r := prometheus.NewRegistry()
--- a/internal/core/admission/cancel.go
+++ b/internal/core/admission/cancel.go
@@ -44,9 +44,10 @@
 	queued := h.host.Queue(&store.Write{
 		Guards:  []store.Guard{{Key: key, Version: job.Version}},
 		Changes: []store.Change{{Key: key, Value: record.Encode()}},
-		Done: func(outcome store.Outcome, _ uint64) {
+		Done: func(outcome store.Outcome, revision uint64) {
 			switch outcome {
 			case store.OK:
+				h.cfg.Log.Debug("cancellation stored", "job", job.ID, "revision", revision)
 				h.host.Answer(request, false, JobAnswer{ID: job.ID, Status: jobs.Cancelled})
 			case store.Failed: // done, or cancelled by another controller, in the meantime
 				h.answerAfterConflict(request, job)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"shalestage.example/shalestage/internal/core/membership"
 	"shalestage.example/shalestage/internal/core/peering"
 	"shalestage.example/shalestage/internal/core/provisioner"
+	"shalestage.example/shalestage/internal/core/reconcile"
 	"shalestage.example/shalestage/internal/core/rollback"
 	"shalestage.example/shalestage/internal/core/shardplan"
 	"shalestage.example/shalestage/internal/core/store"
@@ -193,6 +194,7 @@
 	emptySince      units.Microseconds    // since when it has owned no shard while retiring; 0: not so
 	retiringSince   units.Microseconds    // since when this node is retiring; 0: it is not
 	reachability    liveness.Reachability // whether worker machines can reach this node
+	heartbeats      reconcile.Counters    // answers to heartbeats and probes
 	zones           *zones.View
 	nextTypeFetchAt units.Microseconds
 	cloudFraction   float64
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -17,6 +19,7 @@
 	number, stored := c.shardOf(heartbeat.Machine)
 	shard := c.owned[number]
 	if admission := c.admitHeartbeat(shard, heartbeat, stored); admission != reconcile.Admitted {
+		c.logRefused(number, heartbeat, admission)
 		c.refuseHeartbeat(number, request, admission)
 		return
 	}
@@ -77,6 +80,16 @@
 	}
 }
 
+// logRefused counts and logs a heartbeat that was not admitted.
+func (c *Core) logRefused(number int, heartbeat *fleet.Heartbeat, admission reconcile.Admission) {
+	c.heartbeats.Refused[admission]++
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	c.log.Debug("heartbeat refused", "why", admission.String(), "machine", heartbeat.Machine, "incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq,
+		"worker_token", heartbeat.FencingToken, "shard", number, "valid_for_s", (c.ValidUntil() - c.now).Seconds())
+}
+
 // schedule decides, after a machine's heartbeat was reconciled, which tasks the
 // machine starts and which it stops to make room for others.
 func (c *Core) schedule(shard *ownedShard, accepted reconcile.Accepted) []fleet.Command {
--- a/internal/core/introspect.go
+++ b/internal/core/introspect.go
@@ -32,21 +32,27 @@
 		ArchiveShed:  archived.Refused,
 		ActiveJobs:   c.jobs.ActiveLen(),
 		BlockedJobs:  c.jobs.BlockedLen(),
+		Term:         c.election.Record().Term,
+		Revision:     c.cache.Revision,
+		StateAge:     c.now - c.cache.AsOf(),
+		Heartbeats:   c.heartbeats,
 		Zones:        c.zones.Stats(),
 	}
 	for _, queue := range c.queues {
 		stats.Writes += queue.Len()
 	}
 	for _, number := range sortedShards(c.owned) {
-		stats.Shards = append(stats.Shards, c.owned[number].stats())
+		stats.Shards = append(stats.Shards, c.owned[number].stats(c.now))
 	}
 	c.reply(req, http.StatusOK, stats)
 }
 
 // stats returns the current statistics of a shard.
-func (shard *ownedShard) stats() ShardStats {
+func (shard *ownedShard) stats(now units.Microseconds) ShardStats {
 	stats := ShardStats{
 		Shard:        shard.number,
+		FencingToken: shard.fencingToken,
+		OwnedFor:     now - shard.ownedSince,
 		Started:      shard.attempts,
 		Unreconciled: len(shard.reconciler.Unreconciled()),
 		Standby:      shard.replication.Standby(),
--- a/internal/core/introspect/stats.go
+++ b/internal/core/introspect/stats.go
@@ -6,6 +6,8 @@
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/jobs"
+	"shalestage.example/shalestage/internal/core/reconcile"
+	"shalestage.example/shalestage/internal/core/units"
 	"shalestage.example/shalestage/internal/core/zones"
 )
 
@@ -13,16 +15,20 @@
 type Stats struct {
 	Member       bool
 	Leading      bool
-	Full         bool   // memory is nearly full
-	KnownJobs    int    // in memory, final ones included
-	Keys         int    // in the watch cache
-	FinishedJobs int    // final jobs that are not archived
-	ArchivedIDs  int    // archived jobs whose IDs the filter holds
-	ArchiveReads uint64 // buckets read since the controller started
-	ArchiveShed  uint64 // look-ups refused since the controller started
-	ActiveJobs   int    // of all shards
-	BlockedJobs  int    // active jobs that wait for other jobs
-	Writes       int    // queued for the state service
+	Full         bool               // memory is nearly full
+	KnownJobs    int                // in memory, final ones included
+	Keys         int                // in the watch cache
+	FinishedJobs int                // final jobs that are not archived
+	ArchivedIDs  int                // archived jobs whose IDs the filter holds
+	ArchiveReads uint64             // buckets read since the controller started
+	ArchiveShed  uint64             // look-ups refused since the controller started
+	ActiveJobs   int                // of all shards
+	BlockedJobs  int                // active jobs that wait for other jobs
+	Writes       int                // queued for the state service
+	Term         uint64             // of the stored leader; 0: none is stored
+	Revision     uint64             // of the state service, up to which this controller has read
+	StateAge     units.Microseconds // time since the request of the last successful read was sent
+	Heartbeats   reconcile.Counters
 	Zones        []zones.ZoneStats
 	Shards       []ShardStats
 }
@@ -30,6 +36,8 @@
 // ShardStats are the figures of a shard that the controller owns.
 type ShardStats struct {
 	Shard          int
+	FencingToken   uint64
+	OwnedFor       units.Microseconds
 	Jobs           int
 	Waiting        int    // tasks
 	Placed         int    // tasks
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -91,7 +91,8 @@
 func (c *Core) dropShard(shard *ownedShard) {
 	delete(c.owned, shard.number)
 	shard.replication.Close(c.now)
-	c.log.Info("shard no longer owned", "shard", shard.number)
+	c.log.Info("shard no longer owned", "shard", shard.number, "token", shard.fencingToken, "owned_s", (c.now - shard.ownedSince).Seconds(),
+		"revision", c.cache.Revision, "read_age_s", (c.now - c.cache.AsOf()).Seconds())
 	c.redirectPending(shard)
 	for job := range c.jobs.Active() {
 		if job.Record.Shard == shard.number {
--- a/internal/core/provisioner.go
+++ b/internal/core/provisioner.go
@@ -143,7 +143,7 @@
 	shard.provisioner.Tick(c.now, shard.number == 0)
 	if c.now >= shard.nextLogAt {
 		shard.nextLogAt = c.now + 10*units.Second
-		stats := shard.stats()
+		stats := shard.stats(c.now)
 		stats.Log(c.log)
 	}
 }
--- a/internal/core/reconcile/admission.go
+++ b/internal/core/reconcile/admission.go
@@ -21,8 +21,17 @@
 	Superseded              // the worker has seen a later fencing token than this owner's: answered as misdirected
 	Deprovisioned           // the cloud has confirmed that the machine is deleted: answered as misdirected
 	Unknown                 // no shard has stored the machine yet: answered as misdirected
+	admissionCount
 )
 
+// Refusals lists the outcomes of admission that end in a refusal.
+var Refusals = []Admission{NotOwned, Uncertain, Superseded, Deprovisioned, Unknown}
+
+// String returns the outcome as logs and metrics show it.
+func (a Admission) String() string {
+	return [...]string{"admitted", "not_owned", "postponed", "uncertain", "superseded", "deprovisioned", "unknown"}[a]
+}
+
 const (
 	// AdoptAfter is the time for which a machine must send heartbeats without being stored before it is
 	// adopted. The shard that provisioned it needs a moment to store it.
@@ -41,7 +50,6 @@
 	case r.host.Deprovisioned(heartbeat.Machine) && r.host.GuardEnabled(guard.DeprovisionedMachine):
 		// The heartbeat was delayed by a network partition. If the machine counted as alive again, the
 		// tasks that it shows could not start elsewhere (TestDelayedHeartbeatOfDeprovisionedMachine).
-		r.cfg.Log.Debug("refused a heartbeat of a deprovisioned machine", "machine", heartbeat.Machine)
 		return Deprovisioned
 	case !stored && !r.adoptable(now, heartbeat.Machine):
 		return Unknown
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -22,8 +22,17 @@
 	Unconfirmed
 	// Confirmed heartbeats show every task that can be on the machine.
 	Confirmed
+	statusCount
 )
 
+// HeartbeatStatuses lists all statuses of accepted heartbeats.
+var HeartbeatStatuses = []HeartbeatStatus{Stale, Unconfirmed, Confirmed}
+
+// String returns the status as logs and metrics show it.
+func (s HeartbeatStatus) String() string {
+	return [...]string{"stale", "unconfirmed", "confirmed"}[s]
+}
+
 // Accepted is the result of an admitted heartbeat.
 type Accepted struct {
 	Machine  *fleet.Machine
@@ -34,6 +43,13 @@
 // Accept updates the machine from an admitted heartbeat. It adopts a machine that the shard does not
 // have.
 func (r *Reconciler) Accept(now units.Microseconds, heartbeat *fleet.Heartbeat) Accepted {
+	accepted := r.accept(now, heartbeat)
+	r.cfg.Counters.Accepted[accepted.Status]++
+	r.logAccepted(heartbeat, accepted)
+	return accepted
+}
+
+func (r *Reconciler) accept(now units.Microseconds, heartbeat *fleet.Heartbeat) Accepted {
 	machine := r.machines[heartbeat.Machine]
 	if machine == nil {
 		machine = r.host.Adopt(heartbeat)
@@ -49,13 +65,13 @@
 	if heartbeat.FencingToken != r.cfg.FencingToken && r.host.GuardEnabled(guard.HeartbeatToken) {
 		// The heartbeat proves nothing about missing tasks: it may have been in flight while an earlier
 		// owner started some.
-		return Accepted{machine, Unconfirmed, r.stopForeignTasks(heartbeat)}
+		return Accepted{machine, Unconfirmed, r.stopCommands(machine, r.foreignTasks(heartbeat))}
 	}
 	// The worker has accepted a response with this owner's token, and since then drops every response of
 	// earlier owners. So its list is complete.
-	commands := r.reconcile(now, machine, heartbeat)
+	forgets, stops := r.reconcile(now, machine, heartbeat)
 	r.MarkReconciled(now, machine)
-	return Accepted{machine, Confirmed, commands}
+	return Accepted{machine, Confirmed, append(forgets, r.stopCommands(machine, stops)...)}
 }
 
 // machineUp records the first heartbeat of a machine, or the first one after its lease expired.
@@ -81,29 +97,38 @@
 	return &current
 }
 
-// stopForeignTasks returns Stop commands for the tasks of other shards' jobs that a machine reports. No
-// machine should have any. But should two owners ever take the same machine for their own, the owner that
+// foreignTasks returns the tasks of other shards' jobs that a machine reports, which must stop. No machine should have any. But should two owners ever take the same machine for their own, the owner that
 // the worker leaves counts the machine's tasks as ended once the lease must have expired. A response that
 // renews the lease must therefore stop them.
-func (r *Reconciler) stopForeignTasks(heartbeat *fleet.Heartbeat) []fleet.Command {
-	var stops []fleet.Command
+func (r *Reconciler) foreignTasks(heartbeat *fleet.Heartbeat) []dueStop {
+	var stops []dueStop
 	for _, task := range heartbeat.Tasks {
 		job := r.host.Job(task.ID.Job)
 		if task.State != fleet.Exited && (job == nil || job.Record.Shard != r.cfg.Shard) {
-			stops = append(stops, fleet.Command{Op: fleet.Stop, ID: task.ID, Attempt: task.Attempt})
+			stops = append(stops, dueStop{task, NotThisShard})
 		}
 	}
-	return fleet.AtMost(stops, fleet.MaxStops)
+	return stops
 }
 
-// reconcile brings the recorded attempts of a machine in line with its heartbeat, and returns Forget and
-// Stop commands for the worker.
+// stopCommands returns the commands that stop tasks of a machine.
+func (r *Reconciler) stopCommands(machine *fleet.Machine, stops []dueStop) []fleet.Command {
+	var commands []fleet.Command
+	for _, stop := range stops[:min(len(stops), fleet.MaxStops)] {
+		r.cfg.Counters.Stops[stop.reason]++
+		r.logStop(machine, stop)
+		commands = append(commands, fleet.Command{Op: fleet.Stop, ID: stop.task.ID, Attempt: stop.task.Attempt})
+	}
+	return commands
+}
+
+// reconcile brings the recorded attempts of a machine in line with its heartbeat, and returns Forget
+// commands for the worker and the tasks that it must stop.
 //
 // A worker has one heartbeat in flight and drops responses to heartbeats that it has given up on. So a
 // start that was sent in an earlier response and does not show in a newer heartbeat was not carried out
 // and never will be.
-func (r *Reconciler) reconcile(now units.Microseconds, machine *fleet.Machine, heartbeat *fleet.Heartbeat) []fleet.Command {
-	var forgets, stops []fleet.Command
+func (r *Reconciler) reconcile(now units.Microseconds, machine *fleet.Machine, heartbeat *fleet.Heartbeat) (forgets []fleet.Command, stops []dueStop) {
 	present := make(map[jobs.TaskID]bool, len(heartbeat.Tasks))
 	var exited []fleet.Task
 	for _, task := range heartbeat.Tasks {
@@ -112,8 +137,8 @@
 			continue
 		}
 		present[task.ID] = true
-		if r.observe(now, machine, task) {
-			stops = append(stops, fleet.Command{Op: fleet.Stop, ID: task.ID, Attempt: task.Attempt})
+		if reason, stop := r.observe(now, machine, task); stop {
+			stops = append(stops, dueStop{task, reason})
 		}
 	}
 	for _, task := range exited {
@@ -126,11 +151,11 @@
 			r.Remove(now, machine, id)
 		}
 	}
-	return append(fleet.AtMost(forgets, fleet.MaxForgets), fleet.AtMost(stops, fleet.MaxStops)...)
+	return fleet.AtMost(forgets, fleet.MaxForgets), stops
 }
 
-// observe records a task that is present on a machine, and reports whether it must stop.
-func (r *Reconciler) observe(now units.Microseconds, machine *fleet.Machine, task fleet.Task) (stop bool) {
+// observe records a task that is present on a machine, and reports whether and why it must stop.
+func (r *Reconciler) observe(now units.Microseconds, machine *fleet.Machine, task fleet.Task) (reason StopReason, stop bool) {
 	job := r.host.Job(task.ID.Job)
 	attempt, known := machine.Tasks[task.ID]
 	if !known || attempt.Number != task.Attempt {
@@ -141,19 +166,28 @@
 		attempt.RunningSince = now
 	}
 	r.Place(machine, task.ID, attempt)
-	if !r.active(job, task) || !r.placeJob(machine, job, task) {
-		return true
+	if reason, stop = r.inactive(job, task); stop {
+		return reason, true
+	}
+	if !r.placeJob(machine, job, task) {
+		return RunsElsewhere, true
 	}
 	if task.State != fleet.Fetching {
 		job.SetLive(task.ID.Task)
 		machine.UseImage(job.Spec().Image)
 	}
-	return false
+	return 0, false
 }
 
-// active reports whether a task belongs to an active job of this shard.
-func (r *Reconciler) active(job *jobs.Job, task fleet.Task) bool {
-	return job != nil && job.Active() && job.Record.Shard == r.cfg.Shard && task.ID.Task < job.Record.Tasks
+// inactive reports whether and why a task does not belong to an active job of this shard.
+func (r *Reconciler) inactive(job *jobs.Job, task fleet.Task) (reason StopReason, inactive bool) {
+	switch {
+	case job == nil, job.Record.Shard != r.cfg.Shard, task.ID.Task >= job.Record.Tasks:
+		return NotThisShard, true
+	case !job.Active():
+		return JobFinished, true
+	}
+	return 0, false
 }
 
 // adoptAttempt returns a record of an attempt that an earlier owner started.
@@ -210,7 +244,7 @@
 			job.DeferUntil(now + refusedStartDelay)
 		}
 	}
-	if task.Cause != fleet.Completed || !r.active(job, task) || job.IsStored(task.ID.Task) {
+	if _, inactive := r.inactive(job, task); inactive || task.Cause != fleet.Completed || job.IsStored(task.ID.Task) {
 		return true
 	}
 	if !job.IsFinished(task.ID.Task) {
--- /dev/null
+++ b/internal/core/reconcile/log.go
@@ -0,0 +1,52 @@
+package reconcile
+
+import (
+	"context"
+	"log/slog"
+
+	"shalestage.example/shalestage/internal/core/fleet"
+)
+
+// debugLogged reports whether debug lines are logged. Their attributes are too costly to compute otherwise.
+func (r *Reconciler) debugLogged() bool {
+	return r.cfg.Log.Enabled(context.Background(), slog.LevelDebug)
+}
+
+// logStop logs that a response stops a task, and why.
+func (r *Reconciler) logStop(machine *fleet.Machine, stop dueStop) {
+	if r.debugLogged() {
+		r.cfg.Log.Debug("stopping task", "task", stop.task.ID.String(), "machine", machine.Name, "attempt", stop.task.Attempt,
+			"token", r.cfg.FencingToken, "why", stop.reason.String())
+	}
+}
+
+// logAccepted logs an accepted heartbeat with what the response is based on. A response renews the
+// worker's lease, so finished and stops tell whether tasks of finished jobs may go on for another lease.
+func (r *Reconciler) logAccepted(heartbeat *fleet.Heartbeat, accepted Accepted) {
+	if !r.debugLogged() {
+		return
+	}
+	stops := 0
+	for _, command := range accepted.Commands {
+		if command.Op == fleet.Stop {
+			stops++
+		}
+	}
+	r.cfg.Log.Debug("heartbeat accepted", "status", accepted.Status.String(), "machine", heartbeat.Machine,
+		"incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq, "worker_token", heartbeat.FencingToken, "token", r.cfg.FencingToken,
+		"tasks", len(heartbeat.Tasks), "finished", r.countFinished(heartbeat), "stops", stops, "lease_end", accepted.Machine.LeaseEnd.Seconds())
+}
+
+// countFinished returns the number of tasks of finished or unknown jobs that a heartbeat shows as present.
+func (r *Reconciler) countFinished(heartbeat *fleet.Heartbeat) int {
+	count := 0
+	for _, task := range heartbeat.Tasks {
+		if task.State == fleet.Exited {
+			continue
+		}
+		if _, inactive := r.inactive(r.host.Job(task.ID.Job), task); inactive {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/core/reconcile/probe.go
+++ b/internal/core/reconcile/probe.go
@@ -97,6 +97,8 @@
 		return
 	}
 	machine.Incarnation, machine.Seq = answer.Incarnation, answer.Seq
+	r.cfg.Counters.ProbeAnswers++
+	r.cfg.Log.Debug("probe answered", "machine", machine.Name, "incarnation", answer.Incarnation, "seq", answer.Seq, "token", r.cfg.FencingToken, "tasks", len(answer.Tasks))
 	r.reconcile(now, machine, answer) // the commands are sent in the response to its next heartbeat
 	r.MarkReconciled(now, machine)
 }
--- a/internal/core/reconcile/reconcile.go
+++ b/internal/core/reconcile/reconcile.go
@@ -84,6 +84,7 @@
 	Shard        int
 	FencingToken uint64 // fencing token of this owner
 	OwnedSince   units.Microseconds
+	Counters     *Counters
 	Log          *slog.Logger
 }
 
--- a/internal/core/reconcile/reconcile_test.go
+++ b/internal/core/reconcile/reconcile_test.go
@@ -43,7 +43,7 @@
 func newOwner(t *testing.T, transferred bool) (*fakeOwner, *fleet.Machine) {
 	t.Helper()
 	owner := &fakeOwner{jobs: map[string]*jobs.Job{}, deprovisioned: map[string]bool{}}
-	owner.reconciler = New(Config{FencingToken: token, Log: slog.New(slog.DiscardHandler)}, owner, owner)
+	owner.reconciler = New(Config{FencingToken: token, Counters: &Counters{}, Log: slog.New(slog.DiscardHandler)}, owner, owner)
 	job := &jobs.Job{ID: "wk-000001", Record: jobs.Record{Status: jobs.Pending, Tasks: 3, Spec: &jobs.Spec{Team: "t", Tasks: 3, Demand: binpack.Vec{1000}}}}
 	job.Reset()
 	owner.jobs[job.ID] = job
--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 	"slices"
 
@@ -122,6 +124,7 @@
 		h.reply(deferred.request, http.StatusOK, deferred.response)
 		return
 	}
+	h.log.Debug("deferred heartbeat response dropped", "shard", h.shard.number, "token", deferred.response.FencingToken, "acknowledged", ok)
 	h.reply(deferred.request, http.StatusServiceUnavailable, Problem{"no authority at present"})
 }
 
@@ -129,7 +132,23 @@
 // the standby has acknowledged the start.
 func (c *Core) answerHeartbeat(shard *ownedShard, machine *fleet.Machine, request RequestID, response HeartbeatResponse) {
 	starts := slices.ContainsFunc(response.Commands, func(command fleet.Command) bool { return command.Op == fleet.Start })
+	if starts {
+		c.logStarts(machine, response)
+	}
 	if !starts || !c.guardEnabled(guard.StandbyAcknowledged) || !shard.replication.DeferAnswer(c.now, machine.Name, deferredResponse{request, response}) {
 		c.reply(request, http.StatusOK, response)
 	}
 }
+
+// logStarts logs the tasks that a response starts, and for how long this controller may still answer machines.
+func (c *Core) logStarts(machine *fleet.Machine, response HeartbeatResponse) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	validFor := (c.ValidUntil() - c.now).Seconds()
+	for _, command := range response.Commands {
+		if command.Op == fleet.Start {
+			c.log.Debug("starting task", "task", command.ID.String(), "machine", machine.Name, "attempt", command.Attempt, "token", response.FencingToken, "valid_for_s", validFor)
+		}
+	}
+}
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -62,7 +62,7 @@
 	shard := &ownedShard{number: number, assignment: assignment.Version, fencingToken: authority.FencingToken(assignment.Term, assignment.Number), ownedSince: c.now, active: map[string]*jobs.Job{},
 		demand: demand.New(c.cfg.Objectives, c.cfg.SequentialFraction)}
 	shard.quota = quota.New(quotaHost{c, shard})
-	shard.reconciler = reconcile.New(reconcile.Config{Shard: number, FencingToken: shard.fencingToken, OwnedSince: c.now, Log: c.log}, reconcileHost{c, shard}, shard.quota)
+	shard.reconciler = reconcile.New(reconcile.Config{Shard: number, FencingToken: shard.fencingToken, OwnedSince: c.now, Counters: &c.heartbeats, Log: c.log}, reconcileHost{c, shard}, shard.quota)
 	shard.scheduler = scheduler.New(scheduler.Config{Shard: number, Packing: c.cfg.Pack, HeartbeatDeadline: liveness.HeartbeatDeadline(c.cfg.HeartbeatInterval),
 		Log: c.log, SkippedGuard: c.cfg.SkippedGuard}, schedulerHost{c, shard}, shard.quota, shard.demand, c.zones)
 	shard.attribution = quarantine.New(schedulerHost{c, shard}, c.log)
@@ -103,7 +103,8 @@
 	c.inheritJobs(shard)
 	restored := snapshot.Restore(transferHost{c, shard})
 	shard.ready = true
-	c.log.Info("shard ready", "shard", shard.number, "jobs", len(shard.active), "machines", len(shard.reconciler.Machines()), "restored", restored, "replicated", snapshot.Complete())
+	c.log.Info("shard ready", "shard", shard.number, "jobs", len(shard.active), "machines", len(shard.reconciler.Machines()), "restored", restored, "replicated", snapshot.Complete(),
+		"token", shard.fencingToken, "revision", c.cache.Revision, "read_age_s", (c.now - c.cache.AsOf()).Seconds())
 }
 
 // inheritGroup adds the machines of a stored group to a shard. The snapshot says for
--- a/internal/core/watchcache/watchcache.go
+++ b/internal/core/watchcache/watchcache.go
@@ -338,6 +338,7 @@
 	switch {
 	case outcome == store.OK:
 		c.applyWatched(request, revision, events)
+		c.cfg.Log.Debug("state read", "after", request.After, "revision", revision, "changes", len(events), "fresh", request.Fresh, "took_s", (now - request.Sent).Seconds())
 	case compacted:
 		c.loaded, c.listedUpTo = false, ""
 	case c.recovering:
