Every answer that renews a lease stops the tasks of finished jobs

Seen: ran_cancelled.

Cause: a right that is renewed in one path and checked in another. An answer with status 200 renews the worker's lease whatever its heartbeat proves, but only the answer to a heartbeat under the owner's own token stopped tasks of finished jobs. A machine that hangs or hears nothing right after such an answer runs the task for another lease; cancel_s (51 s) is less than two leases of 26 s.

Change: the answer to an unconfirmed heartbeat stops the tasks of finished, unknown and other shards' jobs; every answer stops attempts whose lease expired; stops of tasks that must not run are not limited to 100 (a response of 500 stops and 100 preemptions stays below 64 KiB: TestLargestHeartbeatResponse, which keeps its old case). The new guard InactiveTasks lets a test leave the check out.

Why it works: after the owner knows of a cancellation (at most cancel_s less a lease less 2 s after it was confirmed), an answer either carries the stops or renews nothing. So a task outlives its job by one lease.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -97,18 +98,21 @@
 // TestLargestHeartbeatResponse encodes the maximum number of commands in a heartbeat response, with the longest
 // ids. Workers do not accept lines longer than 64 KiB.
 func TestLargestHeartbeatResponse(t *testing.T) {
-	var commands []fleet.Command
-	add := func(op fleet.Op, n int) {
-		for range n {
-			commands = append(commands, fleet.Command{Op: op, ID: jobs.TaskID{Job: "wk-123456789012345678", Task: 99_999}, Attempt: 1<<64 - 1, Grace: 12345678})
+	id := jobs.TaskID{Job: "wk-123456789012345678", Task: 99_999}
+	forget := fleet.Command{Op: fleet.Forget, ID: id, Attempt: 1<<64 - 1, Grace: 12345678}
+	stop := fleet.Command{Op: fleet.Stop, ID: id, Attempt: 1<<64 - 1}
+	preempt := fleet.Command{Op: fleet.Stop, ID: id, Attempt: 1<<64 - 1, Grace: 12345678}
+	start := fleet.Command{Op: fleet.Start, ID: id, Attempt: 1<<64 - 1, Grace: 12345678}
+	for name, commands := range map[string][]fleet.Command{
+		"forgets, stops and starts": slices.Concat(slices.Repeat([]fleet.Command{forget}, fleet.MaxForgets),
+			slices.Repeat([]fleet.Command{preempt}, 2*fleet.MaxStops), slices.Repeat([]fleet.Command{start}, fleet.MaxStarts)),
+		"stops of all tasks that a machine reports": slices.Concat(slices.Repeat([]fleet.Command{stop}, fleet.MaxReportedTasks),
+			slices.Repeat([]fleet.Command{preempt}, fleet.MaxStops)),
+	} {
+		w := httptest.NewRecorder()
+		writeReply(w, core.Reply{Code: http.StatusOK, Body: core.HeartbeatResponse{FencingToken: 1<<64 - 1, Commands: commands}})
+		if n := w.Body.Len(); n > 64<<10 || n < 40<<10 {
+			t.Errorf("%s: response of %d bytes", name, n)
 		}
 	}
-	add(fleet.Forget, fleet.MaxForgets)
-	add(fleet.Stop, 2*fleet.MaxStops) // of unexpected tasks, and of cancelled ones
-	add(fleet.Start, fleet.MaxStarts)
-	w := httptest.NewRecorder()
-	writeReply(w, core.Reply{Code: http.StatusOK, Body: core.HeartbeatResponse{FencingToken: 1<<64 - 1, Commands: commands}})
-	if n := w.Body.Len(); n > 64<<10 || n < 40<<10 {
-		t.Fatalf("response of %d bytes", n)
-	}
 }
--- a/internal/core/fleet/heartbeat.go
+++ b/internal/core/fleet/heartbeat.go
@@ -74,10 +74,11 @@
 
 // Limits on the commands of one heartbeat response, which must not exceed 64 KiB (TestLargestHeartbeatResponse in
 // internal/api). A machine can hold hundreds of small tasks; commands beyond a limit are sent in the
-// response to its next heartbeat.
+// response to its next heartbeat. Tasks that must not run on are stopped without a limit, as the response
+// renews the lease: together with the tasks to forget and to start they are at most MaxReportedTasks.
 const (
 	MaxForgets = 200
-	MaxStops   = 100
+	MaxStops   = 100 // of tasks that are stopped to make room, or to drain the machine
 	MaxStarts  = 250
 	// MaxReportedTasks limits the tasks that a machine reports, because a heartbeat must not exceed 64
 	// KiB either. While the state service is unavailable, exited tasks cannot be stored and so stay in
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -16,6 +16,7 @@
 	ExpiredAttempts                       // attempts that ended with a lease are dropped from later heartbeats
 	DeprovisionedMachine                  // a machine whose deletion the cloud has confirmed is not registered again
 	ProbeAnswer                           // the answer to a probe counts only before any task was started
+	InactiveTasks                         // a response to an unconfirmed heartbeat stops the tasks of finished jobs
 )
 
 // Checks of what may still run.
--- a/internal/core/reconcile/counters.go
+++ b/internal/core/reconcile/counters.go
@@ -19,15 +19,16 @@
 	JobFinished   StopReason = iota // its job is done or cancelled
 	NotThisShard                    // its job is unknown, another shard's, or has fewer tasks
 	RunsElsewhere                   // it has finished, or was started on another machine
+	LeaseExpired                    // it counts as ended since a lease of the machine expired
 	stopReasonCount
 )
 
 // StopReasons lists all reasons for stopping a task.
-var StopReasons = []StopReason{JobFinished, NotThisShard, RunsElsewhere}
+var StopReasons = []StopReason{JobFinished, NotThisShard, RunsElsewhere, LeaseExpired}
 
 // String returns the reason as logs and metrics show it.
 func (r StopReason) String() string {
-	return [...]string{"job_finished", "not_this_shard", "runs_elsewhere"}[r]
+	return [...]string{"job_finished", "not_this_shard", "runs_elsewhere", "lease_expired"}[r]
 }
 
 // dueStop is a task that a machine must stop.
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -33,7 +33,9 @@
 	return [...]string{"stale", "unconfirmed", "confirmed"}[s]
 }
 
-// Accepted is the result of an admitted heartbeat.
+// Accepted is the result of an admitted heartbeat. Its response renews the worker's lease. Therefore the
+// commands stop every task of a finished job that the heartbeat shows: a machine that cannot be reached
+// afterwards would run the task for another lease.
 type Accepted struct {
 	Machine  *fleet.Machine
 	Status   HeartbeatStatus
@@ -60,18 +62,18 @@
 	if machine.LastSeen == 0 {
 		r.machineUp(now, machine, heartbeat)
 	}
-	heartbeat = r.withoutExpired(machine, heartbeat)
+	current, expired := r.splitExpired(machine, heartbeat)
 	machine.AcceptHeartbeat(now, now+r.host.LeaseBound(), heartbeat)
 	if heartbeat.FencingToken != r.cfg.FencingToken && r.host.GuardEnabled(guard.HeartbeatToken) {
 		// The heartbeat proves nothing about missing tasks: it may have been in flight while an earlier
 		// owner started some.
-		return Accepted{machine, Unconfirmed, r.stopCommands(machine, r.foreignTasks(heartbeat))}
+		return Accepted{machine, Unconfirmed, r.stopCommands(machine, append(expired, r.inactiveTasks(current)...))}
 	}
 	// The worker has accepted a response with this owner's token, and since then drops every response of
 	// earlier owners. So its list is complete.
-	forgets, stops := r.reconcile(now, machine, heartbeat)
+	forgets, stops := r.reconcile(now, machine, current)
 	r.MarkReconciled(now, machine)
-	return Accepted{machine, Confirmed, append(forgets, r.stopCommands(machine, stops)...)}
+	return Accepted{machine, Confirmed, append(forgets, r.stopCommands(machine, append(expired, stops...))...)}
 }
 
 // machineUp records the first heartbeat of a machine, or the first one after its lease expired.
@@ -84,28 +86,41 @@
 		"after_s", (now - machine.ProvisionedAt).Seconds())
 }
 
-// withoutExpired returns a heartbeat without the attempts that ended when a lease of the machine expired.
-// A network partition delayed the heartbeat, which was sent before. Applied unfiltered, it would restore
-// tasks that have been started elsewhere since (docs/incidents/2026-12-01-held-back.md).
-func (r *Reconciler) withoutExpired(machine *fleet.Machine, heartbeat *fleet.Heartbeat) *fleet.Heartbeat {
+// splitExpired separates the attempts that ended when a lease of the machine expired from a heartbeat, and
+// returns them as tasks to stop. Usually a network partition delayed the heartbeat, which was sent before.
+// Applied unfiltered, it would restore tasks that have been started elsewhere since
+// (docs/incidents/2026-12-01-held-back.md). If the machine still runs them, they must not go on.
+func (r *Reconciler) splitExpired(machine *fleet.Machine, heartbeat *fleet.Heartbeat) (*fleet.Heartbeat, []dueStop) {
 	if !slices.ContainsFunc(heartbeat.Tasks, machine.Expired) || !r.host.GuardEnabled(guard.ExpiredAttempts) {
-		return heartbeat
+		return heartbeat, nil
 	}
 	r.cfg.Log.Debug("heartbeat shows attempts whose lease expired", "machine", machine.Name)
+	var expired []dueStop
+	for _, task := range heartbeat.Tasks {
+		if machine.Expired(task) {
+			expired = append(expired, dueStop{task, LeaseExpired})
+		}
+	}
 	current := *heartbeat
 	current.Tasks = slices.DeleteFunc(slices.Clone(heartbeat.Tasks), machine.Expired)
-	return &current
+	return &current, expired
 }
 
-// foreignTasks returns the tasks of other shards' jobs that a machine reports, which must stop. No machine should have any. But should two owners ever take the same machine for their own, the owner that
-// the worker leaves counts the machine's tasks as ended once the lease must have expired. A response that
-// renews the lease must therefore stop them.
-func (r *Reconciler) foreignTasks(heartbeat *fleet.Heartbeat) []dueStop {
+// inactiveTasks returns the tasks of a heartbeat that must stop whatever else runs on the machine: those of
+// finished jobs, of other shards' jobs and of unknown ones. Should two owners ever take the same machine for
+// their own, the owner that the worker leaves counts the machine's tasks as ended once the lease must have
+// expired. A response that renews the lease must therefore stop those tasks too.
+func (r *Reconciler) inactiveTasks(heartbeat *fleet.Heartbeat) []dueStop {
+	if !r.host.GuardEnabled(guard.InactiveTasks) {
+		return nil
+	}
 	var stops []dueStop
 	for _, task := range heartbeat.Tasks {
-		job := r.host.Job(task.ID.Job)
-		if task.State != fleet.Exited && (job == nil || job.Record.Shard != r.cfg.Shard) {
-			stops = append(stops, dueStop{task, NotThisShard})
+		if task.State == fleet.Exited {
+			continue
+		}
+		if reason, inactive := r.inactive(r.host.Job(task.ID.Job), task); inactive {
+			stops = append(stops, dueStop{task, reason})
 		}
 	}
 	return stops
@@ -114,7 +129,7 @@
 // stopCommands returns the commands that stop tasks of a machine.
 func (r *Reconciler) stopCommands(machine *fleet.Machine, stops []dueStop) []fleet.Command {
 	var commands []fleet.Command
-	for _, stop := range stops[:min(len(stops), fleet.MaxStops)] {
+	for _, stop := range stops {
 		r.cfg.Counters.Stops[stop.reason]++
 		r.logStop(machine, stop)
 		commands = append(commands, fleet.Command{Op: fleet.Stop, ID: stop.task.ID, Attempt: stop.task.Attempt})
--- a/internal/core/reconcile/reconcile.go
+++ b/internal/core/reconcile/reconcile.go
@@ -2,10 +2,12 @@
 // and the attempts that may run on each. It brings the recorded attempts in line with the machines'
 // heartbeats, and tracks which machines have not been reconciled since the shard changed owners.
 //
-// Safety rests on two rules. First, a start is sent only in the response to a heartbeat, by the owner of
+// Safety rests on three rules. First, a start is sent only in the response to a heartbeat, by the owner of
 // the machine's shard. Second, an attempt that may have been started counts as running until one of these
 // holds: its machine reports otherwise under this owner's fencing token; the machine is in a new
-// incarnation that does not show it; the machine is deprovisioned; or its lease must have expired.
+// incarnation that does not show it; the machine is deprovisioned; or its lease must have expired. Third, a
+// response that renews a worker's lease stops every reported task whose job has finished or is not this
+// shard's, and every attempt that counts as ended since a lease of the machine expired.
 //
 // The package does no I/O and reads no clock: heartbeats and the time are passed to its methods, and
 // effects go out through its Host.
--- a/internal/core/reconcile/reconcile_test.go
+++ b/internal/core/reconcile/reconcile_test.go
@@ -220,6 +220,52 @@
 	}
 }
 
+// TestLeaseRenewalStopsCancelledTasks guards against a response that renews a worker's lease and lets tasks of
+// a cancelled job run on for another lease.
+func TestLeaseRenewalStopsCancelledTasks(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		transferred bool
+		expired     bool
+		token       uint64
+		disabled    guard.Guard
+		want        int
+	}{
+		{"new owner that does not know the tasks", false, false, token - 1, guard.None, manyTasks},
+		{"new owner that knows the tasks", true, false, token - 1, guard.None, manyTasks},
+		{"same owner", true, false, token, guard.None, manyTasks},
+		{"same owner, lease expired", true, true, token, guard.None, manyTasks},
+		{"new owner, lease expired", true, true, token - 1, guard.None, manyTasks},
+		{"new owner without the check", true, false, token - 1, guard.InactiveTasks, 0},
+	} {
+		owner, machine := newOwner(t, test.transferred)
+		job := owner.jobs["wk-000001"]
+		job.Record.Tasks, owner.disabled = manyTasks, test.disabled
+		var tasks []fleet.Task
+		for i := range manyTasks {
+			tasks = append(tasks, fleet.Task{ID: jobs.TaskID{Job: job.ID, Task: i}, Attempt: uint64(i + 1), State: fleet.Running})
+		}
+		if test.expired {
+			owner.lastAttempt = manyTasks
+			owner.reconciler.ExpireLease(lease, machine)
+		}
+		job.Record.Status = jobs.Cancelled
+		accepted := owner.reconciler.Accept(lease+second, heartbeat(1, test.token, tasks...))
+		stopped := map[jobs.TaskID]bool{}
+		for _, command := range accepted.Commands {
+			if command.Op == fleet.Stop && command.Attempt == uint64(command.ID.Task+1) {
+				stopped[command.ID] = true
+			}
+		}
+		if len(stopped) != test.want || machine.LeaseEnd != 2*lease+second {
+			t.Errorf("%s: %d of %d tasks stopped, lease until %v", test.name, len(stopped), manyTasks, machine.LeaseEnd)
+		}
+	}
+}
+
+// manyTasks is more than a response stops to make room for others.
+const manyTasks = 3 * fleet.MaxStops
+
 // TestTaskOnTwoMachines has a machine report a task that was started on another machine. The machine must
 // stop it, and the task must stay placed where it was started.
 func TestTaskOnTwoMachines(t *testing.T) {
--- a/internal/rehearse/planted_test.go
+++ b/internal/rehearse/planted_test.go
@@ -82,6 +82,7 @@
 	{"older heartbeats are accepted as new", without(guard.HeartbeatOrder), "meet-all-away.toml", check.RanTwice, 5},
 	{"tasks of a silent machine count as lost after a third of its lease", sim.Mutation{CoreConfig: func(c *core.Config) { c.Lease /= 3 }}, "meet-deaf-machines.toml", check.RanTwice, 10},
 	{"machines of earlier owners count as reconciled", without(guard.UnreconciledMachines), "meet-returns.toml", check.RanTwice, 5},
+	{"only confirmed heartbeats stop tasks of finished jobs", without(guard.InactiveTasks), "meet-cancelled-silent.toml", check.RanCancelled, 5},
 	// Shard owner.
 	{"tasks of a job start in any zone", without(guard.ZoneConstraints), "meet-one-zone.toml", check.WrongPlace, 5},
 	{"a start does not wait for the standby", without(guard.StandbyAcknowledged), "meet-held-commands.toml", check.RanTwice, 5},
