The owner's account of a lease moves with every answer that renews it

Cause: a heartbeat that is older than the machine's newest message was answered with status 200 and changed nothing, on the ground that the worker no longer waits. After the answer to a probe it does: probe and heartbeat carry one numbering, and the probe's answer overtakes a heartbeat under way. The worker's lease was renewed; the owner's account of it ended up to 2 s earlier, and no task of a finished job was stopped.

Change: the last heartbeat's number is kept beside the newest message's. A heartbeat that a later heartbeat of this owner has overtaken, or whose machine's lease has expired, is refused with 503; any other old one moves the account of the lease, is answered with the stops that are due, and changes nothing else. The new guard OvertakenLease lets a test leave the accounting out.

Why it works: a worker awaits one heartbeat at a time, so one that is older than another heartbeat is not awaited; every other answer is accounted from when it is given, later than the worker counts from.

TestOvertakenHeartbeatRenewsLease, with the check left out: the lease ends 1 s early and no task is stopped.

--- a/cmd/shalestage/explore.go
+++ b/cmd/shalestage/explore.go
@@ -12,10 +12,11 @@
 	"shalestage.example/shalestage/internal/explore/authority"
 	"shalestage.example/shalestage/internal/explore/cancelling"
 	"shalestage.example/shalestage/internal/explore/following"
+	"shalestage.example/shalestage/internal/explore/renewal"
 )
 
 type exploreCmd struct {
-	World    string        `default:"authority" enum:"authority,following,cancelling" help:"Who holds a block, what a holder's follower knows, or which cancellations a holder knows."`
+	World    string        `default:"authority" enum:"authority,following,cancelling,renewal" help:"Who holds a block, what a holder's follower knows, which cancellations a holder knows, or what its answers renew."`
 	Depth    int           `default:"9" help:"Moves in a history at most."`
 	Within   time.Duration `default:"10m" help:"Stop after this time."`
 	Mail     int           `default:"2" help:"Messages under way at once."`
@@ -23,6 +24,7 @@
 	Twice    int           `default:"0" help:"Messages that come twice, in a history (authority)."`
 	Alone    bool          `help:"Let one controller end a seat without the others' help (authority)."`
 	Unserved bool          `help:"Let the others promise as in an outage of the state service (authority)."`
+	Owners   int           `default:"3" help:"Owners one after the other (renewal)."`
 	Starts   int           `default:"3" help:"Tasks that may be started (following)."`
 	Jobs     int           `default:"2" help:"Cancellations (cancelling)."`
 	Lost     int           `default:"2" help:"Messages and writes that are lost, or stay without an answer (following)."`
@@ -31,7 +33,7 @@
 
 // Help implements kong's long help.
 func (*exploreCmd) Help() string {
-	return "Every order of what can happen in a small world, as far as the depth goes, with the service's own code. authority: three controllers, a state service, messages that are late or lost, processes that end, clocks that run off; do two hold a block at once? following: a holder that starts tasks and its follower, which at each moment is asked what it knows; does it miss a start that was let out? cancelling: two controllers that confirm cancellations and a holder that hears of them by reads and by their word; does it answer workers for too long without knowing of one? Exit status: 0 nothing is broken, 1 something is, and the shortest history is printed; 2 unusable input."
+	return "Every order of what can happen in a small world, as far as the depth goes, with the service's own code. authority: three controllers, a state service, messages that are late or lost, processes that end, clocks that run off; do two hold a block at once? following: a holder that starts tasks and its follower, which at each moment is asked what it knows; does it miss a start that was let out? cancelling: two controllers that confirm cancellations and a holder that hears of them by reads and by their word; does it answer workers for too long without knowing of one? renewal: one machine and its owners, one after the other, while a job is cancelled; does an answer renew the worker's lease and leave a cancelled task, or does an owner take a task or a lease for ended too early? Exit status: 0 nothing is broken, 1 something is, and the shortest history is printed; 2 unusable input."
 }
 
 // Run searches.
@@ -49,6 +51,11 @@
 		return search(o, opt.Mutation, cancelling.Mutations, func() explore.World[cancelling.Action] { return cancelling.New(opt) },
 			func(h []cancelling.Action) []string { return cancelling.FormatTrace(opt, h) })
 	}
+	if o.World == "renewal" {
+		opt := renewal.Options{Mutation: renewal.Mutation(o.Fault), Owners: o.Owners, Mail: o.Mail}
+		return search(o, opt.Mutation, renewal.Mutations, func() explore.World[renewal.Action] { return renewal.New(opt) },
+			func(h []renewal.Action) []string { return renewal.FormatTrace(opt, h) })
+	}
 	opt := authority.Options{Mutation: authority.Mutation(o.Fault), Mail: o.Mail, Crashes: o.Crashes, Twice: o.Twice, Alone: o.Alone, Unserved: o.Unserved}
 	return search(o, opt.Mutation, authority.Mutations, func() explore.World[authority.Action] { return authority.New(opt) },
 		func(h []authority.Action) []string { return authority.FormatTrace(opt, h) })
--- a/cmd/shalestage/main.go
+++ b/cmd/shalestage/main.go
@@ -13,6 +13,7 @@
 	"shalestage.example/shalestage/internal/explore/authority"
 	"shalestage.example/shalestage/internal/explore/cancelling"
 	"shalestage.example/shalestage/internal/explore/following"
+	"shalestage.example/shalestage/internal/explore/renewal"
 )
 
 const version = "0.10.0"
@@ -78,7 +79,7 @@
 func main() {
 	k := kong.Must(model(os.Args[1:]), kong.Name("shalestage"),
 		kong.Description("The shalestage cluster scheduler. LOG_LEVEL sets a controller's log level: error, info or debug."),
-		kong.Vars{"version": version, "faults": fmt.Sprint(authority.Mutations, following.Mutations, cancelling.Mutations)}, kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+		kong.Vars{"version": version, "faults": fmt.Sprint(authority.Mutations, following.Mutations, cancelling.Mutations, renewal.Mutations)}, kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	ctx, err := k.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "shalestage: %v; --help lists the commands\n", err)
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -47,7 +47,7 @@
 
 func (f *fakeNode) Stats(context.Context) (core.Stats, bool) {
 	heartbeats := reconcile.Counters{}
-	heartbeats.Accepted[reconcile.Unconfirmed] = 5
+	heartbeats.Admitted[reconcile.Unconfirmed] = 5
 	heartbeats.Stops[reconcile.JobFinished] = 4
 	return core.Stats{Member: true, Heartbeats: heartbeats, Shards: []core.ShardStats{{Shard: 2, Waiting: 7, Spot: core.PoolStats{Machines: 5, Booting: 1, Idle: 1}}}}, true
 }
@@ -74,7 +74,7 @@
 		{"GET", "/metrics", "", 200, "shalestage_seated 1"},
 		{"GET", "/metrics", "", 200, `shalestage_block_tasks{block="2",state="waiting"} 7`},
 		{"GET", "/metrics", "", 200, `shalestage_block_machines{block="2",kind="spot",state="busy"} 3`},
-		{"GET", "/metrics", "", 200, `shalestage_heartbeats_accepted_total{status="unconfirmed"} 5`},
+		{"GET", "/metrics", "", 200, `shalestage_heartbeats_admitted_total{status="unconfirmed"} 5`},
 		{"GET", "/metrics", "", 200, `shalestage_task_stops_total{reason="job_finished"} 4`},
 		{"GET", "/nowhere", "", 404, ""},
 		{"DELETE", "/work", "", 405, ""},
--- a/internal/api/metrics.go
+++ b/internal/api/metrics.go
@@ -51,8 +51,8 @@
 	descTerm           = desc("leader_term", "Term of the stored leader, 0 without one.")
 	descRevision       = desc("state_revision", "Revision of the state service up to which the controller has read.")
 	descStateAge       = desc("state_age_seconds", "Time since the last successful read of the state service was sent.")
-	descHeartbeats     = desc("heartbeats_accepted_total", "Heartbeats answered with status 200, by what they prove.", "status")
-	descRefused        = desc("heartbeats_refused_total", "Heartbeats not answered with status 200, by reason.", "reason")
+	descHeartbeats     = desc("heartbeats_admitted_total", "Heartbeats of machines of held blocks, by what they prove; stale ones are refused.", "status")
+	descRefused        = desc("heartbeats_refused_total", "Heartbeats not admitted, by reason.", "reason")
 	descStops          = desc("task_stops_total", "Commands that stop a task that must not run on its machine, by reason.", "reason")
 	descProbeAnswers   = desc("probe_answers_total", "Answers to probes that told all tasks on a machine.")
 	descCPUs           = desc("block_cpus", "CPUs of a held block's machines.", "block", "kind", "state")
@@ -127,7 +127,7 @@
 		results <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
 	}
 	for _, status := range reconcile.HeartbeatStatuses {
-		count(descHeartbeats, counters.Accepted[status], status.String())
+		count(descHeartbeats, counters.Admitted[status], status.String())
 	}
 	for _, refusal := range reconcile.Refusals {
 		count(descRefused, counters.Refused[refusal], refusal.String())
--- a/internal/core/fleet/machine.go
+++ b/internal/core/fleet/machine.go
@@ -26,7 +26,8 @@
 	Probes         int                // number of probes sent to it (see package reconcile)
 	ProvisionedAt  units.Microseconds // time at which it was provisioned or, if not known, first seen
 	Incarnation    uint64             // incarnation of its worker process
-	Seq            uint64             // sequence number of the last heartbeat of that incarnation
+	Seq            uint64             // sequence number of its newest message of that incarnation: a heartbeat, or the answer to a probe
+	HeartbeatSeq   uint64             // sequence number of the last heartbeat of that incarnation; 0: none
 	LastSeen       units.Microseconds // time of the last heartbeat; 0 if none since its lease last expired
 	LeaseEnd       units.Microseconds // time from which no task can be running on it; 0 without a lease
 	Reconciled     bool               // all attempts that may run on it are known
@@ -77,11 +78,32 @@
 		Tasks: map[jobs.TaskID]Attempt{}}
 }
 
-// Newer reports whether a heartbeat is later than every heartbeat accepted from the machine.
+// Newer reports whether a heartbeat is later than every message accepted from the machine.
 func (m *Machine) Newer(heartbeat *Heartbeat) bool {
 	return heartbeat.Incarnation > m.Incarnation || (heartbeat.Incarnation == m.Incarnation && heartbeat.Seq > m.Seq)
 }
 
+// Awaited reports whether the worker may still wait for the response to a heartbeat: no later heartbeat and
+// no later incarnation is known. A response to the heartbeat then renews the worker's lease, even if the
+// answer to a probe has overtaken the heartbeat.
+func (m *Machine) Awaited(heartbeat *Heartbeat) bool {
+	return heartbeat.Incarnation > m.Incarnation || (heartbeat.Incarnation == m.Incarnation && heartbeat.Seq > m.HeartbeatSeq)
+}
+
+// AcceptMessage records the incarnation and the sequence number of the machine's newest message.
+func (m *Machine) AcceptMessage(incarnation, seq uint64) {
+	if incarnation != m.Incarnation {
+		m.HeartbeatSeq = 0
+	}
+	m.Incarnation, m.Seq = incarnation, seq
+}
+
+// RenewLease records the response to an overtaken heartbeat, which renews the worker's lease.
+func (m *Machine) RenewLease(leaseEnd units.Microseconds, heartbeat *Heartbeat) {
+	m.HeartbeatSeq = heartbeat.Seq
+	m.LeaseEnd = leaseEnd
+}
+
 // Used returns the capacity that the attempts in Tasks use.
 func (m *Machine) Used() binpack.Vec { return m.used }
 
@@ -155,7 +177,8 @@
 // tasks. leaseEnd is the time by which the worker, which is about to get a response, must have stopped
 // all tasks unless it gets another response.
 func (m *Machine) AcceptHeartbeat(now, leaseEnd units.Microseconds, heartbeat *Heartbeat) {
-	m.Incarnation, m.Seq = heartbeat.Incarnation, heartbeat.Seq
+	m.AcceptMessage(heartbeat.Incarnation, heartbeat.Seq)
+	m.HeartbeatSeq = heartbeat.Seq
 	m.Addr = heartbeat.Addr
 	m.LastSeen, m.LeaseEnd = now, leaseEnd
 	m.Lost = false
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -16,6 +16,7 @@
 	ExpiredAttempts                       // attempts that ended with a lease are dropped from later heartbeats
 	DeprovisionedMachine                  // a machine whose deletion the cloud has confirmed is not registered again
 	ProbeAnswer                           // the answer to a probe counts only before any task was started
+	OvertakenLease                        // a response to a heartbeat that a probe's answer overtook is accounted as a lease renewal
 	InactiveTasks                         // a response to an unconfirmed heartbeat stops the tasks of finished jobs
 )
 
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -25,6 +25,10 @@
 	}
 	c.reachability.HeartbeatAccepted()
 	accepted := shard.reconciler.Accept(c.now, heartbeat)
+	if accepted.Status == reconcile.Stale {
+		c.reply(request, http.StatusServiceUnavailable, Problem{"a later heartbeat has arrived"})
+		return
+	}
 	commands := accepted.Commands
 	commands = append(commands, c.schedule(shard, accepted)...)
 	idle := accepted.Status == reconcile.Confirmed && len(commands) == 0
--- a/internal/core/heartbeat_test.go
+++ b/internal/core/heartbeat_test.go
@@ -73,6 +73,21 @@
 	return core, replyTo(t, core, 9).Code
 }
 
+// TestStaleHeartbeatRefused guards against a renewed lease that its owner does not account for: a heartbeat
+// that is older than another one of its machine gets no answer that renews a lease.
+func TestStaleHeartbeatRefused(t *testing.T) {
+	core := newOwner(t, map[string]any{machinePrefix + "r-1": fleet.Group{Type: "big", Zone: "z", Up: []string{"n-1"}}})
+	for _, test := range []struct {
+		seq  uint64
+		want int
+	}{{7, 200}, {6, 503}, {7, 503}, {8, 200}} {
+		core.Heartbeat(core.now, 9, &fleet.Heartbeat{Machine: "n-1", Type: "big", Zone: "z", Incarnation: 1, Seq: test.seq, ReclaimIn: units.MaxTime})
+		if code := replyTo(t, core, 9).Code; code != test.want {
+			t.Errorf("heartbeat %d: answered %d, want %d", test.seq, code, test.want)
+		}
+	}
+}
+
 // TestStaleProbeAnswerKeepsStart guards against starting a task twice. A machine
 // answers a probe after it was told to start a task that the answer does not list yet.
 // If the answer counted, the task would start on another machine too.
--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -13,9 +13,12 @@
 type HeartbeatStatus int
 
 const (
-	// Stale heartbeats change nothing: a later heartbeat of the machine has already arrived, so that the
-	// worker no longer waits for this response.
+	// Stale heartbeats change nothing and are refused: a later heartbeat of the machine has already arrived,
+	// or its lease has expired since.
 	Stale HeartbeatStatus = iota
+	// Overtaken heartbeats are older than what is known of the machine from the answer to a probe or from the
+	// last owner's snapshot. They change nothing but the lease: the worker may still wait for the response.
+	Overtaken
 	// Unconfirmed heartbeats show which tasks run, but not which do not run. The worker has not accepted a
 	// response of this owner yet, so a delayed response of an earlier owner may still start tasks that
 	// the heartbeat does not show.
@@ -26,16 +29,16 @@
 )
 
 // HeartbeatStatuses lists all statuses of accepted heartbeats.
-var HeartbeatStatuses = []HeartbeatStatus{Stale, Unconfirmed, Confirmed}
+var HeartbeatStatuses = []HeartbeatStatus{Stale, Overtaken, Unconfirmed, Confirmed}
 
 // String returns the status as logs and metrics show it.
 func (s HeartbeatStatus) String() string {
-	return [...]string{"stale", "unconfirmed", "confirmed"}[s]
+	return [...]string{"stale", "overtaken", "unconfirmed", "confirmed"}[s]
 }
 
-// Accepted is the result of an admitted heartbeat. Its response renews the worker's lease. Therefore the
-// commands stop every task of a finished job that the heartbeat shows: a machine that cannot be reached
-// afterwards would run the task for another lease.
+// Accepted is the result of an admitted heartbeat. Unless the heartbeat is stale, its response renews the
+// worker's lease. Therefore the commands stop every task of a finished job that the heartbeat shows: a machine
+// that cannot be reached afterwards would run the task for another lease.
 type Accepted struct {
 	Machine  *fleet.Machine
 	Status   HeartbeatStatus
@@ -46,8 +49,8 @@
 // have.
 func (r *Reconciler) Accept(now units.Microseconds, heartbeat *fleet.Heartbeat) Accepted {
 	accepted := r.accept(now, heartbeat)
-	r.cfg.Counters.Accepted[accepted.Status]++
-	r.logAccepted(heartbeat, accepted)
+	r.cfg.Counters.Admitted[accepted.Status]++
+	r.logAdmitted(heartbeat, accepted)
 	return accepted
 }
 
@@ -57,7 +60,7 @@
 		machine = r.host.Adopt(heartbeat)
 	}
 	if !machine.Newer(heartbeat) && r.host.GuardEnabled(guard.HeartbeatOrder) {
-		return Accepted{Machine: machine, Status: Stale}
+		return r.acceptOld(now, machine, heartbeat)
 	}
 	if machine.LastSeen == 0 {
 		r.machineUp(now, machine, heartbeat)
@@ -76,6 +79,19 @@
 	return Accepted{machine, Confirmed, append(forgets, r.stopCommands(machine, append(expired, stops...))...)}
 }
 
+// acceptOld handles a heartbeat that is older than what is known of its machine.
+func (r *Reconciler) acceptOld(now units.Microseconds, machine *fleet.Machine, heartbeat *fleet.Heartbeat) Accepted {
+	if !machine.Awaited(heartbeat) || machine.Lost {
+		return Accepted{Machine: machine, Status: Stale}
+	}
+	if !r.host.GuardEnabled(guard.OvertakenLease) {
+		return Accepted{Machine: machine, Status: Overtaken}
+	}
+	machine.RenewLease(now+r.host.LeaseBound(), heartbeat)
+	current, expired := r.splitExpired(machine, heartbeat)
+	return Accepted{machine, Overtaken, r.stopCommands(machine, append(expired, r.inactiveTasks(current)...))}
+}
+
 // machineUp records the first heartbeat of a machine, or the first one after its lease expired.
 func (r *Reconciler) machineUp(now units.Microseconds, machine *fleet.Machine, heartbeat *fleet.Heartbeat) {
 	machine.IdleSince = now
--- a/internal/core/reconcile/log.go
+++ b/internal/core/reconcile/log.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// logAccepted logs an accepted heartbeat with what the response is based on. A response renews the
+// logAdmitted logs an admitted heartbeat with what the response is based on. A response renews the
 // worker's lease, so finished and stops tell whether tasks of finished jobs may go on for another lease.
-func (r *Reconciler) logAccepted(heartbeat *fleet.Heartbeat, accepted Accepted) {
+func (r *Reconciler) logAdmitted(heartbeat *fleet.Heartbeat, accepted Accepted) {
 	if !r.debugLogged() {
 		return
 	}
@@ -32,7 +32,7 @@
 			stops++
 		}
 	}
-	r.cfg.Log.Debug("heartbeat accepted", "status", accepted.Status.String(), "machine", heartbeat.Machine,
+	r.cfg.Log.Debug("heartbeat admitted", "status", accepted.Status.String(), "machine", heartbeat.Machine,
 		"incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq, "worker_token", heartbeat.FencingToken, "token", r.cfg.FencingToken,
 		"tasks", len(heartbeat.Tasks), "finished", r.countFinished(heartbeat), "stops", stops, "lease_end", accepted.Machine.LeaseEnd.Seconds())
 }
--- a/internal/core/reconcile/probe.go
+++ b/internal/core/reconcile/probe.go
@@ -92,11 +92,11 @@
 	}
 	if outcome != store.OK || answer.FencingToken != r.cfg.FencingToken {
 		if answer.Incarnation > machine.Incarnation && answer.FencingToken <= r.cfg.FencingToken {
-			machine.Incarnation, machine.Seq = answer.Incarnation, 0 // for the next probe
+			machine.AcceptMessage(answer.Incarnation, 0) // for the next probe
 		}
 		return
 	}
-	machine.Incarnation, machine.Seq = answer.Incarnation, answer.Seq
+	machine.AcceptMessage(answer.Incarnation, answer.Seq)
 	r.cfg.Counters.ProbeAnswers++
 	r.cfg.Log.Debug("probe answered", "machine", machine.Name, "incarnation", answer.Incarnation, "seq", answer.Seq, "token", r.cfg.FencingToken, "tasks", len(answer.Tasks))
 	r.reconcile(now, machine, answer) // the commands are sent in the response to its next heartbeat
--- a/internal/core/reconcile/reconcile.go
+++ b/internal/core/reconcile/reconcile.go
@@ -169,7 +169,8 @@
 // stopped in the response to the machine's next heartbeat.
 func (r *Reconciler) Restore(now units.Microseconds, machine *fleet.Machine, snapshot Snapshot) {
 	machine.Reconciled, machine.Transferred = true, true
-	machine.Addr, machine.Incarnation, machine.Seq = snapshot.Addr, snapshot.Incarnation, snapshot.Seq
+	machine.Addr = snapshot.Addr
+	machine.AcceptMessage(snapshot.Incarnation, snapshot.Seq)
 	for _, task := range snapshot.Tasks {
 		if task.State != fleet.Exited {
 			r.observe(now, machine, task)
--- a/internal/core/reconcile/reconcile_test.go
+++ b/internal/core/reconcile/reconcile_test.go
@@ -263,6 +263,48 @@
 	}
 }
 
+// TestOvertakenHeartbeatRenewsLease guards against an owner that counts a lease as expired before the worker
+// does: the answer to a probe overtakes a heartbeat, and the worker still waits for the response.
+func TestOvertakenHeartbeatRenewsLease(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		seq      uint64
+		disabled guard.Guard
+		status   HeartbeatStatus
+		leaseEnd units.Microseconds
+	}{
+		{"sent before the probe's answer", 6, guard.None, Overtaken, 2*second + lease},
+		{"older than the last heartbeat", 5, guard.None, Stale, lease + second},
+		{"without the check", 6, guard.OvertakenLease, Overtaken, lease + second},
+	} {
+		owner, machine := newOwner(t, false)
+		owner.disabled = test.disabled
+		job := owner.jobs["wk-000001"]
+		task := fleet.Task{ID: jobs.TaskID{Job: job.ID}, Attempt: 2, State: fleet.Running}
+		owner.reconciler.Accept(second, heartbeat(5, token-1, task))
+		owner.reconciler.OnProbe(second, Probe{Machine: machine.Name}, store.OK, heartbeat(7, token, task))
+		job.Record.Status = jobs.Cancelled
+		accepted := owner.reconciler.Accept(2*second, heartbeat(test.seq, token-1, task))
+		if accepted.Status != test.status || machine.LeaseEnd != test.leaseEnd || machine.Seq != 7 {
+			t.Errorf("%s: status %v, lease until %v, newest message %d", test.name, accepted.Status, machine.LeaseEnd, machine.Seq)
+		}
+		if stops := len(accepted.Commands); (stops == 1) != (test.leaseEnd > lease+second) {
+			t.Errorf("%s: %d tasks stopped", test.name, stops)
+		}
+	}
+}
+
+// TestOldHeartbeatAfterLeaseExpiry guards against an answer to a heartbeat that is older than the answer to a
+// probe, once the machine's lease has expired.
+func TestOldHeartbeatAfterLeaseExpiry(t *testing.T) {
+	owner, machine := newOwner(t, false)
+	owner.reconciler.OnProbe(second, Probe{Machine: machine.Name}, store.OK, heartbeat(7, token))
+	owner.reconciler.ExpireLease(lease, machine)
+	if accepted := owner.reconciler.Accept(lease, heartbeat(6, token-1)); accepted.Status != Stale || machine.LeaseEnd != 0 {
+		t.Errorf("status %v, lease until %v", accepted.Status, machine.LeaseEnd)
+	}
+}
+
 // manyTasks is more than a response stops to make room for others.
 const manyTasks = 3 * fleet.MaxStops
 
