--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,7 +16,6 @@
 	"shalestage.example/shalestage/internal/core/election"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/guard"
-	"shalestage.example/shalestage/internal/core/jobs"
 	"shalestage.example/shalestage/internal/core/jobs/registry"
 	"shalestage.example/shalestage/internal/core/keys"
 	"shalestage.example/shalestage/internal/core/liveness"
@@ -205,49 +204,6 @@
 	transfers *transfer.Receiver // snapshots and replicated state of shards that this node may own next
 }
 
-// New returns a Core that has not received any event yet.
-func New(cfg Config) *Core {
-	if cfg.Log == nil {
-		cfg.Log = slog.New(slog.DiscardHandler)
-	}
-	core := &Core{cfg: cfg, log: cfg.Log, teams: map[string]*Team{},
-		types: map[string]*fleet.Type{}, shardRecords: shardplan.NewRecords(),
-		machineGroups: map[string]fleet.Group{}, machineShard: map[string]int{},
-		transfers: transfer.NewReceiver(cfg.Node),
-		owned:     map[int]*ownedShard{}}
-	if core.cfg.ValueMax == 0 {
-		core.cfg.ValueMax = int(cfg.ValueKB * 1024)
-	}
-	layout := jobs.ProgressLayout{TasksPerRecord: jobs.TasksPerRecord(cfg.ValueKB)}
-	layout.Pieces = jobs.TasksPerRecord(float64(core.cfg.ValueMax)/1024) < layout.TasksPerRecord
-	core.jobs = registry.New(registry.Config{Layout: layout, TxnOps: cfg.TxnOps, OrphanAge: cfg.ArchiveSettleTime, Log: cfg.Log}, jobsHost{core})
-	core.admission = admission.New(admission.Config{ValueMax: core.cfg.ValueMax, TxnOps: cfg.TxnOps, SkippedGuard: cfg.SkippedGuard, Log: cfg.Log}, admissionHost{core})
-	for i := range cfg.Teams {
-		core.teams[cfg.Teams[i].Name] = &cfg.Teams[i]
-	}
-	core.cache = watchcache.New(watchcache.Config{Controllers: cfg.Size, Rate: cfg.StateRate, NextRate: cfg.NextStateRate, MaxStaleness: min(maxCacheAge, core.cancellationGrace()/4), Log: cfg.Log}, cacheHost{core})
-	core.archive = archive.NewManager(archive.Config{Node: cfg.Node, Release: peering.ReleaseArchive, KeepFinished: cfg.KeepFinished, MinAge: 2*core.leaseBound() + cfg.CancelWithin,
-		MaxValueBytes: core.cfg.ValueMax, TxnOps: cfg.TxnOps, Layout: layout, Log: cfg.Log}, archiveHost{core})
-	core.election = election.New(election.Config{Node: cfg.Node, Log: cfg.Log}, electionHost{core})
-	core.planner = shardplan.New(shardplan.Config{Size: cfg.Size, ShardMachines: cfg.ShardMachines, TxnOps: cfg.TxnOps, ValueMax: core.cfg.ValueMax, Log: cfg.Log}, core.shardRecords, plannerHost{core})
-	core.membership = membership.New(membership.Config{Node: cfg.Node, Size: cfg.Size, Release: peering.Release, TTL: cfg.LeaderTTL, UnvotedExpiry: core.cancellationGrace(), MajorityExtension: min(core.cancellationGrace(), majorityExtensionTTLs*cfg.LeaderTTL), Log: cfg.Log, SkippedGuard: cfg.SkippedGuard}, membershipHost{core})
-	core.rollback = rollback.New(rollbackHost{core}, cfg.Log)
-	core.cancellations = cancellations.New(cancellations.Config{Peers: len(cfg.Peers)})
-	core.peers = peering.NewDirectory(peering.Config{Node: cfg.Node, Peers: cfg.Peers, Log: cfg.Log})
-	core.forwarder = peering.NewForwarder()
-	core.config = configuration.New(configuration.Config{Node: cfg.Node, Initial: configuration.Content{Teams: cfg.Teams, Objectives: cfg.Objectives},
-		Peers: cfg.Peers, MaxValueBytes: core.cfg.ValueMax, TxnOps: cfg.TxnOps, IsolatedStartLimit: core.cancellationGrace() + units.Second, Log: cfg.Log}, configurationHost{core})
-	core.zones = zones.New(zones.Config{Zones: cfg.Zones, Home: cfg.HomeZone, HeartbeatInterval: cfg.HeartbeatInterval, Log: cfg.Log})
-	core.reachability = liveness.NewReachability(cfg.HeartbeatInterval, core.leaseBound())
-	for i := range core.queues {
-		core.queues[i] = &store.WriteQueue{MaxOps: cfg.TxnOps, MaxBytes: store.MaxTxnBytes, MaxQueue: maxUserWrites}
-	}
-	core.queues[ControlQueue].MaxQueue = maxControlWrites
-	core.queues[ArchiveQueue].MaxQueue = 1
-	core.setRates()
-	return core
-}
-
 // Drain returns the effects that have accumulated since the last call, in order.
 func (c *Core) Drain() []Effect {
 	c.pump()
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -59,15 +59,16 @@
 // acquireShard makes this controller the owner of a shard. Heartbeats are answered once a read that began
 // after the assignment was stored has returned everything that earlier owners stored.
 func (c *Core) acquireShard(number int, assignment shardplan.Assignment) {
-	shard := &ownedShard{number: number, assignment: assignment.Version, fencingToken: authority.FencingToken(assignment.Term, assignment.Number), ownedSince: c.now, active: map[string]*jobs.Job{},
-		demand: demand.New(c.cfg.Objectives, c.cfg.SequentialFraction)}
-	shard.quota = quota.New(quotaHost{c, shard})
-	shard.reconciler = reconcile.New(reconcile.Config{Shard: number, FencingToken: shard.fencingToken, OwnedSince: c.now, Counters: &c.heartbeats, Log: c.log}, reconcileHost{c, shard}, shard.quota)
-	shard.scheduler = scheduler.New(scheduler.Config{Shard: number, Packing: c.cfg.Pack, HeartbeatDeadline: liveness.HeartbeatDeadline(c.cfg.HeartbeatInterval),
-		Log: c.log, SkippedGuard: c.cfg.SkippedGuard}, schedulerHost{c, shard}, shard.quota, shard.demand, c.zones)
-	shard.attribution = quarantine.New(schedulerHost{c, shard}, c.log)
-	shard.provisioner = provisioner.New(provisioner.Config{Shard: number, FencingToken: shard.fencingToken, OwnedSince: c.now, ListLag: c.cfg.ListLag, AdoptAfter: reconcile.AdoptAfter, Lease: c.leaseBound(), HeartbeatInterval: c.cfg.HeartbeatInterval, Scale: c.cfg.Scale, Log: c.log}, provisionerHost{c, shard}, c.zones)
-	shard.liveness = liveness.New(liveness.Config{HeartbeatInterval: c.cfg.HeartbeatInterval, OwnedSince: c.now, Zones: c.cfg.Zones, Log: c.log}, livenessHost{c, shard}, shard.provisioner, c.zones)
+	shard := &ownedShard{
+		number:       number,
+		assignment:   assignment.Version,
+		fencingToken: authority.FencingToken(assignment.Term, assignment.Number),
+		ownedSince:   c.now,
+		active:       map[string]*jobs.Job{},
+		demand:       demand.New(c.cfg.Objectives, c.cfg.SequentialFraction),
+	}
+	c.createScheduling(shard)
+	c.createFleet(shard)
 	shard.writer = c.newShardWriter(shard)
 	shard.replication = replication.NewPrimary(number, shard.fencingToken, replicationHost{c, shard})
 	c.owned[number] = shard
@@ -78,6 +79,47 @@
 	c.loadShard(shard)
 }
 
+// createScheduling creates what decides which tasks run on a shard's machines.
+func (c *Core) createScheduling(shard *ownedShard) {
+	shard.quota = quota.New(quotaHost{c, shard})
+	shard.reconciler = reconcile.New(reconcile.Config{
+		Shard:        shard.number,
+		FencingToken: shard.fencingToken,
+		OwnedSince:   c.now,
+		Counters:     &c.heartbeats,
+		Log:          c.log,
+	}, reconcileHost{c, shard}, shard.quota)
+	shard.scheduler = scheduler.New(scheduler.Config{
+		Shard:             shard.number,
+		Packing:           c.cfg.Pack,
+		HeartbeatDeadline: liveness.HeartbeatDeadline(c.cfg.HeartbeatInterval),
+		Log:               c.log,
+		SkippedGuard:      c.cfg.SkippedGuard,
+	}, schedulerHost{c, shard}, shard.quota, shard.demand, c.zones)
+	shard.attribution = quarantine.New(schedulerHost{c, shard}, c.log)
+}
+
+// createFleet creates what provisions a shard's machines and detects those that are lost.
+func (c *Core) createFleet(shard *ownedShard) {
+	shard.provisioner = provisioner.New(provisioner.Config{
+		Shard:             shard.number,
+		FencingToken:      shard.fencingToken,
+		OwnedSince:        c.now,
+		ListLag:           c.cfg.ListLag,
+		AdoptAfter:        reconcile.AdoptAfter,
+		Lease:             c.leaseBound(),
+		HeartbeatInterval: c.cfg.HeartbeatInterval,
+		Scale:             c.cfg.Scale,
+		Log:               c.log,
+	}, provisionerHost{c, shard}, c.zones)
+	shard.liveness = liveness.New(liveness.Config{
+		HeartbeatInterval: c.cfg.HeartbeatInterval,
+		OwnedSince:        c.now,
+		Zones:             c.cfg.Zones,
+		Log:               c.log,
+	}, livenessHost{c, shard}, shard.provisioner, c.zones)
+}
+
 // loadShard reads the shard's stored state and takes the shard over. It retries until a read succeeds.
 func (c *Core) loadShard(shard *ownedShard) {
 	c.readFresh(func(ok bool) {
