--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -25,7 +25,7 @@
 	statusCount
 )
 
-// HeartbeatStatuses lists all statuses of accepted heartbeats.
+// HeartbeatStatuses lists all statuses of admitted heartbeats.
 var HeartbeatStatuses = []HeartbeatStatus{Stale, Overtaken, Unconfirmed, Confirmed}
 
 // String returns the status as logs and metrics show it.
