Answers to forwarded requests are bound to the process, the controller and the job

What callers saw: users were told that their job is accepted (201, with the name of another job), and all other controllers answered 404 for it; questions and cancellations could get another job's answer too. Cause: an answer to a forwarded request names a number alone, and each process numbered its requests from 1. A controller that was back within a moment took the late answers to its last process's requests for answers to its own. Change: the numbers of each process follow a random number of its own (core.Config.ProcessID), which all releases repeat unchanged in their answers; an answer also counts only from the controller that the request was sent to, and for the job that it names. Nothing sent or stored has changed.

--- a/cmd/shalestage/serve.go
+++ b/cmd/shalestage/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -66,7 +67,9 @@
 		addrs[p.Node] = p.Addr
 	}
 	link := peer.New(s.Node, addrs, log)
-	n := node.New(core.New(s.CoreConfig(log)),
+	coreConfig := s.CoreConfig(log)
+	coreConfig.ProcessID = rand.Uint64()
+	n := node.New(core.New(coreConfig),
 		state.New(s.Services.State, d.State.RPS/share, d.State.NextLimits().RPS/share, log),
 		cloud.New(s.Services.Cloud, d.Cloud.RPS, log), worker.New(log), link, log)
 	n.SetMemoryCheck(memory.New(limit).Full)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,7 +46,10 @@
 
 // Config configures a Core.
 type Config struct {
-	Node              string
+	Node string
+	// ProcessID is a random number that tells this process of the controller from earlier ones, whose
+	// requests other controllers may still answer.
+	ProcessID         uint64
 	Size              int      // number of controllers, this one included
 	Peers             []string // names of the other controllers
 	Zones             []string
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -37,4 +37,5 @@
 	VoteAfterPeerLease                    // no takeover vote is given while a peer lease is valid
 	TakeoverMajority                      // a membership is declared over only by the votes of a majority
 	FreshRead                             // users are answered only from a read that began after the request
+	AnswerOrigin                          // an answer to a forwarded request counts only for the process, the controller and the job of that request
 )
--- a/internal/core/new.go
+++ b/internal/core/new.go
@@ -127,7 +127,7 @@
 // createPeers creates what depends on the other controllers, on zones and on workers that reach this one.
 func (c *Core) createPeers() {
 	c.peers = peering.NewDirectory(peering.Config{Node: c.cfg.Node, Peers: c.cfg.Peers, Log: c.log})
-	c.forwarder = peering.NewForwarder()
+	c.forwarder = peering.NewForwarder(c.cfg.ProcessID, c.cfg.SkippedGuard)
 	c.config = configuration.New(configuration.Config{
 		Node:               c.cfg.Node,
 		Initial:            configuration.Content{Teams: c.cfg.Teams, Objectives: c.cfg.Objectives},
--- a/internal/core/peering/forwarder.go
+++ b/internal/core/peering/forwarder.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"shalestage.example/shalestage/internal/core/admission"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/units"
 )
 
@@ -23,28 +24,46 @@
 
 // Forwarder keeps the users' requests that this controller has forwarded
 // to others, and those that others have forwarded to it. Use NewForwarder.
+//
+// An answer carries the ID of its request alone, and may come after this process has replaced the one that
+// sent the request. So the IDs of each process start from a random number of its own: an answer to a request of
+// an earlier process has an ID that this one does not use. That holds for answers of all releases.
 type Forwarder struct {
 	sent        map[uint64]sentRequest
 	lastSent    uint64
 	remote      map[admission.RequestID]Origin
 	lastRequest admission.RequestID
+	// answerAnyOrigin disables the check of an answer's controller and job; only tests set it.
+	answerAnyOrigin bool
 }
 
 // sentRequest is a request of this controller's user that was forwarded to another controller.
 type sentRequest struct {
 	request  admission.RequestID
+	job      string
+	to       string // the other controller
 	deadline units.Microseconds
 }
 
+// answeredBy reports whether an answer that a controller has sent is the answer to this request.
+func (r sentRequest) answeredBy(from string, answer ForwardedResponse) bool {
+	return r.to == from && (answer.Body == nil || answer.Body.ID == r.job)
+}
+
 // Origin is the controller that forwarded a request, and the ID of the request there.
 type Origin struct {
 	Node string
 	ID   uint64
 }
 
-// NewForwarder returns a forwarder without requests.
-func NewForwarder() *Forwarder {
-	return &Forwarder{sent: map[uint64]sentRequest{}, remote: map[admission.RequestID]Origin{}, lastRequest: firstRemoteRequest}
+// NewForwarder returns a forwarder without requests. processID is a random number that no other
+// process of this controller has. skipped is a check to leave out; only tests leave one out.
+func NewForwarder(processID uint64, skipped guard.Guard) *Forwarder {
+	f := &Forwarder{sent: map[uint64]sentRequest{}, lastSent: processID, remote: map[admission.RequestID]Origin{}, lastRequest: firstRemoteRequest}
+	if skipped == guard.AnswerOrigin {
+		f.lastSent, f.answerAnyOrigin = 0, true
+	}
+	return f
 }
 
 // IsRemote reports whether a request was forwarded by
@@ -57,19 +76,22 @@
 // Full reports whether the maximum number of forwarded requests is reached.
 func (f *Forwarder) Full() bool { return len(f.sent) >= maxForwarded }
 
-// Send records that a request is forwarded, and returns the ID that its answer will have.
-func (f *Forwarder) Send(now units.Microseconds, request admission.RequestID) uint64 {
+// Send records that a request is forwarded to another controller, and returns the message that forwards it.
+func (f *Forwarder) Send(now units.Microseconds, to string, request admission.Request) ForwardedRequest {
 	f.lastSent++
-	f.sent[f.lastSent] = sentRequest{request, now + answerTimeout}
-	return f.lastSent
+	f.sent[f.lastSent] = sentRequest{request: request.ID, job: request.Job, to: to, deadline: now + answerTimeout}
+	return ForwardedRequest{ID: f.lastSent, Kind: request.Kind, Job: request.Job, Spec: request.Spec, Bad: request.Malformed}
 }
 
-// CompleteSent removes and returns the request that an answer is for.
-// It returns false if the request has expired or was answered before.
-func (f *Forwarder) CompleteSent(id uint64) (admission.RequestID, bool) {
-	sent, waits := f.sent[id]
-	delete(f.sent, id)
-	return sent.request, waits
+// CompleteSent removes and returns the request that another controller's answer is for. It returns false
+// if the request has expired or was answered before, or if the answer is for no request of this process.
+func (f *Forwarder) CompleteSent(from string, answer ForwardedResponse) (admission.RequestID, bool) {
+	sent, waits := f.sent[answer.ID]
+	if !waits || !sent.answeredBy(from, answer) && !f.answerAnyOrigin {
+		return 0, false
+	}
+	delete(f.sent, answer.ID)
+	return sent.request, true
 }
 
 // DrainExpired removes and returns the forwarded requests that were not answered in time.
--- a/internal/core/peering/peering_test.go
+++ b/internal/core/peering/peering_test.go
@@ -6,15 +6,23 @@
 	"pgregory.net/rapid"
 
 	"shalestage.example/shalestage/internal/core/admission"
+	"shalestage.example/shalestage/internal/core/guard"
 	"shalestage.example/shalestage/internal/core/units"
 )
 
+// processID is the process ID of the forwarders in these tests, and processID-earlierProcesses
+// that of an earlier process.
+const (
+	processID        = 1 << 40
+	earlierProcesses = 1 << 20
+)
+
 // TestForwardedRequestEndsOnce guards against a user's request that ends twice
 // or never: requests are forwarded, answered, answered again and expired in
 // any order. Each ends once, and at most maxForwarded are open at a time.
 func TestForwardedRequestEndsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		forwarder := NewForwarder()
+		forwarder := NewForwarder(processID, guard.None)
 		now := units.Microseconds(0)
 		sent := uint64(0)
 		ended := map[admission.RequestID]bool{}
@@ -30,12 +38,13 @@
 					t.Skip("maxForwarded requests are open")
 				}
 				sent++
-				if id := forwarder.Send(now, admission.RequestID(sent)); id != sent {
-					t.Fatalf("forwarded request has ID %d, want %d", id, sent)
+				if id := forwarder.Send(now, "b", admission.Request{ID: admission.RequestID(sent)}).ID; id != processID+sent {
+					t.Fatalf("forwarded request has ID %d, want %d", id, processID+sent)
 				}
 			},
 			"answer": func(t *rapid.T) {
-				if request, ok := forwarder.CompleteSent(rapid.Uint64Range(0, sent+1).Draw(t, "id")); ok {
+				id := processID + rapid.Uint64Range(0, sent+1).Draw(t, "id")
+				if request, ok := forwarder.CompleteSent("b", ForwardedResponse{ID: id}); ok {
 					end(request)
 				}
 			},
@@ -55,20 +64,54 @@
 	})
 }
 
+// TestAnswerBelongsToRequest guards against a user who gets another user's answer. An answer counts only if it
+// has the ID of an open request, comes from the controller that the request was sent to, and names its job.
+func TestAnswerBelongsToRequest(t *testing.T) {
+	const job, otherJob = "wk-000001", "wk-000002"
+	for name, test := range map[string]struct {
+		from   string
+		id     uint64 // relative to the process ID
+		body   *admission.JobAnswer
+		answer bool
+	}{
+		"the answer":                   {"b", 1, &admission.JobAnswer{ID: job}, true},
+		"a refusal, which has no job":  {"b", 1, nil, true},
+		"of another controller":        {"c", 1, &admission.JobAnswer{ID: job}, false},
+		"a refusal of another one":     {"c", 1, nil, false},
+		"about another job":            {"b", 1, &admission.JobAnswer{ID: otherJob}, false},
+		"to a request never sent":      {"b", 2, &admission.JobAnswer{ID: job}, false},
+		"to an earlier process's one":  {"b", ^uint64(earlierProcesses) + 1, &admission.JobAnswer{ID: job}, false},
+		"a refusal of an earlier one":  {"b", ^uint64(earlierProcesses) + 1, nil, false},
+		"to request 0 of this process": {"b", 0, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forwarder := NewForwarder(processID, guard.None)
+			forwarder.Send(0, "b", admission.Request{ID: 7, Job: job})
+			request, ok := forwarder.CompleteSent(test.from, ForwardedResponse{ID: processID + test.id, Body: test.body})
+			if ok != test.answer || ok && request != 7 {
+				t.Errorf("taken for the answer to request %d: %v", request, ok)
+			}
+			if _, again := forwarder.CompleteSent("b", ForwardedResponse{ID: processID + 1}); again == ok {
+				t.Errorf("the request is open: %v", again)
+			}
+		})
+	}
+}
+
 // TestForwardedRequestsAreBounded guards against overload by too many forwarded requests:
 // Full must report true once maxForwarded are open, and false as soon as one has ended.
 func TestForwardedRequestsAreBounded(t *testing.T) {
-	forwarder := NewForwarder()
+	forwarder := NewForwarder(0, guard.None)
 	for id := range uint64(maxForwarded) {
 		if forwarder.Full() {
 			t.Fatalf("full with %d requests", id)
 		}
-		forwarder.Send(0, admission.RequestID(id))
+		forwarder.Send(0, "b", admission.Request{ID: admission.RequestID(id)})
 	}
 	if !forwarder.Full() {
 		t.Error("not full at the bound")
 	}
-	if forwarder.CompleteSent(1); forwarder.Full() {
+	if forwarder.CompleteSent("b", ForwardedResponse{ID: 1}); forwarder.Full() {
 		t.Error("full although one has ended")
 	}
 }
@@ -76,7 +119,7 @@
 // TestRemoteRequestsAreBounded guards against overload by other controllers' requests:
 // one beyond maxForwarded must be refused, and accepted as soon as one has ended.
 func TestRemoteRequestsAreBounded(t *testing.T) {
-	forwarder := NewForwarder()
+	forwarder := NewForwarder(0, guard.None)
 	for id := range uint64(maxForwarded) {
 		request, ok := forwarder.Receive(Origin{"b", id})
 		if !ok || !forwarder.IsRemote(request) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -131,8 +131,7 @@
 		c.replyUnavailable(request.ID, "state service does not answer")
 		return
 	}
-	id := c.forwarder.Send(c.now, request.ID)
-	c.emit(SendPeer{to, ForwardedRequest{ID: id, Kind: request.Kind, Job: request.Job, Spec: request.Spec, Bad: request.Malformed}})
+	c.emit(SendPeer{to, c.forwarder.Send(c.now, to, request)})
 }
 
 // OnPeer handles a message from another controller.
@@ -170,7 +169,7 @@
 	case ForwardedRequest:
 		c.onForwardedRequest(from, received)
 	case ForwardedResponse:
-		c.onForwardedResponse(received)
+		c.onForwardedResponse(from, received)
 	}
 }
 
@@ -221,9 +220,10 @@
 }
 
 // onForwardedResponse answers a user whose forwarded request another controller served.
-func (c *Core) onForwardedResponse(answer ForwardedResponse) {
-	request, ok := c.forwarder.CompleteSent(answer.ID)
+func (c *Core) onForwardedResponse(from string, answer ForwardedResponse) {
+	request, ok := c.forwarder.CompleteSent(from, answer)
 	if !ok {
+		c.log.Debug("answer to no open forwarded request", "controller", from, "id", answer.ID, "code", answer.Code)
 		return
 	}
 	if answer.Body != nil {
--- a/internal/emulator/sim/effects.go
+++ b/internal/emulator/sim/effects.go
@@ -56,6 +56,7 @@
 		w.net.send(n.Name, peer.Name, func() {
 			if peer.incarnation != 0 {
 				peer.whenRunning(func() {
+					peer.recordLateAnswer(send.Message)
 					w.options.Traffic.Start(w.now, peer.Name, "do peer")
 					peer.core.OnPeer(peer.steadyClock(), n.Name, send.Message)
 					peer.executeEffects()
@@ -65,6 +66,17 @@
 	})
 }
 
+// maxForwardedRequests is more than the number of requests that a process forwards in a run.
+const maxForwardedRequests = 1 << 32
+
+// recordLateAnswer records an answer to a request that an earlier process of this node forwarded. The
+// numbers of this one's requests follow its process ID.
+func (n *Node) recordLateAnswer(message any) {
+	if answer, ok := message.(core.ForwardedResponse); ok && answer.ID-n.processID() > maxForwardedRequests {
+		n.world.recordEvent(scenario.LateAnswer)
+	}
+}
+
 // probe sends a fencing token to a worker, which responds with a heartbeat. It is sent only while the
 // controller's authority is valid.
 func (n *Node) probe(incarnation int, probe core.Probe) {
--- a/internal/emulator/sim/node.go
+++ b/internal/emulator/sim/node.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -73,6 +74,7 @@
 	if w.options.Log != nil {
 		config = settings.CoreConfig(w.options.Log(n.Name, func() units.Microseconds { return w.now }))
 	}
+	config.ProcessID = n.processID()
 	if mutate := w.options.Mutation.CoreConfig; mutate != nil {
 		mutate(&config)
 	}
@@ -84,6 +86,12 @@
 	w.schedule(units.Microseconds(w.rng.Int64N(int64(core.TickInterval))), func() { n.tick(incarnation) })
 }
 
+// processID returns a random-looking number that differs between all incarnations of all nodes. It is not
+// drawn from the world's generator, so that it does not change what else is drawn.
+func (n *Node) processID() uint64 {
+	return rand.NewPCG(uint64(n.index), uint64(n.incarnation)).Uint64()
+}
+
 // drawWallOffset draws a new error of the wall clock within its bound.
 func (n *Node) drawWallOffset() {
 	n.wallOffset = units.Microseconds(n.world.Scenario.Controllers.ClockErrorMS * 1000 * (2*n.world.rng.Float64() - 1))
--- a/internal/rehearse/planted_test.go
+++ b/internal/rehearse/planted_test.go
@@ -95,6 +95,7 @@
 	{"peer leases are granted to deleted memberships", without(guard.MemberRecord), "meet-zone-cut.toml", check.TwoHolders, 10},
 	{"takeover votes are given during a peer lease", without(guard.VoteAfterPeerLease), "gap.toml", check.TwoHolders, 10},
 	{"a membership ends without a majority's votes", without(guard.TakeoverMajority), "meet-zone-cut.toml", check.TwoHolders, 5},
+	{"an answer to a forwarded request is told by its number alone", without(guard.AnswerOrigin), "meet-forwarder-restarts.toml", check.Forgotten, 10},
 	// Late writes.
 	{"a new job is stored without a guard", unguardedJob(jobs.Pending), "meet-late-ends.toml", check.WentBack, 10},
 	{"a cancellation is stored without a guard", unguardedJob(jobs.Cancelled), "meet-late-ends.toml", check.WentBack, 10},
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -74,11 +74,12 @@
 	HeldAnswer                  = "held_answer"          // a heartbeat response with commands reaches its machine a second or more after it was sent
 	HeldRequest                 = "held_request"         // a direct request reaches its machine a second or more after it was sent
 	LateWrite                   = "late_write"           // a transaction without a response is applied after newer ones of its controller
+	LateAnswer                  = "late_answer"          // an answer to a request that one controller forwarded to another reaches a later process of the first
 	CancelPastCut               = "cancel_past_cut"      // a cancellation is confirmed while a shard owner is cut off from the state service and the controllers, but reachable by workers and users
 )
 
 var combinedEvents = []string{AllEnded, RestartAfterLeaseExpiry, ReturnedAtOnce, ShardReturned, OwnerEndedWorkerUnreachable, EndAfterChange, OutageAfterRefusal, ZoneCutOff,
-	ZoneBoundTaskLost, OldReport, OldSessionReport, HeldAnswer, HeldRequest, LateWrite, CancelPastCut}
+	ZoneBoundTaskLost, OldReport, OldSessionReport, HeldAnswer, HeldRequest, LateWrite, LateAnswer, CancelPastCut}
 
 // checkExpectedEvents validates the expected events.
 func (c *checker) checkExpectedEvents(e Expect) {
