The first message of a replication stream is sent once

The owner of a shard takes an acknowledgement for its standby's, by the standby's name and the stream. It may be from a process of that standby that has ended: its next process, back within a moment, has received the beginning of the same stream, sent again. The owner then sends starts that no standby knows, and the standby takes its own state for complete. A stream could reach two processes, since the owner sent the first message again after 0.2 s without an acknowledgement. Change: the first message of a stream is sent once. So one process at most accepts the stream and acknowledges it, whichever release the standby runs. If the message is lost, the standby is replaced after 0.8 s, as it was before when no acknowledgement came. TestRestartedStandbyKnowsStarts fails on the code before: 9 actions to a start that the standby does not know; after the change it passes, all traces of up to 10 actions. A search of 5,354,597 states, all traces of up to 11 actions with 3 messages in flight, 3 starts, 2 losses and a replacement, finds nothing. The mutation "repeating" restores the fault and is found.

--- a/cmd/shalestage/explore.go
+++ b/cmd/shalestage/explore.go
@@ -28,6 +28,7 @@
 	Starts   int           `default:"3" help:"Tasks that may be started (following)."`
 	Jobs     int           `default:"2" help:"Cancellations (cancelling)."`
 	Lost     int           `default:"2" help:"Messages and writes that are lost, or stay without an answer (following)."`
+	Restarts int           `default:"1" help:"Times that the follower's process is replaced by a new one (following)."`
 	Fault    string        `default:"" help:"Plant a mistake (${faults}), to see that it is found."`
 }
 
@@ -42,7 +43,7 @@
 		return unusable(errors.New("want --depth from 1 to 100 and --mail from 1 to 8"))
 	}
 	if o.World == "following" {
-		opt := following.Options{Mutation: following.Mutation(o.Fault), Starts: o.Starts, Mail: o.Mail, Lost: o.Lost}
+		opt := following.Options{Mutation: following.Mutation(o.Fault), Starts: o.Starts, Mail: o.Mail, Lost: o.Lost, Restarts: o.Restarts}
 		return search(o, opt.Mutation, following.Mutations, func() explore.World[following.Action] { return following.New(opt) },
 			func(h []following.Action) []string { return following.FormatTrace(opt, h) })
 	}
--- a/internal/core/replication/primary.go
+++ b/internal/core/replication/primary.go
@@ -197,14 +197,18 @@
 	return len(machine.Tasks) + machineOverhead
 }
 
-// resend sends the first unacknowledged messages again after each resendInterval.
+// resend sends the first unacknowledged messages again after each resendInterval, except for the first message
+// of the stream. A standby accepts a stream from that message on, so only one process of it ever can: the one
+// whose acknowledgements count. If the first message is lost, the standby is replaced after ackTimeout.
 func (p *Primary) resend() {
 	if len(p.unacked) == 0 || p.now-p.sentAt <= resendInterval {
 		return
 	}
 	p.sentAt = p.now
 	for _, message := range p.unacked[:min(len(p.unacked), maxUnacked/4)] {
-		p.host.Send(p.standby, message)
+		if message.N != firstMessage {
+			p.host.Send(p.standby, message)
+		}
 	}
 }
 
--- a/internal/core/replication/replication.go
+++ b/internal/core/replication/replication.go
@@ -81,6 +81,9 @@
 	Answer(answer any, ok bool)
 }
 
+// firstMessage is the number of the first message of a stream.
+const firstMessage = 1
+
 const (
 	// FlushInterval is the minimum time between two messages, so that
 	// the number of messages does not grow with the number of starts.
--- a/internal/core/replication/standby.go
+++ b/internal/core/replication/standby.go
@@ -42,7 +42,7 @@
 // whether a task is known to be stored as done, or its job to be final.
 func (s *Standby) Receive(message Message, stored func(job string, task int) bool) Ack {
 	from := s.streams[message.Block]
-	if message.N == 1 && message.Block >= 0 && message.Block < keys.MaxShards && (from == nil || from.olderThan(message)) {
+	if message.N == firstMessage && message.Block >= 0 && message.Block < keys.MaxShards && (from == nil || from.olderThan(message)) {
 		from = newStream(message)
 		s.streams[message.Block] = from
 	}
--- a/internal/explore/following/following.go
+++ b/internal/explore/following/following.go
@@ -1,6 +1,7 @@
 // Package following is a model in which a shard owner starts tasks on two machines and replicates them to a
 // standby. It runs the service's own code (package replication). Messages between the two may be delayed,
 // lost, reordered or duplicated, and writes to the state service may be applied late or get no response. The
+// standby's process may be replaced by a new one, while acknowledgements of the last one are in flight. The
 // owner may end at any moment. Its standby must then know every start that was sent to a machine, or must
 // report its snapshot as incomplete.
 package following
@@ -28,10 +29,11 @@
 	AssumeStored       Mutation = "hopeful"   // a write without a response counts as stored
 	UnguardedRecord    Mutation = "unguarded" // the record that names the standby is written without a version guard
 	IgnoreRecord       Mutation = "unnamed"   // a standby uses its stream even if the stored record names another one
+	ResendFirst        Mutation = "repeating" // the first message of a stream is sent twice, so that two processes may receive the stream
 )
 
 // Mutations lists all mutations.
-var Mutations = []Mutation{SendUnacknowledged, AcknowledgeGaps, AssumeStored, UnguardedRecord, IgnoreRecord}
+var Mutations = []Mutation{SendUnacknowledged, AcknowledgeGaps, AssumeStored, UnguardedRecord, IgnoreRecord, ResendFirst}
 
 // Options configure the model and bound its actions.
 type Options struct {
@@ -39,9 +41,13 @@
 	Starts   int // maximum number of started tasks
 	Mail     int // maximum number of messages in flight
 	Lost     int // maximum number of messages and writes that are lost or get no response
+	Restarts int // maximum number of times that the standby's process is replaced by a new one
 }
 
-const token = 7
+const (
+	token        = 7 // fencing token of the owner
+	firstMessage = 1 // number of the first message of a stream
+)
 
 // Action is one step of the model. The meaning of A depends on the kind.
 type Action struct {
@@ -61,6 +67,7 @@
 	writeUnanswered                   // write A is applied but gets no response
 	writeInDoubt                      // write A is not applied for now and gets no response, so it is in doubt
 	applyLate                         // in-doubt write A is applied late
+	restartStandby                    // the standby's process ends, and a new one starts at once
 )
 
 type envelope struct {
@@ -90,6 +97,7 @@
 	record       replication.Record
 	knownVersion uint64 // version that the owner knows
 	lost         int
+	restarts     int
 }
 
 var machineNames = []string{"m", "n"}
@@ -121,7 +129,12 @@
 }
 
 // Send implements replication.Host.
-func (w *World) Send(_ string, m replication.Message) { w.post(envelope{m: &m}) }
+func (w *World) Send(_ string, m replication.Message) {
+	w.post(envelope{m: &m})
+	if m.N == firstMessage && w.o.Mutation == ResendFirst {
+		w.post(envelope{m: &m})
+	}
+}
 
 func (w *World) post(l envelope) {
 	if len(w.messages) < w.o.Mail {
@@ -198,6 +211,9 @@
 	for k := range w.inDoubt {
 		out = append(out, Action{applyLate, int8(k)})
 	}
+	if w.restarts < w.o.Restarts {
+		out = append(out, Action{Kind: restartStandby})
+	}
 	return out
 }
 
@@ -255,6 +271,9 @@
 		if x.r.Node != "" { // a late write that removes the standby is harmless
 			w.applyWrite(x)
 		}
+	case restartStandby:
+		w.restarts++
+		w.standby = replication.NewStandby()
 	}
 	w.now += replication.FlushInterval
 	w.primary.Tick(w.now, true)
@@ -294,7 +313,7 @@
 // State implements explore.World.
 func (w *World) State() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s|%s|%v|%v|%d %v %d %d %d|", w.primary.Trace(w.now), w.standby.Trace(), w.tasks, w.sent, w.version, w.record, w.knownVersion, w.started, w.lost)
+	fmt.Fprintf(&b, "%s|%s|%v|%v|%d %v %d %d %d %d|", w.primary.Trace(w.now), w.standby.Trace(), w.tasks, w.sent, w.version, w.record, w.knownVersion, w.started, w.lost, w.restarts)
 	for _, l := range w.messages {
 		if l.m != nil {
 			fmt.Fprintf(&b, " %v", *l.m)
@@ -317,7 +336,7 @@
 	var out []string
 	for _, m := range trace {
 		text := [...]string{"a quarter of a second passes", "a task is started on " + machineNames[m.A%2], machineNames[m.A%2] + " reports that it runs no task", "message %d is delivered", "message %d is lost",
-			"write %d is stored", "write %d is stored without a response", "write %d is not stored for now and gets no response", "write %d is stored late"}[m.Kind]
+			"write %d is stored", "write %d is stored without a response", "write %d is not stored for now and gets no response", "write %d is stored late", "the standby's process is replaced"}[m.Kind]
 		if strings.Contains(text, "%d") {
 			text = fmt.Sprintf(text, m.A)
 		}
--- a/internal/explore/following/following_test.go
+++ b/internal/explore/following/following_test.go
@@ -18,10 +18,21 @@
 	}
 }
 
+// TestRestartedStandbyKnowsStarts guards against a start that no standby knows: the last process of the standby
+// has acknowledged it, and its next process has received only the beginning of the same stream, sent again.
+func TestRestartedStandbyKnowsStarts(t *testing.T) {
+	if r := search(Options{Starts: 2, Mail: 2, Restarts: 1}, 10); r.Violation != "" || r.Depth != 10 || r.States < 2000 {
+		t.Errorf("%d states up to depth %d: %s\n%v", r.States, r.Depth, r.Violation, r.Counterexample)
+	}
+}
+
 // TestMutationsFound checks that the search finds a violation for each mutation.
 func TestMutationsFound(t *testing.T) {
 	for _, f := range Mutations {
 		o := Options{Mutation: f, Starts: 2, Mail: 2, Lost: 1}
+		if f == ResendFirst {
+			o = Options{Mutation: f, Starts: 2, Mail: 2, Restarts: 1}
+		}
 		r := search(o, 10)
 		t.Logf("%s: %d actions, %d states: %s", f, len(r.Counterexample), r.States, r.Violation)
 		if r.Violation == "" {
