A standby's acknowledgements and its stored record name its process

Cause: neither the acknowledgement nor the stored record says which process of the standby knows the stream. Change: both gain the optional field Process (core.Config.ProcessID). The owner counts acknowledgements of the process that sent the first one; a controller uses a stream only if the stored record names its process, or none, as older releases store it. TestOlderReleaseDecodesMessages has the acknowledgement.

--- a/cmd/shalestage/explore.go
+++ b/cmd/shalestage/explore.go
@@ -21,7 +21,7 @@
 	Within   time.Duration `default:"10m" help:"Stop after this time."`
 	Mail     int           `default:"2" help:"Messages under way at once."`
 	Crashes  int           `default:"1" help:"Controllers that end, in a history (authority, cancelling)."`
-	Twice    int           `default:"0" help:"Messages that come twice, in a history (authority)."`
+	Twice    int           `default:"0" help:"Messages that come twice, in a history (authority, following)."`
 	Alone    bool          `help:"Let one controller end a seat without the others' help (authority)."`
 	Unserved bool          `help:"Let the others promise as in an outage of the state service (authority)."`
 	Owners   int           `default:"3" help:"Owners one after the other (renewal)."`
@@ -43,7 +43,7 @@
 		return unusable(errors.New("want --depth from 1 to 100 and --mail from 1 to 8"))
 	}
 	if o.World == "following" {
-		opt := following.Options{Mutation: following.Mutation(o.Fault), Starts: o.Starts, Mail: o.Mail, Lost: o.Lost, Restarts: o.Restarts}
+		opt := following.Options{Mutation: following.Mutation(o.Fault), Starts: o.Starts, Mail: o.Mail, Lost: o.Lost, Restarts: o.Restarts, Copies: o.Twice}
 		return search(o, opt.Mutation, following.Mutations, func() explore.World[following.Action] { return following.New(opt) },
 			func(h []following.Action) []string { return following.FormatTrace(opt, h) })
 	}
--- a/internal/core/new.go
+++ b/internal/core/new.go
@@ -39,7 +39,7 @@
 		shardRecords:  shardplan.NewRecords(),
 		machineGroups: map[string]fleet.Group{},
 		machineShard:  map[string]int{},
-		transfers:     transfer.NewReceiver(cfg.Node),
+		transfers:     transfer.NewReceiver(cfg.Node, cfg.ProcessID),
 		owned:         map[int]*ownedShard{},
 	}
 	for i := range cfg.Teams {
--- a/internal/core/replication/limits_test.go
+++ b/internal/core/replication/limits_test.go
@@ -36,7 +36,7 @@
 		t.Errorf("at most %d answers are deferred, want 4096 or more", maxDeferredAnswers)
 	}
 	host := &fakeOwner{answers: map[int]bool{}, t: t}
-	primary, standby := NewPrimary(0, 1, host), NewStandby()
+	primary, standby := NewPrimary(0, 1, host), NewStandby(1)
 	now := units.Second
 	settle := func() {
 		for range 100 {
--- a/internal/core/replication/primary.go
+++ b/internal/core/replication/primary.go
@@ -22,6 +22,7 @@
 	now          units.Microseconds
 
 	standby         string // the standby, stored or not; "" for none
+	process         uint64 // process of the standby that acknowledges the stream; 0: not known
 	run             uint64
 	sent            uint64 // number of the last message
 	acked           uint64
@@ -107,7 +108,7 @@
 	if standby == "" {
 		return
 	}
-	p.standby, p.sent, p.acked, p.snapshotEnd, p.barrier, p.unacked = standby, 0, 0, 0, 0, nil
+	p.standby, p.process, p.sent, p.acked, p.snapshotEnd, p.barrier, p.unacked = standby, 0, 0, 0, 0, 0, nil
 	p.run++
 	p.progressAt, p.flushedAt = p.now, 0
 	p.unsentMachines = p.host.Machines()
@@ -226,7 +227,10 @@
 	if from != p.standby || ack.Token != p.fencingToken || ack.Run != p.run || ack.N <= p.acked || ack.N > p.sent {
 		return
 	}
-	p.acked, p.progressAt = ack.N, now
+	if p.acked > 0 && ack.Process != p.process {
+		return // its process has been replaced, and the next one does not know the stream
+	}
+	p.acked, p.process, p.progressAt = ack.N, ack.Process, now
 	for len(p.unacked) > 0 && p.unacked[0].N <= ack.N {
 		p.unacked = p.unacked[1:]
 	}
@@ -237,7 +241,7 @@
 	}
 	if p.barrier != 0 && ack.N >= p.barrier && !p.recorded && !p.removing {
 		p.recorded = true
-		p.storeRecord(Record{Node: p.standby, Token: p.fencingToken, Run: p.run})
+		p.storeRecord(Record{Node: p.standby, Token: p.fencingToken, Run: p.run, Process: p.process})
 	}
 }
 
--- a/internal/core/replication/replication.go
+++ b/internal/core/replication/replication.go
@@ -10,6 +10,11 @@
 // next, is named in the stored record and has received that same stream, knows every start that may have
 // been sent. Its snapshot may show more tasks than really run, which costs capacity, but never fewer.
 //
+// A standby's process may be replaced by one that knows nothing of the stream while acknowledgements of the
+// last one are on their way. So the owner counts those of one process only, and the stored record names that
+// process. Older releases do not say which process acknowledges; for them the first message of a stream is
+// sent once, and a process without it neither acknowledges the stream nor uses it.
+//
 // The package does no I/O: messages and the time come in by method calls, and actions go out
 // through Host. internal/explore/following checks every order of events of a small shard.
 package replication
@@ -48,13 +53,17 @@
 	Ack struct {
 		Block         int
 		Token, Run, N uint64
+		// Process is the process of the standby that has received the messages. Older releases send none,
+		// which counts as 0.
+		Process uint64
 	}
-	// Record is the stored record of a shard's standby: its
-	// name, "" for none, and the stream that it receives.
+	// Record is the stored record of a shard's standby: its name, "" for none, the stream that it
+	// receives, and its process that has acknowledged the stream; 0 if that is not known.
 	Record struct {
-		Node  string `json:"node"`
-		Token uint64 `json:"token"`
-		Run   uint64 `json:"run"`
+		Node    string `json:"node"`
+		Token   uint64 `json:"token"`
+		Run     uint64 `json:"run"`
+		Process uint64 `json:"process,omitempty"`
 	}
 )
 
--- a/internal/core/replication/standby.go
+++ b/internal/core/replication/standby.go
@@ -12,6 +12,7 @@
 // Standby is the standby's side: it receives the replication streams of
 // all shards for which this controller is the standby. Use NewStandby.
 type Standby struct {
+	process uint64 // of this controller
 	streams map[int]*stream
 }
 
@@ -35,8 +36,10 @@
 // after which those that are stored by then are dropped.
 const pruneInterval = 2000
 
-// NewStandby returns a Standby without streams.
-func NewStandby() *Standby { return &Standby{streams: map[int]*stream{}} }
+// NewStandby returns a Standby without streams. process is a number that no other process of this controller has.
+func NewStandby(process uint64) *Standby {
+	return &Standby{process: process, streams: map[int]*stream{}}
+}
 
 // Receive handles a message and returns its acknowledgement. stored reports
 // whether a task is known to be stored as done, or its job to be final.
@@ -46,7 +49,7 @@
 		from = newStream(message)
 		s.streams[message.Block] = from
 	}
-	ack := Ack{Block: message.Block, Token: message.Token, Run: message.Run}
+	ack := Ack{Block: message.Block, Token: message.Token, Run: message.Run, Process: s.process}
 	if from == nil || from.fencingToken != message.Token || from.run != message.Run {
 		return ack
 	}
@@ -108,11 +111,14 @@
 }
 
 // Snapshot returns what the owner of a shard has started. ok is false unless the
-// record names this node and this node has the complete snapshot of the stream that
-// the record names. If a task is listed on several machines, only the last attempt
+// record names this process of this node, which has the complete snapshot of the stream
+// that the record names. If a task is listed on several machines, only the last attempt
 // is kept: it was started only after the earlier ones were known to have ended.
 func (s *Standby) Snapshot(shard int, node string, record Record) (machines map[string]MachineSnapshot, finished []FinishedTasks, ok bool) {
 	from := s.streams[shard]
+	if record.Process != 0 && record.Process != s.process {
+		return nil, nil, false // an earlier process of this node has acknowledged the stream
+	}
 	if from == nil || record.Node != node || record.Token != from.fencingToken || record.Run != from.run || !from.complete {
 		return nil, nil, false
 	}
--- a/internal/core/transfer/transfer.go
+++ b/internal/core/transfer/transfer.go
@@ -135,14 +135,15 @@
 // Receiver keeps the snapshots of shards that this controller may own next. Use NewReceiver.
 type Receiver struct {
 	node      string
+	process   uint64
 	snapshots map[int]*Snapshot          // sent by owners on release, by shard
 	records   map[int]replication.Record // stored record of the standby of each shard's owner
 	standby   *replication.Standby       // streams of the owners for which this controller is the standby
 }
 
-// NewReceiver returns the empty Receiver of a controller.
-func NewReceiver(node string) *Receiver {
-	return &Receiver{node: node, snapshots: map[int]*Snapshot{}, records: map[int]replication.Record{}, standby: replication.NewStandby()}
+// NewReceiver returns the empty Receiver of a process of a controller.
+func NewReceiver(node string, process uint64) *Receiver {
+	return &Receiver{node: node, process: process, snapshots: map[int]*Snapshot{}, records: map[int]replication.Record{}, standby: replication.NewStandby(process)}
 }
 
 // Receive stores one part of a snapshot. Parts may come in any order.
@@ -189,7 +190,7 @@
 
 // StateRolledBack drops all replication streams: after a rollback of
 // the state service, the stored standby records may be out of date.
-func (r *Receiver) StateRolledBack() { r.standby = replication.NewStandby() }
+func (r *Receiver) StateRolledBack() { r.standby = replication.NewStandby(r.process) }
 
 // TakeSnapshot removes and returns the snapshot of a shard that was assigned to this controller. The snapshot
 // is empty if none may be used under the assignment.
--- a/internal/core/transfer/transfer_test.go
+++ b/internal/core/transfer/transfer_test.go
@@ -119,7 +119,7 @@
 		"of an older release":   {},
 		"discarded meanwhile":   {assignment: next, discard: true},
 	} {
-		r := NewReceiver("b")
+		r := NewReceiver("b", 1)
 		r.Receive(Message{Block: 2, Token: token, Machines: []replication.MachineSnapshot{{Name: "n-1"}}})
 		r.Receive(Message{Block: 2, Token: token - 1, Machines: []replication.MachineSnapshot{{Name: "n-2"}}}) // late
 		if test.discard {
@@ -141,7 +141,7 @@
 // TestReceivedSnapshotIsBounded guards against a peer that fills the memory: shard
 // numbers out of range are ignored, and so are parts beyond maxSnapshotEntries.
 func TestReceivedSnapshotIsBounded(t *testing.T) {
-	r := NewReceiver("b")
+	r := NewReceiver("b", 1)
 	for _, shard := range []int{-1, keys.MaxShards} {
 		r.Receive(Message{Block: shard, Token: token})
 	}
@@ -183,7 +183,7 @@
 		"another stream":         {record: replication.Record{Node: "b", Token: token, Run: 2}, assignment: authority.Assignment{PreviousToken: token}},
 		"state service rollback": {record: record, assignment: authority.Assignment{PreviousToken: token}, rolledBack: true},
 	} {
-		r := NewReceiver("b")
+		r := NewReceiver("b", 1)
 		r.ApplyStandby(2, test.record)
 		message := replication.Message{Block: 2, Token: token, Run: 1, N: 1, Whole: true, Machines: []replication.MachineSnapshot{{Name: "n-1"}}}
 		if ack := r.ReceiveReplication(message, func(string, int) bool { return false }); ack.N != 1 {
@@ -232,7 +232,7 @@
 	last := Shard{Number: 2, FencingToken: token, Jobs: map[string]*jobs.Job{"wk-000001": job("wk-000001", 5, 2)},
 		Machines: map[string]*fleet.Machine{"n-1": machine("n-1", 2), "n-2": machine("n-2", 0), "n-3": machine("n-3", 1)}}
 	last.Machines["n-1"].SetAttempt(jobs.TaskID{Job: "wk-000001", Task: 4}, fleet.Attempt{Number: 9, State: fleet.Saving})
-	r := NewReceiver("b")
+	r := NewReceiver("b", 1)
 	for _, part := range last.Messages() {
 		r.Receive(part)
 	}
--- a/internal/explore/following/following.go
+++ b/internal/explore/following/following.go
@@ -29,11 +29,12 @@
 	AssumeStored       Mutation = "hopeful"   // a write without a response counts as stored
 	UnguardedRecord    Mutation = "unguarded" // the record that names the standby is written without a version guard
 	IgnoreRecord       Mutation = "unnamed"   // a standby uses its stream even if the stored record names another one
-	ResendFirst        Mutation = "repeating" // the first message of a stream is sent twice, so that two processes may receive the stream
+	ResendFirst        Mutation = "repeating" // the first message of a stream is sent twice, to a standby that does not name its process
+	AnyProcess         Mutation = "forgetful" // the processes of the standby do not differ, and messages may come twice
 )
 
 // Mutations lists all mutations.
-var Mutations = []Mutation{SendUnacknowledged, AcknowledgeGaps, AssumeStored, UnguardedRecord, IgnoreRecord, ResendFirst}
+var Mutations = []Mutation{SendUnacknowledged, AcknowledgeGaps, AssumeStored, UnguardedRecord, IgnoreRecord, ResendFirst, AnyProcess}
 
 // Options configure the model and bound its actions.
 type Options struct {
@@ -42,6 +43,9 @@
 	Mail     int // maximum number of messages in flight
 	Lost     int // maximum number of messages and writes that are lost or get no response
 	Restarts int // maximum number of times that the standby's process is replaced by a new one
+	Copies   int // maximum number of messages that arrive and are kept, to arrive once more
+	// OldStandby lets the standby run an older release, which does not name its process.
+	OldStandby bool
 }
 
 const (
@@ -68,6 +72,7 @@
 	writeInDoubt                      // write A is not applied for now and gets no response, so it is in doubt
 	applyLate                         // in-doubt write A is applied late
 	restartStandby                    // the standby's process ends, and a new one starts at once
+	deliverCopy                       // a copy of message A is delivered
 )
 
 type envelope struct {
@@ -98,19 +103,30 @@
 	knownVersion uint64 // version that the owner knows
 	lost         int
 	restarts     int
+	copies       int
 }
 
 var machineNames = []string{"m", "n"}
 
 // New returns a world with one task on the first machine and no standby.
 func New(o Options) *World {
-	w := &World{o: o, standby: replication.NewStandby(), sent: map[jobs.TaskID]int{}, version: 1, knownVersion: 1, now: 10 * units.Second}
+	w := &World{o: o, sent: map[jobs.TaskID]int{}, version: 1, knownVersion: 1, now: 10 * units.Second}
+	w.startStandby()
 	w.primary = replication.NewPrimary(0, token, w)
 	w.start(0)
 	w.primary.Tick(w.now, true)
 	return w
 }
 
+// startStandby starts a process of the standby.
+func (w *World) startStandby() {
+	process := uint64(w.restarts) + 1
+	if w.o.OldStandby || w.o.Mutation == AnyProcess {
+		process = 0
+	}
+	w.standby = replication.NewStandby(process)
+}
+
 // Candidate implements replication.Host.
 func (w *World) Candidate() string { return "f" }
 
@@ -201,6 +217,9 @@
 		if w.lost < w.o.Lost {
 			out = append(out, Action{lose, int8(k)})
 		}
+		if w.copies < w.o.Copies {
+			out = append(out, Action{deliverCopy, int8(k)})
+		}
 	}
 	for k := range w.writes {
 		out = append(out, Action{writeStored, int8(k)})
@@ -273,7 +292,10 @@
 		}
 	case restartStandby:
 		w.restarts++
-		w.standby = replication.NewStandby()
+		w.startStandby()
+	case deliverCopy:
+		w.copies++
+		w.deliver(w.messages[action.A])
 	}
 	w.now += replication.FlushInterval
 	w.primary.Tick(w.now, true)
@@ -313,7 +335,7 @@
 // State implements explore.World.
 func (w *World) State() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s|%s|%v|%v|%d %v %d %d %d %d|", w.primary.Trace(w.now), w.standby.Trace(), w.tasks, w.sent, w.version, w.record, w.knownVersion, w.started, w.lost, w.restarts)
+	fmt.Fprintf(&b, "%s|%s|%v|%v|%d %v %d %d %d %d %d|", w.primary.Trace(w.now), w.standby.Trace(), w.tasks, w.sent, w.version, w.record, w.knownVersion, w.started, w.lost, w.restarts, w.copies)
 	for _, l := range w.messages {
 		if l.m != nil {
 			fmt.Fprintf(&b, " %v", *l.m)
@@ -336,7 +358,7 @@
 	var out []string
 	for _, m := range trace {
 		text := [...]string{"a quarter of a second passes", "a task is started on " + machineNames[m.A%2], machineNames[m.A%2] + " reports that it runs no task", "message %d is delivered", "message %d is lost",
-			"write %d is stored", "write %d is stored without a response", "write %d is not stored for now and gets no response", "write %d is stored late", "the standby's process is replaced"}[m.Kind]
+			"write %d is stored", "write %d is stored without a response", "write %d is not stored for now and gets no response", "write %d is stored late", "the standby's process is replaced", "a copy of message %d is delivered"}[m.Kind]
 		if strings.Contains(text, "%d") {
 			text = fmt.Sprintf(text, m.A)
 		}
--- a/internal/peer/compatibility_test.go
+++ b/internal/peer/compatibility_test.go
@@ -69,6 +69,10 @@
 		Demand   binpack.Vec
 		Deadline units.Microseconds
 	}
+	oldAck struct {
+		Block         int
+		Token, Run, N uint64
+	}
 	oldAsk struct {
 		ID   uint64
 		Kind core.RequestKind
@@ -89,6 +93,13 @@
 	if err := dec.Decode(&s); err != nil || s.Seat != 4 || s.Sent != 5 || len(s.Blocks) != 1 || s.Blocks[0].Use != 0.5 {
 		t.Fatalf("%+v %v", s, err)
 	}
+	if err := enc.Encode(core.ReplicationAck{Block: 1, Token: 2, Run: 3, N: 4, Process: 5}); err != nil {
+		t.Fatal(err)
+	}
+	var ack oldAck
+	if err := dec.Decode(&ack); err != nil || ack != (oldAck{1, 2, 3, 4}) {
+		t.Fatalf("%+v %v", ack, err)
+	}
 	if err := enc.Encode(core.ForwardedRequest{ID: 6, Job: "wk-000001", Spec: &jobs.Spec{Class: "x", Tasks: 3, Awaits: []string{"wk-000002"}}}); err != nil {
 		t.Fatal(err)
 	}
