Waiting replicas of services are provisioned for

Cause: a new slot had to find 20 s of waiting work, counted by the run time of waiting tasks. Replicas have none, so only a group of jobs without any slot got a machine. Also, a part of a slot left on each machine counted as room, which tasks that complete can share one after the other, and replicas cannot. Change: services are groups of their own in the autoscaler (Group.Service). A waiting replica that the team's limit allows to start is worth a slot at any price; replicas count whole slots only. Replicas that have waited for 30 s while no empty or booting machine has room for them count as missing, whatever is free on paper. Groups of arrays are planned as before. No check noticed it: the checker has a new rule, unprovisioned: a replica without a machine for 90 s and six boots, while the cloud has capacity for it and the team is within its limit.

--- a/internal/core/autoscaler/autoscaler.go
+++ b/internal/core/autoscaler/autoscaler.go
@@ -28,12 +28,12 @@
 	Zone     string // "" for any zone
 	Spot     bool
 	IdleTime bool // idle-time work: it uses the capacity that other work leaves, and scales out by the cheapest pools only
+	Service  bool // replicas of services, which never complete
 }
 
-// withoutClass returns the group without its class, which stands for all work that may use the same
-// pools.
-func (g Group) withoutClass() Group {
-	g.Class = ""
+// pools returns the group that stands for all work that may use the same pools, of any class.
+func (g Group) pools() Group {
+	g.Class, g.Service = "", false
 	return g
 }
 
@@ -52,11 +52,14 @@
 	Tasks   int
 	Running int // tasks placed at present
 	Ready   int // tasks that wait to start
-	Total   binpack.Vec
-	Waiting units.Microseconds
-	Slack   units.Microseconds // time that waiting tasks may still wait and meet their deadlines, added up
-	Rate    float64
-	Types   []string
+	// Replicas is how many of the ready tasks are replicas of services that may start at once. They
+	// are work without an end, and have no part in Waiting.
+	Replicas int
+	Total    binpack.Vec
+	Waiting  units.Microseconds
+	Slack    units.Microseconds // time that waiting tasks may still wait and meet their deadlines, added up
+	Rate     float64
+	Types    []string
 }
 
 // Machine is a machine as the autoscaler sees it.
@@ -105,6 +108,8 @@
 	demand    [3]float64 // average demand of a task
 	types     []string
 	updatedAt units.Microseconds
+	// replicasWaitSince is since when replicas of services have waited all the time; 0: none waits.
+	replicasWaitSince units.Microseconds
 }
 
 // poolBackoff is the backoff of a pool without capacity.
@@ -159,17 +164,29 @@
 	}
 }
 
-// slots returns the number of average tasks that fit a machine's capacity. On each machine a fraction of
-// a task is expected to be lost because tasks differ in size.
-func slots(capacity binpack.Vec, demand [3]float64) float64 {
+// slots returns the number of a group's average tasks that fit a machine's capacity. On each machine a
+// fraction of a task is expected to be lost because tasks differ in size. Tasks that complete share what is
+// left of a slot one after the other, but each replica of a service needs a whole one.
+func (g Group) slots(capacity binpack.Vec, demand [3]float64) float64 {
 	tasks := math.Inf(1)
 	for resource, each := range demand {
 		if each > 0 {
 			tasks = math.Min(tasks, float64(capacity[resource])/each)
 		}
 	}
-	if math.IsInf(tasks, 1) || tasks < 0.7 {
+	switch {
+	case math.IsInf(tasks, 1) || tasks < minTasksPerMachine:
 		return 0
+	case g.Service:
+		return math.Floor(tasks + roundingTolerance)
 	}
 	return tasks * tasks / (tasks + 0.3)
 }
+
+const (
+	// minTasksPerMachine is the number of average tasks below which a machine
+	// counts as too small. It is below 1 as some tasks are smaller than the average.
+	minTasksPerMachine = 0.7
+	// roundingTolerance is the part of a task by which an average may be rounded up.
+	roundingTolerance = 1e-6
+)
--- a/internal/core/autoscaler/autoscaler_test.go
+++ b/internal/core/autoscaler/autoscaler_test.go
@@ -163,5 +163,85 @@
 	}
 }
 
+// replicas returns the need of a service whose placed replicas run, and whose others wait for a machine.
+func replicas(all, placed int, cpu int64) Need {
+	return Need{Tasks: all, Running: placed, Ready: all - placed, Replicas: all - placed,
+		Total: binpack.Vec{cpu, 0, 8_000}.Times(int64(all)), Types: []string{"big"}}
+}
+
+// busy returns machines of the large type that run tasks.
+func busy(count int) []Machine {
+	var machines []Machine
+	for i := range count {
+		machines = append(machines, Machine{Name: string(rune('a' + i)), Pool: Pool{"big", "a", false}, Booted: true, Age: 300 * second})
+	}
+	return machines
+}
+
+// TestReplicasGetMachines guards against replicas that wait for good. They have no run time, so no waiting work
+// was worth a machine of theirs, and the part of a slot that is left on a machine counted as if they could
+// share it one after the other.
+func TestReplicasGetMachines(t *testing.T) {
+	group := Group{Class: "web", Types: "big", Service: true}
+	for _, test := range []struct {
+		name     string
+		need     Need
+		machines int
+		want     int
+	}{
+		{"none has a machine", replicas(6, 0, 12_000), 0, 6},
+		{"one has a machine", replicas(6, 1, 12_000), 1, 5},
+		{"all have machines", replicas(6, 6, 12_000), 6, 0},
+		{"a machine holds almost two", replicas(6, 1, 8_400), 1, 5},
+		{"a machine holds exactly one", replicas(6, 5, 16_000), 5, 1},
+		{"a machine holds three", replicas(6, 1, 5_000), 1, 1},
+		{"room for two on a machine that is up", replicas(4, 2, 4_000), 1, 0},
+	} {
+		increases, scaleIn := New(params).Plan(second, map[Group]Need{group: test.need}, busy(test.machines), market)
+		count := 0
+		for _, increase := range increases {
+			count += increase.Count
+		}
+		if count != test.want || len(scaleIn) > 0 {
+			t.Errorf("%s: %d machines are requested, want %d; scaled in: %v", test.name, count, test.want, scaleIn)
+		}
+	}
+}
+
+// TestStrandedReplicasGetMachines guards against replicas that wait for good although there is enough free
+// capacity on paper: other replicas are spread over the machines so that none has room for one more. Once they
+// have waited for strandedAfter they get a machine, unless one is empty or booting.
+func TestStrandedReplicasGetMachines(t *testing.T) {
+	large, small := Group{Class: "large", Types: "big", Service: true}, Group{Class: "small", Types: "big", Service: true}
+	work := map[Group]Need{large: replicas(2, 1, 13_000), small: replicas(2, 2, 4_000)}
+	for _, test := range []struct {
+		name   string
+		waits  units.Microseconds
+		change func(machines []Machine) []Machine
+		want   bool
+	}{
+		{"heartbeats may still bring a place", strandedAfter - second, nil, false},
+		{"stranded", strandedAfter, nil, true},
+		{"a machine is empty", strandedAfter, func(machines []Machine) []Machine {
+			machines[0].Idle = second
+			return machines
+		}, false},
+		{"a machine boots", strandedAfter, func(machines []Machine) []Machine {
+			return append(machines, Machine{Name: "new", Pool: Pool{"big", "b", false}, Idle: second})
+		}, false},
+	} {
+		scaler := New(params)
+		scaler.Plan(second, work, busy(3), market)
+		machines := busy(3)
+		if test.change != nil {
+			machines = test.change(machines)
+		}
+		increases, _ := scaler.Plan(second+test.waits, work, machines, market)
+		if got := len(increases) == 1 && increases[0].Count == 1; got != test.want || len(increases) > 1 {
+			t.Errorf("%s: increases %+v, want one machine: %v", test.name, increases, test.want)
+		}
+	}
+}
+
 // market has capacity in every zone.
 var market = Market{Types: types, ZoneLimit: func(string) int { return -1 }}
--- a/internal/core/autoscaler/plan.go
+++ b/internal/core/autoscaler/plan.go
@@ -44,7 +44,7 @@
 		return cmp.Or(compareBool(a.IdleTime, b.IdleTime), compareBool(a.Spot, b.Spot),
 			cmp.Compare(len(s.averages[a].types), len(s.averages[b].types)),
 			cmp.Compare(b.Zone, a.Zone), // groups for any zone last
-			cmp.Compare(a.Class+a.Types, b.Class+b.Types))
+			cmp.Compare(a.Class+a.Types, b.Class+b.Types), compareBool(a.Service, b.Service))
 	})
 	return groups
 }
@@ -117,17 +117,47 @@
 		spotIndex = 1
 	}
 	p.backlogs[spotIndex].add(need, wanted-missing, average.tasks)
-	anyClass := group.withoutClass()
-	if p.samePools[anyClass] == nil {
-		p.samePools[anyClass] = &backlog{}
+	pools := group.pools()
+	if p.samePools[pools] == nil {
+		p.samePools[pools] = &backlog{}
 	}
-	p.samePools[anyClass].add(need, wanted-missing, average.tasks)
+	p.samePools[pools].add(need, wanted-missing, average.tasks)
+	unserved := wanted-missing < 0.5
+	missing = math.Max(missing, p.strandedReplicas(group, average, need))
 	if missing < 0.5 {
 		return Increase{}, false
 	}
-	return p.chooseOffer(shortfall{group: group, average: average, slots: missing, unserved: wanted-missing < 0.5,
+	return p.chooseOffer(shortfall{group: group, average: average, slots: missing, replicas: float64(need.Replicas), unserved: unserved,
 		cheapest: lowestPricePerCPU(average.types, group.Spot, p.market.Types),
-		backlog:  p.backlogs[spotIndex], samePools: p.samePools[anyClass]})
+		backlog:  p.backlogs[spotIndex], samePools: p.samePools[pools]})
+}
+
+// strandedAfter is how long replicas of a group must have waited before they count as stranded. It covers the
+// heartbeats with which machines get replicas that have room there.
+const strandedAfter = 30 * units.Second
+
+// strandedReplicas returns the number of a group's replicas that have waited for strandedAfter and find room on
+// no empty machine. Assigned capacity may exist for them all the same: what is left on each machine may be too
+// little, as other replicas that never complete are spread over them.
+func (p *planning) strandedReplicas(group Group, average *groupAverage, need Need) float64 {
+	if need.Replicas == 0 {
+		average.replicasWaitSince = 0
+		return 0
+	}
+	if average.replicasWaitSince == 0 {
+		average.replicasWaitSince = p.now
+	}
+	if p.now-average.replicasWaitSince < strandedAfter {
+		return 0
+	}
+	room := 0.0
+	for _, machine := range p.machines {
+		machineType := p.market.Types[machine.Pool.Type]
+		if machineType != nil && machine.Idle > 0 && !machine.ZoneLost && group.usable(average.types, machine.Pool) {
+			room += group.slots(machineType.Capacity, average.demand)
+		}
+	}
+	return math.Max(0, float64(need.Replicas)-room)
 }
 
 // assignLimits limits what assign assigns to a group.
@@ -152,7 +182,7 @@
 		if p.pricePerCPU(machine.Pool) > limits.price && limits.slots-missing >= 0.5 {
 			break // cheaper machines come first; if none gives a slot, one expensive machine is used
 		}
-		assigned := math.Min(missing, slots(p.free[i], average.demand))
+		assigned := math.Min(missing, group.slots(p.free[i], average.demand))
 		if assigned <= 0 {
 			continue
 		}
@@ -183,6 +213,7 @@
 	group     Group
 	average   *groupAverage
 	slots     float64
+	replicas  float64  // ready replicas of services
 	cheapest  float64  // price of a CPU in the cheapest offer
 	unserved  bool     // the group has no slot at all
 	backlog   backlog  // of the group and those allocated before it that match it in use of spot machines
@@ -219,7 +250,7 @@
 // sizeOffer returns the number of machines of a type that a shortfall is worth, and their price per slot
 // wanted. A positive limit is the maximum number.
 func (p *planning) sizeOffer(unmet shortfall, machineType *fleet.Type, spot bool, limit int) (count int, price float64) {
-	each := slots(machineType.Capacity, unmet.average.demand)
+	each := unmet.group.slots(machineType.Capacity, unmet.average.demand)
 	if each <= 0 {
 		return 0, 0
 	}
@@ -235,8 +266,15 @@
 }
 
 // worthwhileSlots returns the number of slots of a machine type that would find enough work to be worth
-// their price.
+// their price. A replica of a service is worth a slot at any price: no existing slot will do its work
+// meanwhile, as it never completes, and no other replica leaves it one.
 func (p *planning) worthwhileSlots(unmet shortfall, machineType *fleet.Type, spot bool) float64 {
+	return math.Min(unmet.slots, math.Max(0, p.slotsWithEnoughWork(unmet, machineType, spot))+unmet.replicas)
+}
+
+// slotsWithEnoughWork returns the number of slots of a machine type that would find enough work that
+// completes.
+func (p *planning) slotsWithEnoughWork(unmet shortfall, machineType *fleet.Type, spot bool) float64 {
 	boot := machineType.Boot.Seconds()
 	premium := pricePerCPU(machineType, spot) / unmet.cheapest
 	if unmet.group.IdleTime && premium > maxPremium && !unmet.unserved {
--- a/internal/core/demand/demand_test.go
+++ b/internal/core/demand/demand_test.go
@@ -78,6 +78,24 @@
 func (h fakeHost) LostTasks(*jobs.Job) int           { return h.lost }
 func (fakeHost) CompatibleTypes(*jobs.Spec) []string { return []string{"big", "small"} }
 
+// TestReplicasWithinLimit guards against machines for replicas that their team's limit does not allow to start.
+func TestReplicasWithinLimit(t *testing.T) {
+	array, service := jobOf("c", 4), jobOf("c", 5)
+	service.Spec().Service, service.Spec().Estimate = true, 0
+	for range 4 {
+		array.PlaceNext(jobs.Place{Machine: "n-1"})
+	}
+	groups := New(nil, 0.5).SlotsNeeded(0, array.Since, []*jobs.Job{array, service}, fakeHost{})
+	for group, need := range groups {
+		if group.Service && (need.Tasks != 2 || need.Replicas != 2) {
+			t.Errorf("%+v within a limit of 6 CPUs, of which an array uses 4", need)
+		}
+	}
+	if len(groups) != 2 {
+		t.Errorf("%d groups, want one of arrays and one of services", len(groups))
+	}
+}
+
 // TestSlotsNeededWithinTimeAndLimit guards against scaling out too far or too little.
 // Jobs must get as many slots as they need to finish in time, within their team's limit.
 func TestSlotsNeededWithinTimeAndLimit(t *testing.T) {
--- a/internal/core/demand/slots.go
+++ b/internal/core/demand/slots.go
@@ -24,6 +24,15 @@
 // workload is the number of a job's tasks that are placed, that are ready, and that should run at once.
 type workload struct{ placed, ready, slots int }
 
+// startable returns the number of ready tasks that the limit of the job's team allows to start at once. Tasks
+// of earlier owners may still run while the job is not reconciled; until then none is startable.
+func (w workload) startable(job *jobs.Job) int {
+	if job.Unreconciled || job.Migrating {
+		return 0
+	}
+	return max(0, min(w.ready, w.slots-w.placed))
+}
+
 // SlotsNeeded adds up the slots that the jobs need, by the machine pools that they may use.
 // order lists the jobs, the earliest first. A job needs only as many slots as it takes to finish
 // in time: if there is time to run several tasks one after the other, fewer machines suffice.
@@ -40,11 +49,10 @@
 		if work.slots <= 0 {
 			continue
 		}
-		total := spec.Demand.Times(int64(work.slots))
-		perTeam[spec.Team] = perTeam[spec.Team].Add(total)
+		perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(work.slots)))
 		types := host.CompatibleTypes(spec)
-		group := autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zone: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job)}
-		needed[group] = e.addWork(needed[group], wall, job, work, total, types)
+		group := autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zone: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job), Service: spec.Service}
+		needed[group] = e.addWork(needed[group], wall, job, work, types)
 	}
 	return needed
 }
@@ -81,17 +89,19 @@
 }
 
 // addWork returns need with a job's work added.
-func (e *Estimator) addWork(need autoscaler.Need, wall units.Microseconds, job *jobs.Job, work workload, total binpack.Vec, types []string) autoscaler.Need {
+func (e *Estimator) addWork(need autoscaler.Need, wall units.Microseconds, job *jobs.Job, work workload, types []string) autoscaler.Need {
 	runtime := e.Runtime(job.Spec())
 	need.Tasks += work.slots
 	need.Running += work.placed
 	need.Ready += work.ready
 	need.Waiting += runtime * units.Microseconds(work.ready)
 	need.Slack += e.Slack(wall, job) * units.Microseconds(work.ready)
-	if !job.Spec().Service {
+	if job.Spec().Service {
+		need.Replicas += work.startable(job)
+	} else {
 		need.Rate += float64(work.placed) / max(runtime.Seconds(), 1)
 	}
-	need.Total = need.Total.Add(total)
+	need.Total = need.Total.Add(job.Spec().Demand.Times(int64(work.slots)))
 	need.Types = types
 	return need
 }
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -30,6 +30,7 @@
 	Name     string
 	Capacity binpack.Vec
 	Zones    []string
+	Boot     units.Microseconds // usual boot time
 }
 
 // Config holds the parameters of the rules.
@@ -70,6 +71,8 @@
 	failsAlways     bool               // its tasks fail on every machine
 	waitingSince    units.Microseconds // since when it has waited despite free capacity, see CheckWaiting; 0: it does not
 	excusedSince    units.Microseconds // waitingSince when its free capacity was found to be transient; 0: it was not
+	// unprovisionedSince is since when a replica has waited for a machine, see CheckProvisioning; 0: none does.
+	unprovisionedSince units.Microseconds
 }
 
 // Checker records events and the rules that they violate. The times that its methods are given must
@@ -90,6 +93,7 @@
 	openJobs        []*jobRecord       // accepted jobs without a final status at the last dropFinished
 	openAfterSweep  int                // len(openJobs) after the last dropFinished
 	nextOpen        int                // index of the last job that CheckWaiting examined
+	nextService     int                // index of the last job that CheckProvisioning examined
 	freeSnapshots   []freeSnapshot     // of the last maxWait (90 s), the oldest first
 	faultsOverAt    units.Microseconds // MaxTime: unknown
 	violations      []Violation
--- /dev/null
+++ b/internal/emulator/check/provisioning.go
@@ -0,0 +1,63 @@
+package check
+
+import (
+	"slices"
+
+	"shalestage.example/shalestage/internal/core/binpack"
+	"shalestage.example/shalestage/internal/core/units"
+)
+
+// maxBoots is how many of the longest usual boot times a replica may wait in addition to maxWait. Some
+// machines take several times as long to boot, and one that never comes up has to be replaced first.
+const maxBoots = 6
+
+// CheckProvisioning checks that replicas of services get machines. pools are the pools in which the cloud has
+// capacity at present. Call it about every WaitingCheckEvery once all faults are over (TestUnprovisioned).
+//
+// A service violates the rule if one of its replicas is on no machine at every check of maxWait plus maxBoots
+// boot times, while at each of them the cloud has capacity for it and its team is within its limit. Tasks that
+// complete leave their slots to others, so an array may wait for a slot. A replica leaves its slot to nobody.
+func (c *Checker) CheckProvisioning(at units.Microseconds, available []AvailableMachine, pools []Machine) {
+	c.Advance(at)
+	placed, usage := c.placedTasks(available)
+	longestBoot := units.Microseconds(0)
+	for _, machineType := range c.config.Types {
+		longestBoot = max(longestBoot, machineType.Boot)
+	}
+	for range min(maxJobsChecked, len(c.openJobs)) {
+		c.nextService = (c.nextService + 1) % len(c.openJobs)
+		job := c.openJobs[c.nextService]
+		if !c.needsMachine(job, len(placed[job.id]), usage) || !c.poolFor(job, pools) {
+			job.unprovisionedSince = 0
+			continue
+		}
+		if job.unprovisionedSince == 0 {
+			job.unprovisionedSince = at
+		}
+		if at-job.unprovisionedSince > maxWait+maxBoots*longestBoot {
+			c.violated(at, Unprovisioned, job, "", "%d of %d replicas of %s are on machines since %.1f, and the cloud has room for more",
+				len(placed[job.id]), job.spec.Tasks, job.id, job.unprovisionedSince.Seconds())
+		}
+	}
+}
+
+// needsMachine reports whether a replica of a service is on no machine although its team's limit allows it.
+func (c *Checker) needsMachine(job *jobRecord, placed int, usage map[string]binpack.Vec) bool {
+	if !job.spec.Service || placed >= job.spec.Tasks || job.finalStatus != "" || job.malformed || job.failsAlways {
+		return false
+	}
+	if _, asked := c.cancellation(job, nil); asked {
+		return false
+	}
+	if slices.ContainsFunc(job.dependencies, func(needed *jobRecord) bool { return needed.completed.Len() < needed.spec.Tasks }) {
+		return false
+	}
+	return withinLimit(usage[job.spec.Team].Add(job.spec.Demand), c.lowestLimit(job.spec.Team))
+}
+
+// poolFor reports whether one more task of a job may run on a machine of one of the pools.
+func (c *Checker) poolFor(job *jobRecord, pools []Machine) bool {
+	return slices.ContainsFunc(pools, func(pool Machine) bool {
+		return job.mayRun(AvailableMachine{Machine: pool}) && c.fitsType(job.spec.Demand, pool.Type)
+	})
+}
--- a/internal/emulator/check/rules.go
+++ b/internal/emulator/check/rules.go
@@ -9,7 +9,8 @@
 // The rules of the protocol and of dependencies between jobs, and some that go beyond them: no
 // accepted job is lost, a shard has one owner, no write exceeds the size limit of the state service,
 // no job is accepted that can never run, no job is left waiting while a machine has capacity for it,
-// and no job is accepted under a configuration that was replaced before the job was submitted.
+// no replica of a service is left without a machine while the cloud has capacity for one, and no job is
+// accepted under a configuration that was replaced before the job was submitted.
 // Reports and tests identify the rules by these values.
 const (
 	RanTwice     = "ran_twice"
@@ -29,12 +30,14 @@
 	Impossible   = "accepted_impossible"
 	LeftWaiting  = "left_waiting"
 	Outdated     = "outdated"
+	// Unprovisioned is the rule of CheckProvisioning.
+	Unprovisioned = "unprovisioned"
 )
 
 // Rules lists every rule.
 var Rules = []string{
 	RanTwice, Quota, WrongPlace, RanCancelled, Forgotten, Invented, NotDone, WentBack, NothingRan, TooEarly,
-	Orphaned, Lost, TwoHolders, TooLarge, Impossible, LeftWaiting, Outdated,
+	Orphaned, Lost, TwoHolders, TooLarge, Impossible, LeftWaiting, Outdated, Unprovisioned,
 }
 
 // Violation is a violated rule, with the part of the history that explains it.
--- a/internal/emulator/cloudprovider/requests.go
+++ b/internal/emulator/cloudprovider/requests.go
@@ -77,6 +77,24 @@
 	return names, false, http.StatusOK
 }
 
+// PoolsWithCapacity returns the pools in which a request would create a machine now, in a stable order.
+func (p *Provider) PoolsWithCapacity(now units.Microseconds) (pools []Pool) {
+	if now < p.downUntil {
+		return nil
+	}
+	for _, machineType := range p.config.Types {
+		for _, zone := range machineType.Zones {
+			for _, spot := range []bool{false, true} {
+				pool := Pool{machineType.Name, zone, spot}
+				if p.used[pool] < p.config.Capacity[pool] && now >= p.noCapacityUntil[pool] {
+					pools = append(pools, pool)
+				}
+			}
+		}
+	}
+	return pools
+}
+
 // ScaleIn deletes machines and returns an HTTP status. It ignores unknown names.
 func (p *Provider) ScaleIn(now units.Microseconds, names []string) int {
 	if code := p.admit(now); code != http.StatusOK {
--- a/internal/emulator/sim/checker_test.go
+++ b/internal/emulator/sim/checker_test.go
@@ -74,8 +74,9 @@
 			}
 			return nil
 		}}},
-		check.LeftWaiting: {b: Mutation{Commands: withoutStarts("wk-000002")}},
-		check.Outdated:    {fault: scenario.Fault{Kind: scenario.ConfigSet, Team: "red", Remove: true, AtS: 25}, b: answering(user.Submit, http.StatusCreated, jobs.Pending)},
+		check.LeftWaiting:   {b: Mutation{Commands: withoutStarts("wk-000002")}},
+		check.Unprovisioned: {b: Mutation{Commands: withoutStarts("wk-000006")}},
+		check.Outdated:      {fault: scenario.Fault{Kind: scenario.ConfigSet, Team: "red", Remove: true, AtS: 25}, b: answering(user.Submit, http.StatusCreated, jobs.Pending)},
 	}
 	for _, rule := range check.Rules {
 		testCase, ok := cases[rule]
@@ -107,8 +108,11 @@
 			spreadJob := w.submitJob(second, spread, 30*second, 0)
 			dependent := spec("blue", 2)
 			w.submitJob(second, dependent, units.Second, 0, zonedJob, spreadJob)
+			service := spec("green", 2)
+			service.Service, service.Estimate = true, 0
+			w.submitJob(second, service, 0, 0)
 			w.submitJob(60*second, spec("red", 1), units.Second, 0)
-			w.Run(200 * second)
+			w.Run(240 * second)
 			w.Check.Finish(w.now, true)
 			for _, b := range w.Check.Violations() {
 				if b.Rule == rule {
--- a/internal/emulator/sim/users.go
+++ b/internal/emulator/sim/users.go
@@ -183,17 +183,27 @@
 	return false
 }
 
-// scheduleWaitingCheck reports the free capacity of machines to the checker every check.WaitingCheckEvery,
+// scheduleWaitingCheck reports the free capacity of machines and of the cloud to the checker every check.WaitingCheckEvery,
 // once all faults are over.
 func (w *World) scheduleWaitingCheck() {
 	w.schedule(check.WaitingCheckEvery, func() {
 		if w.Check.FaultsOver(w.now) {
-			w.Check.CheckWaiting(w.now, w.availableMachines())
+			available := w.availableMachines()
+			w.Check.CheckWaiting(w.now, available)
+			w.Check.CheckProvisioning(w.now, available, w.poolsWithCapacity())
 		}
 		w.scheduleWaitingCheck()
 	})
 }
 
+// poolsWithCapacity returns a machine of each pool in which the cloud has capacity.
+func (w *World) poolsWithCapacity() (out []check.Machine) {
+	for _, pool := range w.Site.Cloud.PoolsWithCapacity(w.now) {
+		out = append(out, check.Machine{Type: pool.Type, Zone: pool.Zone, Spot: pool.Spot})
+	}
+	return out
+}
+
 // unusable is the free capacity of a machine that cannot be used.
 var unusable = binpack.Vec{-1, -1, -1}
 
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -78,7 +78,7 @@
 		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: binpack.Vec{units.MilliDown(t.CPUsMax), units.MilliDown(t.GPUsMax)}})
 	}
 	for _, t := range s.Site().Cloud.Types {
-		c.Types = append(c.Types, check.Type{Name: t.Name, Capacity: site.Capacity(t), Zones: t.Zones})
+		c.Types = append(c.Types, check.Type{Name: t.Name, Capacity: site.Capacity(t), Zones: t.Zones, Boot: t.Boot})
 	}
 	return c
 }
