Replicas bound by each other's zones get machines where they may start

What callers saw: services whose replicas are spread over zones, or share one, stayed incomplete while the cloud had capacity: machines came up, empty, in the cheapest zone, where no further replica was allowed. Cause: scaling out knew the zone that a job names, not the zones that its other replicas leave to the next one. For arrays that does little harm, since their tasks complete; a replica never leaves its zone. Change: the waiting replicas of such a service are a need of the zones that are allowed at present (Group.Zones), and no more of them at a time than may go to any of these. Other work is planned as before.

--- a/internal/core/autoscaler/autoscaler.go
+++ b/internal/core/autoscaler/autoscaler.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/units"
@@ -25,7 +26,7 @@
 type Group struct {
 	Class    string
 	Types    string // names of the machine types that its tasks fit and may use, joined by commas
-	Zone     string // "" for any zone
+	Zones    string // names of the zones that its tasks may use, joined by commas; "" for any zone
 	Spot     bool
 	IdleTime bool // idle-time work: it uses the capacity that other work leaves, and scales out by the cheapest pools only
 	Service  bool // replicas of services, which never complete
@@ -39,12 +40,25 @@
 
 // usable reports whether a group's tasks, which may use the given types, may run on machines of a pool.
 func (g Group) usable(types []string, pool Pool) bool {
-	if pool.Spot && !g.Spot || g.Zone != "" && g.Zone != pool.Zone {
+	if pool.Spot && !g.Spot || !g.allowsZone(pool.Zone) {
 		return false
 	}
 	return slices.Contains(types, pool.Type)
 }
 
+// allowsZone reports whether a group's tasks may run in a zone.
+func (g Group) allowsZone(zone string) bool {
+	if g.Zones == "" {
+		return true
+	}
+	for name := range strings.SplitSeq(g.Zones, ",") {
+		if name == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // Need is the amount of work of a group: the tasks that would run at once if there were capacity, with
 // their total demand; the waiting tasks, with their run times added up; and the number of running tasks
 // that complete per second.
--- a/internal/core/autoscaler/autoscaler_test.go
+++ b/internal/core/autoscaler/autoscaler_test.go
@@ -88,7 +88,7 @@
 	}{
 		{"done in 100 s, in time", Group{Class: "x", Spot: true}, 150 * second, false},
 		{"done in 100 s, too late", Group{Class: "x", Spot: true}, 10 * second, true},
-		{"none of the slots is for it", Group{Class: "x", Zone: "a", Spot: true}, 10 * second, true},
+		{"none of the slots is for it", Group{Class: "x", Zones: "a", Spot: true}, 10 * second, true},
 	} {
 		other := need(0, second)
 		n := need(200, 20*second)
@@ -114,11 +114,11 @@
 				Idle: units.Seconds(rapid.Float64Range(0, 100).Draw(t, "idle")), Age: units.Seconds(rapid.Float64Range(0, 200).Draw(t, "age"))}
 			machines = append(machines, m)
 		}
-		g := Group{Class: "x", Zone: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "may_spot")}
+		g := Group{Class: "x", Zones: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone"), Spot: rapid.Bool().Draw(t, "may_spot")}
 		n := rapid.IntRange(0, 200).Draw(t, "tasks")
 		increases, scaleIn := scaler.Plan(second, map[Group]Need{g: need(n, 30*second)}, machines, market)
 		for _, r := range increases {
-			if r.Count < 1 || r.Count > 2*n || r.Pool.Spot && !g.Spot || g.Zone != "" && r.Pool.Zone != g.Zone {
+			if r.Count < 1 || r.Count > 2*n || r.Pool.Spot && !g.Spot || g.Zones != "" && r.Pool.Zone != g.Zones {
 				t.Fatalf("%+v for %+v", r, g)
 			}
 		}
--- a/internal/core/autoscaler/plan.go
+++ b/internal/core/autoscaler/plan.go
@@ -43,7 +43,7 @@
 	slices.SortFunc(groups, func(a, b Group) int {
 		return cmp.Or(compareBool(a.IdleTime, b.IdleTime), compareBool(a.Spot, b.Spot),
 			cmp.Compare(len(s.averages[a].types), len(s.averages[b].types)),
-			cmp.Compare(b.Zone, a.Zone), // groups for any zone last
+			cmp.Compare(b.Zones, a.Zones), // groups for any zone last
 			cmp.Compare(a.Class+a.Types, b.Class+b.Types), compareBool(a.Service, b.Service))
 	})
 	return groups
--- a/internal/core/demand/demand_test.go
+++ b/internal/core/demand/demand_test.go
@@ -1,8 +1,10 @@
 package demand
 
 import (
+	"reflect"
 	"testing"
 
+	"shalestage.example/shalestage/internal/core/autoscaler"
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/jobs"
 	"shalestage.example/shalestage/internal/core/units"
@@ -77,6 +79,53 @@
 func (fakeHost) Limit(string) binpack.Vec            { return binpack.Vec{6000} }
 func (h fakeHost) LostTasks(*jobs.Job) int           { return h.lost }
 func (fakeHost) CompatibleTypes(*jobs.Spec) []string { return []string{"big", "small"} }
+func (fakeHost) CompatibleZones(*jobs.Spec) []string { return []string{"a", "b"} }
+
+// TestReplicasNeedSlotsWhereAllowed guards against replicas that wait for good: a service whose replicas share a
+// zone or are spread over zones got machines in zones where they must not start. Those that wait must need
+// slots in the allowed zones alone, no more than may go there. An older owner's replicas may still run.
+func TestReplicasNeedSlotsWhereAllowed(t *testing.T) {
+	anyZone := func(tasks, replicas int) map[string]autoscaler.Need {
+		return map[string]autoscaler.Need{"": {Tasks: tasks, Replicas: replicas}}
+	}
+	for _, test := range []struct {
+		name   string
+		change func(job *jobs.Job)
+		placed []string // zones of the placed replicas, of six
+		want   map[string]autoscaler.Need
+	}{
+		{"any zone", nil, []string{"a", "b"}, anyZone(6, 4)},
+		{"one zone, none placed", func(job *jobs.Job) { job.Spec().OneZone = true }, nil, anyZone(6, 6)},
+		{"one zone, some placed", func(job *jobs.Job) { job.Spec().OneZone = true }, []string{"b", "b"},
+			map[string]autoscaler.Need{"": {Tasks: 2}, "b": {Tasks: 4, Replicas: 4}}},
+		{"spread, none placed: half may go to a zone", func(job *jobs.Job) { job.Spec().Spread = true }, nil, anyZone(3, 3)},
+		{"spread, one zone is full", func(job *jobs.Job) { job.Spec().Spread = true }, []string{"a", "a", "a"},
+			map[string]autoscaler.Need{"": {Tasks: 3}, "b": {Tasks: 3, Replicas: 3}}},
+		{"spread, all placed", func(job *jobs.Job) { job.Spec().Spread = true }, []string{"a", "a", "a", "b", "b", "b"}, anyZone(6, 0)},
+		{"bound to a zone", func(job *jobs.Job) { job.Spec().Zone = "a" }, []string{"a"}, map[string]autoscaler.Need{"a": {Tasks: 6, Replicas: 5}}},
+		{"not reconciled", func(job *jobs.Job) { job.SetUnreconciled(true) }, nil, anyZone(6, 0)},
+	} {
+		job := jobOf("c", 6)
+		job.Spec().Service, job.Spec().Estimate = true, 0
+		for _, zone := range test.placed {
+			job.PlaceNext(jobs.Place{Machine: "n-1", Zone: zone})
+		}
+		if test.change != nil {
+			test.change(job)
+		}
+		groups := New(nil, 0.5).SlotsNeeded(0, job.Since, []*jobs.Job{job}, fakeHost{})
+		got := map[string]autoscaler.Need{}
+		for group, need := range groups {
+			if !group.Service {
+				t.Errorf("%s: %+v is no group of services", test.name, group)
+			}
+			got[group.Zones] = autoscaler.Need{Tasks: need.Tasks, Replicas: need.Replicas}
+		}
+		if !reflect.DeepEqual(got, test.want) {
+			t.Errorf("%s: by zones %+v, want %+v", test.name, got, test.want)
+		}
+	}
+}
 
 // TestReplicasWithinLimit guards against machines for replicas that their team's limit does not allow to start.
 func TestReplicasWithinLimit(t *testing.T) {
--- a/internal/core/demand/slots.go
+++ b/internal/core/demand/slots.go
@@ -19,6 +19,8 @@
 	LostTasks(job *jobs.Job) int
 	// CompatibleTypes returns the names of the machine types that a job's tasks fit on and may use.
 	CompatibleTypes(spec *jobs.Spec) []string
+	// CompatibleZones returns the names of the zones that have such types and that the job may use.
+	CompatibleZones(spec *jobs.Spec) []string
 }
 
 // workload is the number of a job's tasks that are placed, that are ready, and that should run at once.
@@ -51,8 +53,17 @@
 		}
 		perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(work.slots)))
 		types := host.CompatibleTypes(spec)
-		group := autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zone: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job), Service: spec.Service}
-		needed[group] = e.addWork(needed[group], wall, job, work, types)
+		group := autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zones: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job), Service: spec.Service}
+		if !bindsReplicasToZones(spec) {
+			needed[group] = e.addWork(needed[group], wall, job, work, types)
+			continue
+		}
+		for _, part := range partsByZone(job, work, host) {
+			if part.zones != "" {
+				group.Zones = part.zones
+			}
+			needed[group] = e.addWork(needed[group], wall, job, part.workload, types)
+		}
 	}
 	return needed
 }
@@ -78,6 +89,44 @@
 	return workload{placed, ready, max(slots, placed)}
 }
 
+// part is the part of a job's workload that may run in the given zones, joined by commas. "" stands for all
+// zones that the job may use.
+type part struct {
+	workload
+	zones string
+}
+
+// bindsReplicasToZones reports whether the zones that a job's next task may use depend for good on where the
+// others run: replicas of a service that share a zone, or are spread over zones, never leave their zones. The
+// tasks of an array complete, and so a slot in any of its zones will do.
+func bindsReplicasToZones(spec *jobs.Spec) bool {
+	return spec.Service && (spec.OneZone || spec.Spread)
+}
+
+// partsByZone splits the workload of a service into the placed replicas and those that wait. Those have to
+// go to the zones that are allowed at present, and only as many of them as may go to any of these.
+func partsByZone(job *jobs.Job, work workload, host Host) []part {
+	placed := min(work.placed, work.slots)
+	parts := []part{{workload: workload{placed: work.placed, slots: placed}}}
+	waiting := work.slots - placed
+	all := host.CompatibleZones(job.Spec())
+	var allowed []string
+	for _, zone := range all {
+		if job.ZoneAllows(zone) {
+			allowed = append(allowed, zone)
+			waiting = min(waiting, job.ZoneRoom(zone)) // they may all go to this zone
+		}
+	}
+	if len(allowed) == 0 || waiting <= 0 {
+		return parts
+	}
+	next := part{workload: workload{ready: min(work.ready, waiting), slots: waiting}}
+	if len(allowed) < len(all) {
+		next.zones = strings.Join(allowed, ",")
+	}
+	return append(parts, next)
+}
+
 // slotsWithin bounds the slots of a job by what its team's limit leaves after the team's earlier jobs.
 func slotsWithin(limit, used, demand binpack.Vec, slots int) int {
 	for i, most := range limit {
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -99,7 +99,17 @@
 	if s.OneZone && j.zones[zone] < len(j.places) {
 		return false
 	}
-	return !s.Spread || j.zones[zone] < (s.Tasks+1)/2
+	return j.ZoneRoom(zone) > 0
+}
+
+// ZoneRoom returns how many more tasks may be placed in a zone that
+// the job may use, if its tasks are to be spread over zones.
+func (j *Job) ZoneRoom(zone string) int {
+	s := j.Spec()
+	if !s.Spread {
+		return s.Tasks
+	}
+	return (s.Tasks+1)/2 - j.zones[zone]
 }
 
 var idFormat = regexp.MustCompile(`^wk-(\d{6}|[1-9]\d{6,17})$`)
--- a/internal/core/provisioner.go
+++ b/internal/core/provisioner.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"shalestage.example/shalestage/internal/core/autoscaler"
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/fleet"
@@ -99,6 +101,19 @@
 // CompatibleTypes implements demand.Host.
 func (h provisionerHost) CompatibleTypes(spec *jobs.Spec) []string { return h.compatibleTypes(spec) }
 
+// CompatibleZones implements demand.Host.
+func (h provisionerHost) CompatibleZones(spec *jobs.Spec) []string {
+	if spec.Zone != "" {
+		return []string{spec.Zone}
+	}
+	var zones []string
+	for _, name := range h.compatibleTypes(spec) {
+		zones = append(zones, h.types[name].Zones...)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // ownedWithAssignment returns the shard that an answer is for, if this controller still owns it with the same
 // version of its assignment and has loaded it; else nil.
 func (c *Core) ownedWithAssignment(number int, assignment uint64) *ownedShard {
--- a/internal/emulator/check/provisioning_test.go
+++ b/internal/emulator/check/provisioning_test.go
@@ -15,7 +15,7 @@
 func TestUnprovisioned(t *testing.T) {
 	pool := func(name, zone string, spot bool) []Machine { return []Machine{{Type: name, Zone: zone, Spot: spot}} }
 	always := func(pools []Machine) func(int) []Machine { return func(int) []Machine { return pools } }
-	const service, other, reported = "wk-000001", "wk-000002", 155
+	const reported = 155
 	for _, test := range []struct {
 		name   string
 		change func(spec *jobs.Spec)
@@ -50,40 +50,48 @@
 		{"an array", func(s *jobs.Spec) { s.Service = false }, 0, always(pool("big", "a", false)), 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			checker := New(Config{CancelIn: 60 * units.Second, Teams: []Team{{Name: "blue", Limit: binpack.Vec{40_000}}}, Types: []Type{
-				{Name: "big", Capacity: binpack.Vec{16_000, 0, 64_000}, Zones: []string{"a", "b"}, Boot: 10 * units.Second},
-				{Name: "small", Capacity: binpack.Vec{2000, 0, 8000}, Zones: []string{"a"}, Boot: 3 * units.Second}}})
-			checker.SetFaultsOver(0)
 			spec := &jobs.Spec{Class: "x", Team: "blue", Service: true, Tasks: 4, Demand: binpack.Vec{8000, 0, 4000}, AnyType: true, Image: "i"}
 			if test.change != nil {
 				test.change(spec)
 			}
-			// Another job uses 8 of the 40 CPUs of the team's limit.
-			array := &jobs.Spec{Class: "x", Team: "blue", Tasks: 1, Demand: binpack.Vec{8000, 0, 4000}, AnyType: true, Image: "i", Estimate: 900 * units.Second}
-			for id, submitted := range map[string]*jobs.Spec{service: spec, other: array} {
-				checker.Submitting(units.Second, id, submitted)
-				checker.SubmitAnswered(units.Second, 0, id, http.StatusCreated, jobs.Pending)
-			}
-			available := []AvailableMachine{{Machine: Machine{Name: "a", Type: "big", Zone: "b"}, Tasks: []jobs.TaskID{{Job: other}}}}
-			for replica := range test.placed {
-				machine := AvailableMachine{Machine: Machine{Name: string(rune('m' + replica)), Type: "big", Zone: "a"}, Tasks: []jobs.TaskID{{Job: service, Task: replica}}}
-				available = append(available, machine)
-				checker.TaskStarted(2*units.Second, machine.Machine, jobs.TaskID{Job: service, Task: replica})
-			}
-			const first = 5 * units.Second
-			got := 0.0
-			for check := range 60 {
-				at := first + units.Microseconds(check)*WaitingCheckEvery
-				checker.CheckProvisioning(at, available, test.pools(check))
-				if violations := checker.Violations(); got == 0 && len(violations) > 0 {
-					if got = (at - first).Seconds(); violations[0].Rule != Unprovisioned {
-						t.Errorf("violates %v", violations[0])
-					}
-				}
-			}
-			if got != test.want {
+			if got := unprovisionedAfter(t, spec, test.placed, test.pools); got != test.want {
 				t.Errorf("reported after %g s, want %g", got, test.want)
 			}
 		})
 	}
 }
+
+// unprovisionedAfter submits a job whose first tasks are on machines in zone a, and returns the seconds after
+// which it is reported as unprovisioned, 0 if it is not reported within 300 s. pools returns the pools in which
+// the cloud has capacity at a check. Another job uses 8 of the 40 CPUs of the team's limit.
+func unprovisionedAfter(t *testing.T, spec *jobs.Spec, placed int, pools func(check int) []Machine) float64 {
+	t.Helper()
+	const service, other = "wk-000001", "wk-000002"
+	checker := New(Config{CancelIn: 60 * units.Second, Teams: []Team{{Name: "blue", Limit: binpack.Vec{40_000}}}, Types: []Type{
+		{Name: "big", Capacity: binpack.Vec{16_000, 0, 64_000}, Zones: []string{"a", "b"}, Boot: 10 * units.Second},
+		{Name: "small", Capacity: binpack.Vec{2000, 0, 8000}, Zones: []string{"a"}, Boot: 3 * units.Second}}})
+	checker.SetFaultsOver(0)
+	array := &jobs.Spec{Class: "x", Team: "blue", Tasks: 1, Demand: binpack.Vec{8000, 0, 4000}, AnyType: true, Image: "i", Estimate: 900 * units.Second}
+	for id, submitted := range map[string]*jobs.Spec{service: spec, other: array} {
+		checker.Submitting(units.Second, id, submitted)
+		checker.SubmitAnswered(units.Second, 0, id, http.StatusCreated, jobs.Pending)
+	}
+	available := []AvailableMachine{{Machine: Machine{Name: "a", Type: "big", Zone: "b"}, Tasks: []jobs.TaskID{{Job: other}}}}
+	for replica := range placed {
+		machine := AvailableMachine{Machine: Machine{Name: string(rune('m' + replica)), Type: "big", Zone: "a"}, Tasks: []jobs.TaskID{{Job: service, Task: replica}}}
+		available = append(available, machine)
+		checker.TaskStarted(2*units.Second, machine.Machine, jobs.TaskID{Job: service, Task: replica})
+	}
+	const first = 5 * units.Second
+	for check := range 60 {
+		at := first + units.Microseconds(check)*WaitingCheckEvery
+		checker.CheckProvisioning(at, available, pools(check))
+		if violations := checker.Violations(); len(violations) > 0 {
+			if violations[0].Rule != Unprovisioned {
+				t.Errorf("violates %v", violations[0])
+			}
+			return (at - first).Seconds()
+		}
+	}
+	return 0
+}
--- a/internal/emulator/sim/service_test.go
+++ b/internal/emulator/sim/service_test.go
@@ -47,6 +47,8 @@
 		"a machine holds exactly one":       {services: []*jobs.Spec{service(5, 16, nil)}},
 		"of different sizes":                {services: []*jobs.Spec{service(3, 4, big), service(3, 13, big), service(2, 3, big)}},
 		"of different sizes, the other way": {services: []*jobs.Spec{service(2, 3, big), service(3, 13, big), service(3, 4, big)}},
+		"in one zone":                       {services: []*jobs.Spec{service(3, 12, func(s *jobs.Spec) { s.OneZone = true })}},
+		"spread over zones":                 {services: []*jobs.Spec{service(4, 12, func(s *jobs.Spec) { s.Spread = true })}},
 		"after a crash":                     {services: []*jobs.Spec{service(1, 12, nil), service(1, 12, nil), service(2, 12, nil)}, crash: true},
 		"on spot machines, after a crash":   {services: []*jobs.Spec{service(6, 12, func(s *jobs.Spec) { s.Spot = true })}, crash: true},
 	} {
