Tasks are not left to preferred machines in zones where they must not start

What callers saw: a replica of a service that is spread over zones waited for good beside an empty machine. Cause: work is left to cheaper machines that have room and ask for work soon. Whether the job may use more of their zone was not looked at. A machine of a service never gets rid of its replicas, so the wait had no end. Change: room in a zone where the job's next task must not start is not counted; nor does it mark the jobs that run on the same machines as served.

--- a/internal/core/scheduler/headroom.go
+++ b/internal/core/scheduler/headroom.go
@@ -48,16 +48,21 @@
 	}
 	spec := job.Spec()
 	unplaced := job.Ready()
+	wrongZone := false
 	for i, machine := range h.machines {
 		if !spec.Allows(machine.Record.Type, machine.Record.Zone, machine.Record.Spot) {
 			continue
 		}
+		if !job.ZoneAllows(machine.Record.Zone) {
+			wrongZone = true // its tasks must not wait for a machine that cannot take them
+			continue
+		}
 		for unplaced > 0 && spec.Demand.Fits(h.free[i]) {
 			h.free[i] = h.free[i].Sub(spec.Demand)
 			unplaced--
 		}
 	}
-	if unplaced > 0 {
+	if unplaced > 0 && !wrongZone {
 		if h.exhausted == nil {
 			h.exhausted = map[int]bool{}
 		}
--- a/internal/core/scheduler/stops_test.go
+++ b/internal/core/scheduler/stops_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+// TestWorkDoesNotWaitForWrongZone guards against tasks that are left for good to a preferred machine in a zone
+// where their job must not start any more. Tasks of a job that may start there are still left to it.
+func TestWorkDoesNotWaitForWrongZone(t *testing.T) {
+	small := &fleet.Type{Name: "small", Capacity: binpack.Vec{15_000, 0, 60_000}, Price: 1.875}
+	spread, free := recordOf("a", 4, jobs.Normal), recordOf("a", 2, jobs.Normal)
+	spread.Spec.Spread = true
+	shard := newShard(t, binpack.Params{}, []configuration.Team{{Name: "a"}}, map[string]jobs.Record{"wk-000001": spread, "wk-000002": free})
+	shard.addMachine("n-2", small)
+	shard.machines["n-2"].Record.Zone = "y"
+	for range 2 {
+		shard.jobs["wk-000001"].PlaceNext(jobs.Place{Machine: "n-3", Zone: "y"})
+	}
+	started := map[string]int{}
+	for _, command := range shard.scheduler.Fill(shard.machines["n-1"]) {
+		started[command.ID.Job]++
+	}
+	if started["wk-000001"] != 2 || started["wk-000002"] != 0 {
+		t.Errorf("started %v, want 2 tasks of the job that is full in zone y, none of the other", started)
+	}
+}
+
 // TestWorkWaitsForPreferredMachine guards against machines that never become empty. A
 // smaller machine of the same cost has free capacity beside the one that asks for work.
 // Tasks that fit there must be left to it, unless it has stopped sending heartbeats.
