Failed replicas of a service start again while the others run

What callers saw: a service one of whose replicas had failed, on a faulty machine for instance, never got that replica back while two others were placed; after failures on two machines not while any was. Cause: a job of which a task has failed and none has completed is suspect, and may have one or two tasks placed until one completes. Replicas never complete, so a service stays suspect, and the running replicas used that limit up. Change: a replica that has run for 30 s is proven and does not count against the limit. Which side a failure is blamed on is decided as before, so that a service that keeps failing quarantines no more machines than it did. Evidence: TestFailedReplicaStartsAgain; with the count of proven replicas out, three of its cases fail.

--- a/internal/core/jobs/failures.go
+++ b/internal/core/jobs/failures.go
@@ -14,13 +14,22 @@
 	return !j.AnyTaskSucceeded && (j.Failing || len(j.MachineFailures) > 1)
 }
 
-// StartLimit returns how many more tasks may start. It is small while the job is suspect.
+const (
+	// suspectTasks is the number of tasks of a suspect job that may be
+	// tried at a time, and failingTasks that of a job that fails everywhere.
+	suspectTasks = 2
+	failingTasks = 1
+)
+
+// StartLimit returns how many more tasks may start. It is small while the job is suspect. Proven replicas of a
+// service do not count: they never complete, so that no other replica would start again after a failure.
 func (j *Job) StartLimit() int {
+	tried := len(j.places) - j.proven
 	switch {
 	case j.FailsEverywhere():
-		return max(0, min(len(j.ready), 1-len(j.places)))
+		return max(0, min(len(j.ready), failingTasks-tried))
 	case j.Suspect():
-		return max(0, min(len(j.ready), 2-len(j.places)))
+		return max(0, min(len(j.ready), suspectTasks-tried))
 	}
 	return len(j.ready)
 }
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -15,6 +15,7 @@
 	Attempt uint64
 	Zone    string
 	Live    bool // the machine has reported the task as running or saving, so its image is fetched
+	Proven  bool // the replica of a service has run long enough to show that it works
 }
 
 // Job is an unfinished job in memory, or only the status of a finished one. Its fields
@@ -28,6 +29,7 @@
 	finished   Set // tasks known to be done
 	stored     Set // tasks that are done and stored as such
 	places     map[int]Place
+	proven     int   // number of places that are proven
 	ready      []int // tasks that may start, the next one last
 	dirty      map[int]bool
 	zones      map[string]int     // number of tasks that may be running, by zone
@@ -115,7 +117,7 @@
 
 // ClearPlacements forgets where tasks run and which are ready: only the owner of the job's shard tracks that.
 func (j *Job) ClearPlacements() {
-	j.places = map[int]Place{}
+	j.places, j.proven = map[int]Place{}, 0
 	j.ready = nil
 	j.dirty, j.DirtySince = map[int]bool{}, 0
 	j.zones = map[string]int{}
@@ -154,13 +156,21 @@
 
 func (j *Job) place(task int, p Place) {
 	if previous, ok := j.places[task]; ok {
-		j.zones[previous.Zone]--
+		j.removePlace(task, previous)
 	}
 	j.places[task] = p
 	j.zones[p.Zone]++
 	j.Started = j.Started || p.Live
 }
 
+func (j *Job) removePlace(task int, p Place) {
+	delete(j.places, task)
+	j.zones[p.Zone]--
+	if p.Proven {
+		j.proven--
+	}
+}
+
 func (j *Job) removeReady(task int) {
 	if i := slices.Index(j.ready, task); i >= 0 {
 		j.ready = slices.Delete(j.ready, i, i+1)
@@ -176,14 +186,25 @@
 	j.Started = true
 }
 
+// MarkProven records that a placed replica of a service has run long enough to show that it works. A
+// replica never completes, so nothing else shows that.
+func (j *Job) MarkProven(task int) {
+	p := j.places[task]
+	if p.Proven {
+		return
+	}
+	p.Proven = true
+	j.places[task] = p
+	j.proven++
+}
+
 // Release records that an attempt no longer runs anywhere. Unless it is done, the task is ready again.
 func (j *Job) Release(task int) {
 	p, ok := j.places[task]
 	if !ok {
 		return
 	}
-	delete(j.places, task)
-	j.zones[p.Zone]--
+	j.removePlace(task, p)
 	if j.Active() && !j.finished.Has(task) {
 		j.ready = append(j.ready, task)
 	}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -96,6 +96,48 @@
 	}
 }
 
+// TestFailedReplicaStartsAgain guards against replicas of a service that never start again after a failure. No
+// replica ever completes, so the service stays suspect, and its running replicas used up the few that may start.
+func TestFailedReplicaStartsAgain(t *testing.T) {
+	for _, test := range []struct {
+		name                     string
+		failures, placed, proven int // of ten replicas
+		want                     int
+	}{
+		{"one failure, all others proven", 1, 9, 9, 1},
+		{"one failure, most are proven", 1, 7, 6, 1},
+		{"one failure, two are tried", 1, 7, 5, 0},
+		{"one failure, none is proven", 1, 9, 0, 0},
+		{"fails everywhere, all others proven", 2, 8, 8, 1},
+		{"fails everywhere, one is tried", 2, 8, 7, 0},
+		{"fails everywhere, none runs", 2, 0, 0, 1},
+	} {
+		shard := newShard()
+		attribution := New(shard, slog.New(slog.DiscardHandler))
+		job := shard.jobs["x"]
+		job.Spec().Service = true
+		for replica := range test.placed {
+			task := job.PlaceNext(jobs.Place{Machine: "E"})
+			if replica < test.proven {
+				job.MarkProven(task)
+				job.MarkProven(task) // with every heartbeat
+			}
+		}
+		for _, name := range []string{"A", "B"}[:test.failures] {
+			attribution.TaskFailed(shard.machines[name], job, fleet.Attempt{})
+		}
+		if got := StartLimit(shard.now, shard.machines["C"], job); got != test.want {
+			t.Errorf("%s: %d replicas may start, want %d", test.name, got, test.want)
+		}
+		for replica := range 10 {
+			job.Release(replica)
+		}
+		if got, want := job.StartLimit(), 3-test.failures; got != want {
+			t.Errorf("%s: %d replicas may start once none runs, want %d", test.name, got, want)
+		}
+	}
+}
+
 // TestStartLimitAfterFailures guards against a failing job that occupies
 // machines. After a failure it is tried only elsewhere for retrySameMachineAfter.
 // Once it fails everywhere, the delays grow and the state is stored exactly once.
--- a/internal/core/reconcile/attempts.go
+++ b/internal/core/reconcile/attempts.go
@@ -38,6 +38,10 @@
 	return fleet.AtMost(forgets, fleet.MaxForgets), stops
 }
 
+// replicaProvenAfter is the run time after which a replica of a service counts as proven to work. Faulty
+// machines and jobs submitted with a mistake fail sooner, as a rule.
+const replicaProvenAfter = 30 * units.Second
+
 // observe records a task that is present on a machine, and reports whether and why it must stop.
 func (r *Reconciler) observe(now units.Microseconds, machine *fleet.Machine, task fleet.Task) (reason StopReason, stop bool) {
 	job := r.host.Job(task.ID.Job)
@@ -60,6 +64,9 @@
 		job.SetLive(task.ID.Task)
 		machine.UseImage(job.Spec().Image)
 	}
+	if job.Spec().Service && attempt.Runtime(now) >= replicaProvenAfter {
+		job.MarkProven(task.ID.Task)
+	}
 	return 0, false
 }
 
