A cleared override of a zone is stored and not deleted

What operators could see: a zone that they had declared gone and cleared again is given up once more, with all of its machines, or kept for good if it was declared to return. Cause: an override is stored on the condition that its record has the version that was read; 0 if there is none. Clearing deleted the record, so a late copy of the first write found none again and was carried out once more. Evidence: found by reading, when looking for what keeps each repeated request from harm. TestClearedOverrideStaysCleared fails on the code before: the copy of {"word":"gone"} is carried out.

--- a/internal/core/override.go
+++ b/internal/core/override.go
@@ -43,7 +43,7 @@
 	for _, key := range slices.Sorted(maps.Keys(items)) {
 		if zone, ok := strings.CutPrefix(key, overridePrefix); ok {
 			stored := OperatorOverride{Zone: zone}
-			if json.Unmarshal(items[key].Value, &stored) == nil {
+			if json.Unmarshal(items[key].Value, &stored) == nil && stored.Override != zones.NoOverride {
 				out = append(out, stored)
 			}
 		}
@@ -52,7 +52,8 @@
 }
 
 // OverrideWrite returns the write that stores an operator's override of a zone, given the keys of the state
-// service. It returns an error that names the known zones if no machine type is offered in the zone.
+// service. A cleared override is stored too: if its record were deleted, a late copy of the write that stored the
+// first override would be carried out again, since its guard is that there is none. OverrideWrite returns an error that names the known zones if no machine type is offered in the zone.
 func OverrideWrite(items map[string]store.Event, zone string, override zones.Override) (*store.Write, error) {
 	known := map[string]bool{}
 	for itemKey, event := range items {
@@ -68,9 +69,6 @@
 		return nil, err
 	}
 	key := overridePrefix + zone
-	change := store.Change{Key: key}
-	if override != zones.NoOverride {
-		change.Value = store.Value(OperatorOverride{Override: override})
-	}
+	change := store.Change{Key: key, Value: store.Value(OperatorOverride{Override: override})}
 	return &store.Write{Guards: []store.Guard{{Key: key, Version: items[key].Stamp}}, Changes: []store.Change{change}}, nil
 }
--- a/internal/core/override_test.go
+++ b/internal/core/override_test.go
@@ -9,8 +9,42 @@
 	"shalestage.example/shalestage/internal/core/zones"
 )
 
+// TestClearedOverrideStaysCleared guards against a zone whose machines are given up again although the operator has
+// taken the override back: late copies of the writes that stored it are carried out once more.
+func TestClearedOverrideStaysCleared(t *testing.T) {
+	items := map[string]store.Event{typePrefix + "big": {Key: typePrefix + "big", Value: store.Value(fleet.Type{Name: "big", Zones: []string{"a"}}), Stamp: 3}}
+	revision := uint64(3)
+	commit := func(write *store.Write) bool { // as the state service does
+		change := write.Changes[0]
+		if items[change.Key].Stamp != write.Guards[0].Version {
+			return false
+		}
+		revision++
+		if delete(items, change.Key); change.Value != nil {
+			items[change.Key] = store.Event{Key: change.Key, Value: change.Value, Stamp: revision}
+		}
+		return true
+	}
+	var writes []*store.Write
+	for _, override := range []zones.Override{zones.OverrideLost, zones.OverrideReturning, zones.NoOverride} {
+		write, err := OverrideWrite(items, "a", override)
+		if err != nil || !commit(write) {
+			t.Fatalf("%q is not stored: %v", override, err)
+		}
+		writes = append(writes, write)
+	}
+	for _, write := range writes {
+		if commit(write) {
+			t.Errorf("a copy of the write of %s is carried out again", write.Changes[0].Value)
+		}
+	}
+	if standing := OperatorOverrides(items); len(standing) > 0 {
+		t.Errorf("overrides %v stand after they were cleared", standing)
+	}
+}
+
 // TestOperatorOverride checks that an operator's override changes the state of its zone
-// when its record is applied, and that deleting the record clears it. An override for a
+// when its record is applied, and that one that takes it back clears it. An override for a
 // zone without any machine type is refused with an error that names the known zones.
 func TestOperatorOverride(t *testing.T) {
 	items := map[string]store.Event{typePrefix + "big": {Key: typePrefix + "big", Value: store.Value(fleet.Type{Name: "big", Zones: []string{"a", "b"}}), Stamp: 3}}
