Emulator: requests that were carried out are carried out again

Cause: the emulator delivered late copies of heartbeats, and nothing else twice. Change: fault repeated_requests: a share of the requests to machines, to the state service, to the cloud, between controllers and of users is carried out again, within moments or up to twice cancel_s later, also for a process that has replaced the first. It is drawn like the others.

--- a/internal/emulator/sim/calls.go
+++ b/internal/emulator/sim/calls.go
@@ -97,7 +97,7 @@
 			within = 1900 * millis
 		}
 		w.countCall(n, call)
-		n.request(func(req core.RequestID) {
+		serve := func(req core.RequestID) {
 			if f := w.options.Mutation.UserReply; f != nil {
 				if reply := f(call); reply != nil {
 					reply.Request = req
@@ -122,7 +122,9 @@
 			case user.Cancel:
 				n.core.Cancel(n.steadyClock(), req, call.ID)
 			}
-		}, within, func(reply core.Reply) {
+		}
+		w.repeatLater(n, func() { n.request(serve, within, func(core.Reply) {}) })
+		n.request(serve, within, func(reply core.Reply) {
 			a := user.Reply{Code: reply.Code, RetryAfter: reply.RetryAfter}
 			if b, ok := reply.Body.(core.JobAnswer); ok {
 				a.Status = b.Status
--- a/internal/emulator/sim/cloudclient.go
+++ b/internal/emulator/sim/cloudclient.go
@@ -17,14 +17,13 @@
 // cloudEffect executes an effect that concerns the cloud provider. It reports whether the effect is of that
 // kind.
 func (n *Node) cloudEffect(incarnation int, effect core.Effect) bool {
-	w := n.world
 	switch effect := effect.(type) {
 	case core.FetchTypes:
 		n.fetchTypes(incarnation)
 	case core.ScaleOut:
 		n.scaleOut(incarnation, effect)
 	case core.ScaleIn:
-		n.cloudCall(true, func() int { return w.Site.Cloud.ScaleIn(w.now, effect.Names) }, func(o store.Outcome) {
+		n.cloudCall(true, func() int { return n.scaleIn(effect.Names) }, func(o store.Outcome) {
 			n.deliver(incarnation, func() { n.core.OnScaleIn(n.steadyClock(), effect, o) })
 		})
 	case core.ListMachines:
@@ -111,8 +110,12 @@
 	none := false
 	n.cloudCall(true, func() int {
 		p := effect.Increase.Pool
+		pool := cloudprovider.Pool{Type: p.Type, Zone: p.Zone, Spot: p.Spot}
 		var code int
-		names, none, code = w.Site.Cloud.ScaleOut(w.now, effect.Request, cloudprovider.Pool{Type: p.Type, Zone: p.Zone, Spot: p.Spot}, effect.Increase.Count)
+		names, none, code = w.Site.Cloud.ScaleOut(w.now, effect.Request, pool, effect.Increase.Count)
+		if code == http.StatusOK {
+			w.repeatLater(n, func() { w.Site.Cloud.ScaleOut(w.now, effect.Request, pool, effect.Increase.Count) })
+		}
 		for _, name := range names {
 			if m := w.Site.Cloud.Machine(name); m != nil {
 				m.Addr = name
@@ -128,6 +131,20 @@
 	})
 }
 
+// scaleIn deletes worker machines.
+func (n *Node) scaleIn(names []string) int {
+	w := n.world
+	code := w.Site.Cloud.ScaleIn(w.now, names)
+	if code == http.StatusOK {
+		w.repeatLater(n, func() {
+			w.Site.Cloud.ScaleIn(w.now, names)
+			w.Site.Advance(w.now)
+			w.handleSiteEvents()
+		})
+	}
+	return code
+}
+
 // listMachines reads the list of machines page by page. got holds the machines of earlier pages.
 func (n *Node) listMachines(incarnation int, effect core.ListMachines, after string, got []core.ListedMachine) {
 	w := n.world
--- a/internal/emulator/sim/effects.go
+++ b/internal/emulator/sim/effects.go
@@ -54,18 +54,25 @@
 	n.transmit(func() {
 		peer := w.node(send.Node)
 		w.net.send(n.Name, peer.Name, func() {
-			if peer.incarnation != 0 {
-				peer.whenRunning(func() {
-					peer.recordLateAnswer(send.Message)
-					w.options.Traffic.Start(w.now, peer.Name, "do peer")
-					peer.core.OnPeer(peer.steadyClock(), n.Name, send.Message)
-					peer.executeEffects()
-				})
-			}
+			peer.receivePeer(n.Name, send.Message)
+			w.repeatLater(peer, func() { peer.receivePeer(n.Name, send.Message) })
 		})
 	})
 }
 
+// receivePeer passes another controller's message to the core, if the process runs.
+func (n *Node) receivePeer(from string, message any) {
+	if n.incarnation == 0 {
+		return
+	}
+	n.whenRunning(func() {
+		n.recordLateAnswer(message)
+		n.world.options.Traffic.Start(n.world.now, n.Name, "do peer")
+		n.core.OnPeer(n.steadyClock(), from, message)
+		n.executeEffects()
+	})
+}
+
 // maxForwardedRequests is more than the number of requests that a process forwards in a run.
 const maxForwardedRequests = 1 << 32
 
@@ -96,8 +103,7 @@
 		sent := w.now
 		w.net.request(n.Name, zone, second, func(answer func(func())) {
 			w.recordHeldRequest(sent)
-			r, _, taken, found := w.Site.HandleDirect(w.now, probe.Machine, probe.FencingToken, probe.Incarnation, nil)
-			w.handleSiteEvents()
+			r, taken, found := n.sendDirect(probe.Machine, probe.FencingToken, probe.Incarnation, nil)
 			if !found || w.noise && w.chance(0.02) {
 				return
 			}
--- a/internal/emulator/sim/fault.go
+++ b/internal/emulator/sim/fault.go
@@ -41,6 +41,8 @@
 		w.cutZone(fault)
 	case scenario.LateReports:
 		w.heartbeatCopies.until, w.heartbeatCopies.share, w.heartbeatCopies.forNext = w.now+units.Seconds(fault.ForS), fault.Share, fault.ForNext
+	case scenario.RepeatedRequests:
+		w.repeats = requestRepeats{w.now + units.Seconds(fault.ForS), fault.Share}
 	case scenario.Surge: // the submission times of jobs include it already
 	default:
 		if !w.controllerFault(fault) && !w.stateFault(fault) && !w.userFault(fault) {
--- a/internal/emulator/sim/interactions_test.go
+++ b/internal/emulator/sim/interactions_test.go
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	for _, kind := range []string{scenario.MachineMute, scenario.QuickBoots, scenario.StateUnanswered, scenario.LateReports} {
+	for _, kind := range []string{scenario.MachineMute, scenario.QuickBoots, scenario.StateUnanswered, scenario.LateReports, scenario.RepeatedRequests} {
 		if !seen[kind] {
 			t.Errorf("%s is never drawn", kind)
 		}
--- a/internal/emulator/sim/randomfaults.go
+++ b/internal/emulator/sim/randomfaults.go
@@ -136,6 +136,9 @@
 		f.Kind, f.Share, f.ForNext = scenario.LateReports, randomSpan(rng, 0.1, 0.6), true
 	},
 	func(f *scenario.Fault, _ *rand.Rand) { f.Kind = scenario.QuickBoots },
+	func(f *scenario.Fault, rng *rand.Rand) {
+		f.Kind, f.Share = scenario.RepeatedRequests, randomSpan(rng, 0.1, 0.8)
+	},
 }
 
 func drawNode(rng *rand.Rand) string { return pickOne(rng, "any", "any", "holder", "leader") }
--- a/internal/emulator/sim/stateclient.go
+++ b/internal/emulator/sim/stateclient.go
@@ -18,7 +18,6 @@
 // stateEffect executes an effect that is a request to the state service. It reports whether the effect is of
 // that kind.
 func (n *Node) stateEffect(incarnation int, effect core.Effect) bool {
-	w := n.world
 	switch effect := effect.(type) {
 	case core.List:
 		n.list(core.Root, effect.After, core.ListPageSize, func(o store.Outcome, rev uint64, items []store.Event, more bool) {
@@ -40,7 +39,7 @@
 	case core.RenewLease:
 		n.renewLease(incarnation, effect)
 	case core.CloseLease:
-		n.callState(callTimeout, false, func() int { return w.State.CloseLease(w.now, n.Name, effect.ID) }, func(store.Outcome, int) {})
+		n.closeLease(effect)
 	default:
 		return false
 	}
@@ -123,16 +122,34 @@
 	n.callState(callTimeout, false, func() int {
 		var code int
 		id, code = w.State.OpenLease(w.now, n.Name, e.TTL)
+		w.repeatLater(n, func() { w.State.OpenLease(w.now, n.Name, e.TTL) })
 		return code
 	}, func(o store.Outcome, _ int) {
 		n.deliver(incarnation, func() { n.core.OnLease(n.steadyClock(), o, id) })
 	})
 }
 
+// closeLease ends a lease at the state service.
+func (n *Node) closeLease(e core.CloseLease) {
+	w := n.world
+	closeNow := func() int {
+		code := w.State.CloseLease(w.now, n.Name, e.ID)
+		w.deliverWatchResponses()
+		return code
+	}
+	n.callState(callTimeout, false, func() int {
+		w.repeatLater(n, func() { closeNow() })
+		return closeNow()
+	}, func(store.Outcome, int) {})
+}
+
 // renewLease renews a lease at the state service. Renewals are exempt from the rate limit.
 func (n *Node) renewLease(incarnation int, e core.RenewLease) {
 	w := n.world
-	n.callState(callTimeout, true, func() int { return w.State.RenewLease(w.now, n.Name, e.ID) }, func(o store.Outcome, _ int) {
+	n.callState(callTimeout, true, func() int {
+		w.repeatLater(n, func() { w.State.RenewLease(w.now, n.Name, e.ID) })
+		return w.State.RenewLease(w.now, n.Name, e.ID)
+	}, func(o store.Outcome, _ int) {
 		if o != store.OK {
 			w.recordEvent(scenario.RenewalFailed)
 		}
@@ -234,6 +251,15 @@
 	})
 }
 
+// commitAgain applies a copy of a transaction that was applied before.
+func (w *World) commitAgain(n *Node, txn kv.Txn) {
+	if w.State.Commit(w.now, n.Name, txn).Code == http.StatusOK {
+		w.recordEvent(scenario.AppliedAgain)
+		w.reportStoredConfig(txn)
+	}
+	w.deliverWatchResponses()
+}
+
 // commit sends a transaction to the state service, which may apply it late or without a response.
 func (n *Node) commit(incarnation int, effect core.Commit) {
 	w := n.world
@@ -254,6 +280,7 @@
 			w.combinations.storedTxns[n.Name]++
 			w.recordCommit(txn)
 			w.reportStoredConfig(txn)
+			w.repeatLater(n, func() { w.commitAgain(n, txn) })
 		}
 		return result.Code
 	}
--- a/internal/emulator/sim/workers.go
+++ b/internal/emulator/sim/workers.go
@@ -93,6 +93,9 @@
 			}
 			sent := w.now
 			answer(func() {
+				if w.options.Mutation.DirectStarts {
+					n.sendStartsDirectly(send.Body, &response)
+				}
 				w.recordQuickStart(send.Machine, response.Commands)
 				w.recordHeldResponse(sent, reply)
 				w.Site.HandleResponse(w.now, send.Machine, send.Number, response)
--- a/internal/emulator/sim/world.go
+++ b/internal/emulator/sim/world.go
@@ -75,6 +75,9 @@
 	// ServeFreshRead reports whether a fresh read goes to the state service. If not, it returns no changes.
 	ServeFreshRead func() bool
 	CoreConfig     func(*core.Config) // changes the configuration of the core, after Settings
+	// DirectStarts sends starts to machines in requests of their own, and not in responses to heartbeats. Copies of
+	// these keep arriving for a while.
+	DirectStarts bool
 }
 
 // World is the state of one simulation run.
@@ -102,7 +105,8 @@
 	lateUntil, unansweredUntil units.Microseconds // until when transactions are applied late, or get no response
 	lateShare                  float64            // of transactions that are applied late meanwhile
 	unansweredShare            float64            // of transactions that get no response meanwhile
-	heartbeatCopies            struct {           // heartbeats that are delivered twice
+	repeats                    requestRepeats
+	heartbeatCopies            struct { // heartbeats that are delivered twice
 		until   units.Microseconds
 		share   float64
 		forNext bool // the copy is delivered after the next change of leader or owner
--- a/internal/launch/deployment.go
+++ b/internal/launch/deployment.go
@@ -576,7 +576,7 @@
 		d.users.Do(func(_ units.Microseconds, c *user.Users) { c.SetPollFactor(f.Times) })
 		time.AfterFunc(seconds(f.ForS), func() { d.users.Do(func(_ units.Microseconds, c *user.Users) { c.SetPollFactor(1) }) })
 		return nil
-	case scenario.Surge, scenario.ClockJump, scenario.LateReports, scenario.CancelNow, scenario.CancelAtEnd, scenario.OddRequests, scenario.CloseLooks,
+	case scenario.Surge, scenario.ClockJump, scenario.LateReports, scenario.RepeatedRequests, scenario.CancelNow, scenario.CancelAtEnd, scenario.OddRequests, scenario.CloseLooks,
 		scenario.ConfigSet:
 		return fmt.Errorf("%s is for rehearsals in simulated time", f.Kind)
 	case scenario.StateRefuse:
--- a/internal/scenario/event.go
+++ b/internal/scenario/event.go
@@ -60,26 +60,29 @@
 
 // Events that show that several faults occurred in combination.
 const (
-	AllEnded                    = "all_ended"            // the last running controller has ended
-	RestartAfterLeaseExpiry     = "all_away"             // a controller starts after none has run for longer than a worker's lease
-	ReturnedAtOnce              = "returned_at_once"     // a controller restarts within a second of its end
-	ShardReturned               = "handed_back"          // a shard is assigned to a controller that owned it before, with another owner in between
-	OwnerEndedWorkerUnreachable = "holder_ended_unheard" // a shard owner ends while a machine with tasks hangs, receives nothing or is cut off
-	EndAfterChange              = "end_after_change"     // a task of a job with two or three tasks ends under a later shard owner
-	OutageAfterRefusal          = "outage_after_refusal" // the state service refused a single owner or leader, cancellations were confirmed, and an outage longer than cancel_s begins
-	ZoneCutOff                  = "zone_cut_off"         // a zone with tasks and a controller is cut off for longer than a worker's lease
-	ZoneBoundTaskLost           = "bound_task_lost"      // a task of a job that is bound to one zone, or spread over zones, is lost with its machine
-	OldReport                   = "old_report"           // a heartbeat arrives after a newer one of its machine
-	OldSessionReport            = "old_session_report"   // a heartbeat of an earlier session arrives
-	HeldAnswer                  = "held_answer"          // a heartbeat response with commands reaches its machine a second or more after it was sent
-	HeldRequest                 = "held_request"         // a direct request reaches its machine a second or more after it was sent
-	LateWrite                   = "late_write"           // a transaction without a response is applied after newer ones of its controller
-	LateAnswer                  = "late_answer"          // an answer to a request that one controller forwarded to another reaches a later process of the first
-	CancelPastCut               = "cancel_past_cut"      // a cancellation is confirmed while a shard owner is cut off from the state service and the controllers, but reachable by workers and users
+	AllEnded                    = "all_ended"              // the last running controller has ended
+	RestartAfterLeaseExpiry     = "all_away"               // a controller starts after none has run for longer than a worker's lease
+	ReturnedAtOnce              = "returned_at_once"       // a controller restarts within a second of its end
+	ShardReturned               = "handed_back"            // a shard is assigned to a controller that owned it before, with another owner in between
+	OwnerEndedWorkerUnreachable = "holder_ended_unheard"   // a shard owner ends while a machine with tasks hangs, receives nothing or is cut off
+	EndAfterChange              = "end_after_change"       // a task of a job with two or three tasks ends under a later shard owner
+	OutageAfterRefusal          = "outage_after_refusal"   // the state service refused a single owner or leader, cancellations were confirmed, and an outage longer than cancel_s begins
+	ZoneCutOff                  = "zone_cut_off"           // a zone with tasks and a controller is cut off for longer than a worker's lease
+	ZoneBoundTaskLost           = "bound_task_lost"        // a task of a job that is bound to one zone, or spread over zones, is lost with its machine
+	OldReport                   = "old_report"             // a heartbeat arrives after a newer one of its machine
+	OldSessionReport            = "old_session_report"     // a heartbeat of an earlier session arrives
+	HeldAnswer                  = "held_answer"            // a heartbeat response with commands reaches its machine a second or more after it was sent
+	HeldRequest                 = "held_request"           // a direct request reaches its machine a second or more after it was sent
+	LateWrite                   = "late_write"             // a transaction without a response is applied after newer ones of its controller
+	LateAnswer                  = "late_answer"            // an answer to a request that one controller forwarded to another reaches a later process of the first
+	RequestRepeated             = "repeated"               // a copy of a request is carried out once more
+	RepeatedAfterRestart        = "repeated_after_restart" // the same, after the controller that sent or received it was replaced
+	AppliedAgain                = "applied_again"          // a copy of a transaction passes its guards and is applied once more
+	CancelPastCut               = "cancel_past_cut"        // a cancellation is confirmed while a shard owner is cut off from the state service and the controllers, but reachable by workers and users
 )
 
 var combinedEvents = []string{AllEnded, RestartAfterLeaseExpiry, ReturnedAtOnce, ShardReturned, OwnerEndedWorkerUnreachable, EndAfterChange, OutageAfterRefusal, ZoneCutOff,
-	ZoneBoundTaskLost, OldReport, OldSessionReport, HeldAnswer, HeldRequest, LateWrite, LateAnswer, CancelPastCut}
+	ZoneBoundTaskLost, OldReport, OldSessionReport, HeldAnswer, HeldRequest, LateWrite, LateAnswer, RequestRepeated, RepeatedAfterRestart, AppliedAgain, CancelPastCut}
 
 // checkExpectedEvents validates the expected events.
 func (c *checker) checkExpectedEvents(e Expect) {
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -75,6 +75,7 @@
 	MachineDeaf      = "machine_deaf"
 	MachineMute      = "machine_mute"
 	LateReports      = "late_reports"
+	RepeatedRequests = "repeated_requests"
 	QuickBoots       = "quick_boots"
 	ZoneApart        = "zone_apart"
 	ZoneLost         = "zone_lost"
@@ -112,6 +113,7 @@
 	{MachineDeaf, []string{"for_s"}, "machines' heartbeats arrive, but neither responses nor commands reach the machines"},
 	{MachineMute, []string{"for_s"}, "machines cannot reach any controller; direct commands reach the machines"},
 	{LateReports, []string{"for_s", "share"}, "a copy of a share of the machines' heartbeats arrives again, from 2 s to well over a lease later; with for_next it arrives at every controller as a new leader begins"},
+	{RepeatedRequests, []string{"for_s", "share"}, "a share of the requests that controllers and users send is carried out again, within moments or up to twice cancel_s later: those to machines, to the state service and to the cloud, those between controllers, and those of users"},
 	{QuickBoots, []string{"for_s"}, "machines that are created meanwhile boot within two seconds"},
 	{SpotWave, []string{"share"}, "many spot machines are reclaimed at the same time"},
 	{SpotRate, []string{"per_hour", "for_s"}, "spot machines are reclaimed at a given rate"},
@@ -257,6 +259,7 @@
 	MachineDeaf:      slices.Concat(machineFields, []string{"for_s"}),
 	MachineMute:      slices.Concat(machineFields, []string{"for_s"}),
 	LateReports:      {"for_s", "share", "for_next"},
+	RepeatedRequests: {"for_s", "share"},
 	QuickBoots:       {"for_s"},
 	SpotWave:         slices.Concat(machineFields, []string{"notice_s"}),
 	SpotRate:         {"for_s", "per_hour"},
