Reconcile: one function stops inactive tasks, one finds them

Cause: two paths built the same list of stops, and the debug log counted the inactive tasks with a loop of its own. Change: stopInactive and inactiveTasks serve all three. No behaviour changes.

--- a/internal/core/reconcile/heartbeat.go
+++ b/internal/core/reconcile/heartbeat.go
@@ -67,7 +67,7 @@
 	if heartbeat.FencingToken != r.cfg.FencingToken && r.host.GuardEnabled(guard.HeartbeatToken) {
 		// The heartbeat proves nothing about missing tasks: it may have been in flight while an earlier
 		// owner started some.
-		return Accepted{machine, Unconfirmed, r.stopCommands(machine, append(expired, r.inactiveTasks(current)...))}
+		return Accepted{machine, Unconfirmed, r.stopInactive(machine, current, expired)}
 	}
 	// The worker has accepted a response with this owner's token, and since then drops every response of
 	// earlier owners. So its list is complete.
@@ -86,7 +86,7 @@
 	}
 	machine.RenewLease(now+r.host.LeaseBound(), heartbeat)
 	current, expired := r.splitExpired(machine, heartbeat)
-	return Accepted{machine, Overtaken, r.stopCommands(machine, append(expired, r.inactiveTasks(current)...))}
+	return Accepted{machine, Overtaken, r.stopInactive(machine, current, expired)}
 }
 
 // machineUp records the first heartbeat of a machine, or the first one after its lease expired.
--- a/internal/core/reconcile/log.go
+++ b/internal/core/reconcile/log.go
@@ -34,19 +34,5 @@
 	}
 	r.cfg.Log.Debug("heartbeat admitted", "status", accepted.Status.String(), "machine", heartbeat.Machine,
 		"incarnation", heartbeat.Incarnation, "seq", heartbeat.Seq, "worker_token", heartbeat.FencingToken, "token", r.cfg.FencingToken,
-		"tasks", len(heartbeat.Tasks), "finished", r.countFinished(heartbeat), "stops", stops, "lease_end", accepted.Machine.LeaseEnd.Seconds())
-}
-
-// countFinished returns the number of tasks of finished or unknown jobs that a heartbeat shows as present.
-func (r *Reconciler) countFinished(heartbeat *fleet.Heartbeat) int {
-	count := 0
-	for _, task := range heartbeat.Tasks {
-		if task.State == fleet.Exited {
-			continue
-		}
-		if _, inactive := r.inactive(r.host.Job(task.ID.Job), task); inactive {
-			count++
-		}
-	}
-	return count
+		"tasks", len(heartbeat.Tasks), "finished", len(r.inactiveTasks(heartbeat)), "stops", stops, "lease_end", accepted.Machine.LeaseEnd.Seconds())
 }
--- a/internal/core/reconcile/stops.go
+++ b/internal/core/reconcile/stops.go
@@ -59,9 +59,6 @@
 // their own, the owner that the worker leaves counts the machine's tasks as ended once the lease must have
 // expired. A response that renews the lease must therefore stop those tasks too.
 func (r *Reconciler) inactiveTasks(heartbeat *fleet.Heartbeat) []dueStop {
-	if !r.host.GuardEnabled(guard.InactiveTasks) {
-		return nil
-	}
 	var stops []dueStop
 	for _, task := range heartbeat.Tasks {
 		if task.State == fleet.Exited {
@@ -74,6 +71,16 @@
 	return stops
 }
 
+// stopInactive returns the commands that stop the expired attempts and the inactive tasks of a heartbeat that
+// does not show what runs elsewhere.
+func (r *Reconciler) stopInactive(machine *fleet.Machine, current *fleet.Heartbeat, expired []dueStop) []fleet.Command {
+	stops := expired
+	if r.host.GuardEnabled(guard.InactiveTasks) {
+		stops = append(stops, r.inactiveTasks(current)...)
+	}
+	return r.stopCommands(machine, stops)
+}
+
 // stopCommands returns the commands that stop tasks of a machine.
 func (r *Reconciler) stopCommands(machine *fleet.Machine, stops []dueStop) []fleet.Command {
 	var commands []fleet.Command
