Emulator: the longest tests of the simulation run in parallel

Cause: the package's tests took 424 s of the 600 s that go test allows, one after the other, with the race detector. Change: the 17 longest call t.Parallel. They check what they did.

--- a/internal/emulator/sim/answers_test.go
+++ b/internal/emulator/sim/answers_test.go
@@ -103,6 +103,7 @@
 // 200 ms, and that of job ends within 200 ms of the run without losses, because the heartbeat that reports an
 // end takes time anyway.
 func TestLostTransactionResponses(t *testing.T) {
+	t.Parallel()
 	const late = 200 * millis
 	baseline, lost := runWithLostResponses(t, 0), runWithLostResponses(t, 0.3)
 	p95 := func(times []units.Microseconds) units.Microseconds {
--- a/internal/emulator/sim/archive_test.go
+++ b/internal/emulator/sim/archive_test.go
@@ -111,6 +111,7 @@
 // at once with a retry time, no controller may lose its authority, and new jobs must still be accepted and
 // started.
 func TestArchivedJobQueriesUnderOverload(t *testing.T) {
+	t.Parallel()
 	s := earlyArchiving()
 	w := New(s, Options{Seed: 1})
 	storeArchivedJobs(w, 20_000)
--- a/internal/emulator/sim/checker_test.go
+++ b/internal/emulator/sim/checker_test.go
@@ -38,6 +38,7 @@
 // mutated controllers or a faulty environment that violates the rule, and expects a report of the violation
 // with its history.
 func TestCheckerDetectsEveryRuleViolation(t *testing.T) {
+	t.Parallel()
 	freeze := scenario.Fault{Kind: scenario.ControllerFreeze, Node: "holder", AtS: 25, ForS: 4}
 	cases := map[string]struct {
 		b     Mutation
@@ -156,6 +157,7 @@
 // TestSameSeedSameHistory guards against nondeterminism of the simulation. It runs a scenario with faults of
 // every kind twice for each seed: both digests must be equal, and those of different seeds must differ.
 func TestSameSeedSameHistory(t *testing.T) {
+	t.Parallel()
 	digest := func(seed uint64) string {
 		sc := deployment(3, 2)
 		sc.Cloud.SpotPerHour = 20
--- a/internal/emulator/sim/chunks_test.go
+++ b/internal/emulator/sim/chunks_test.go
@@ -20,6 +20,7 @@
 // chunks must be deleted in the end, although a late transaction may still store the job's record, and no
 // record may ever exist without all of its chunks.
 func TestChunksOfAbandonedSubmissions(t *testing.T) {
+	t.Parallel()
 	seen := 0
 	for seed := range uint64(2) {
 		s := earlyArchiving()
--- a/internal/emulator/sim/config_test.go
+++ b/internal/emulator/sim/config_test.go
@@ -237,6 +237,7 @@
 // among 340 teams 50 times a second for 10 s, and at the rate of 10,000 changes a day. The time until a
 // change is stored and confirmed, and the number of written versions, must stay bounded.
 func TestConfigChangeRate(t *testing.T) {
+	t.Parallel()
 	for _, testCase := range []struct {
 		name  string
 		value float64
--- a/internal/emulator/sim/handover_test.go
+++ b/internal/emulator/sim/handover_test.go
@@ -52,6 +52,7 @@
 // connected to it, which takes up to half a second by the protocol. After a crash, in contrast, the gap lasts
 // for seconds.
 func TestGracefulHandover(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 2; seed++ {
 		retired, unowned := measureFailover(t, seed, scenario.ControllerRetire)
 		crashed, crashUnowned := measureFailover(t, seed, scenario.ControllerCrash)
--- a/internal/emulator/sim/interactions_test.go
+++ b/internal/emulator/sim/interactions_test.go
@@ -124,6 +124,7 @@
 // TestRemovedGuardsAreDetected guards against rehearsals of interacting faults that test nothing. Each case
 // removes one guard of the protocol: the rehearsal must detect a rule violation.
 func TestRemovedGuardsAreDetected(t *testing.T) {
+	t.Parallel()
 	reportAs := func(change func(w *World, r *fleet.Heartbeat)) func(*World) {
 		return func(w *World) { w.options.Mutation.Heartbeat = func(r *fleet.Heartbeat) { change(w, r) } }
 	}
--- a/internal/emulator/sim/repeats_test.go
+++ b/internal/emulator/sim/repeats_test.go
@@ -41,6 +41,7 @@
 // once ran a task on a second machine, and a cancelled task again. Starts, stops and forgets go in responses to
 // heartbeats, of which a machine takes one each. Sent in requests of their own, they must be found to do harm.
 func TestRepeatedRequests(t *testing.T) {
+	t.Parallel()
 	const runs = 8
 	for _, test := range []struct {
 		name     string
--- a/internal/emulator/sim/service_test.go
+++ b/internal/emulator/sim/service_test.go
@@ -35,6 +35,7 @@
 // run time, so no waiting work paid for a machine of theirs, unless other work waited or an owner remembered
 // them. Every replica must get a place, whatever else runs.
 func TestServiceReplicasAreProvisioned(t *testing.T) {
+	t.Parallel()
 	const patience = 150 * second // more than boots, a lease and strandedAfter
 	big := func(s *jobs.Spec) { s.AnyType, s.Types = false, []string{"big"} }
 	for name, test := range map[string]struct {
--- a/internal/emulator/sim/sim_test.go
+++ b/internal/emulator/sim/sim_test.go
@@ -134,6 +134,7 @@
 // every kind that the protocol tolerates: no rule may be violated, and all jobs must finish in time once the
 // faults are over.
 func TestRulesUnderFaults(t *testing.T) {
+	t.Parallel()
 	starts := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := runDrawnScenario(t, 120)
--- a/internal/emulator/sim/standby_test.go
+++ b/internal/emulator/sim/standby_test.go
@@ -12,6 +12,7 @@
 // while many tasks start each second and a third of the replication messages are lost. The standby must
 // become the next owner with all machines reconciled, no task may run twice, and running tasks must continue.
 func TestStandbyTakesOverAfterCrash(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 3; seed++ {
 		w := shortTaskWorld(seed)
 		w.options.Mutation.DeliverPeer = func(m any) bool {
--- a/internal/emulator/sim/users_test.go
+++ b/internal/emulator/sim/users_test.go
@@ -61,6 +61,7 @@
 // TestUserFaults guards against rule violations by each of the users' faults, and against faults that do not
 // occur.
 func TestUserFaults(t *testing.T) {
+	t.Parallel()
 	for _, testCase := range []struct {
 		f     scenario.Fault
 		event string
@@ -87,6 +88,7 @@
 // milliseconds of each change of a job, one kind of request gets replies that are older than what users were
 // told before: the checker must report that.
 func TestCheckerDetectsStaleAnswers(t *testing.T) {
+	t.Parallel()
 	closeLooks := scenario.Fault{Kind: scenario.CloseLooks, AtS: 1, ForS: 60}
 	for name, testCase := range map[string]struct {
 		rule string
--- a/internal/emulator/sim/waiting_test.go
+++ b/internal/emulator/sim/waiting_test.go
@@ -39,6 +39,7 @@
 // left waiting. In a full fleet the large job waits for two minutes, as smaller ones go first: that is no
 // violation. A service that never starts the job must be reported.
 func TestLargeJobInFullFleet(t *testing.T) {
+	t.Parallel()
 	for _, testCase := range []struct {
 		name  string
 		b     Mutation
--- a/internal/emulator/sim/zone_test.go
+++ b/internal/emulator/sim/zone_test.go
@@ -116,6 +116,7 @@
 // the leases of its machines have expired. The attempts that their delayed last heartbeats list have been
 // started elsewhere by then, and must not be assigned back.
 func TestHeartbeatsDelayedPastLease(t *testing.T) {
+	t.Parallel()
 	late := 0
 	for seed := uint64(1); seed <= 4; seed++ {
 		_, logs := runZones(t, seed, scenario.Fault{Kind: scenario.ZoneLost, AtS: 100, Zone: "b", ForS: 20.5})
@@ -148,6 +149,7 @@
 // TestNoProvisioningIntoLostZone guards against provisioning machines in a lost zone, with each mode of the
 // cut. While the zone is lost, machines may be provisioned only in other zones.
 func TestNoProvisioningIntoLostZone(t *testing.T) {
+	t.Parallel()
 	for i, mode := range []string{"hold", "drop", "reset"} {
 		_, logs := runZones(t, uint64(i+1), scenario.Fault{Kind: scenario.ZoneLost, AtS: 100, Zone: "a", ForS: 70, Mode: mode})
 		if !strings.Contains(logs, "state=lost") || !strings.Contains(logs, "state=back") {
