Review case 7: a service does not get its team's guarantee

Cause: a task is stopped for another only if what is lost with it is less than a quarter of the other's run time (scheduler/preempt.go, victims). The run time of a service is 0, so it never finds a victim.

Change: a case in which services of one team hold all machines, 160 CPUs beyond the team's guarantee, and another team submits a small service within its own.

--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"time"
 
 	"shalestage.example/shalestage/internal/core/jobs"
@@ -17,9 +19,9 @@
 var cases = map[string]func(s *stand, trouble bool) error{
 	"4": handedOn,
 	"5": afterRefusal,
-	"6": neverRuns,
-	"7": soldOut,
-	"8": behindLimit,
+	"6": forgottenNeed,
+	"7": borrowed,
+	"8": neverRuns,
 }
 
 const quito = "quito-norte"
@@ -97,85 +99,43 @@
 	return broken("no task of %s has begun within 75 s, though the cloud has 20 machines of its type to rent", array.id)
 }
 
-// soldOut lets renders wait for ordinary machines, of which the cloud has none, while it has spot machines
-// for the translations of the same team.
-func soldOut(s *stand, trouble bool) error {
+// borrowed lets one team's services take all machines that the cloud has, more than is guaranteed to the team,
+// before another team submits its only job, a small service within its own guarantee.
+func borrowed(s *stand, trouble bool) error {
 	d := audioruta()
 	if trouble {
-		d.capacity[cloudprovider.Pool{Type: "condor-32", Zone: quito}] = 0
+		d.capacity[cloudprovider.Pool{Type: "condor-32", Zone: quito}] = 15
+		for pool := range d.capacity {
+			if pool.Spot {
+				d.capacity[pool] = 0
+			}
+		}
 	}
 	if err := s.launch(d); err != nil {
 		return err
 	}
-	var all []*job
-	for i := range 8 {
-		all = append(all, &job{id: fmt.Sprintf("wk-%06d", 100+i), class: "narration-render", team: "equipo-sierra", urgency: "standard",
-			tasks: 63, cores: 4, memory: 16, estimate: 15, run: 15 * time.Second})
-	}
-	for i := range 6 {
-		all = append(all, &job{id: fmt.Sprintf("wk-%06d", 200+i), class: "translation-pass", team: "equipo-sierra", urgency: "standard", spot: true,
-			tasks: 6, cores: 8, memory: 47, estimate: 25, run: 25 * time.Second})
-	}
-	for i, j := range all {
-		if i > 0 && j.class != all[i-1].class {
-			time.Sleep(2 * time.Second) // the renders come first
-		}
-		if err := s.users.submit(j); err != nil {
+	for i := range 4 {
+		lent := &job{id: fmt.Sprintf("wk-%06d", 1+i), class: "kiosk", team: "equipo-sierra", urgency: "standard", daemon: true, tasks: 15, cores: 8, memory: 16}
+		if err := s.users.submit(lent); err != nil {
 			return err
 		}
-	}
-	accepted := s.since()
-	for s.since() < accepted+90*time.Second {
-		time.Sleep(5 * time.Second)
-		s.users.poll(nil, "wk-000200")
-		if begun, _ := s.begunOf("wk-000200"); begun > 0 {
-			return nil
-		}
-	}
-	for _, j := range all {
-		if begun, _ := s.begunOf(j.id); begun > 0 {
-			return nil
-		}
-	}
-	return broken("no task was started for 90 s, though the cloud has 24 spot machines for the translations")
-}
-
-// behindLimit lets jobs of a team that is at its limit wait in such numbers that a machine is offered to no
-// other team.
-func behindLimit(s *stand, trouble bool) error {
-	d := audioruta()
-	d.types[0].GPUs = 4
-	d.teams = []map[string]any{
-		{"name": "equipo-sierra", "cpus": 320.0, "cpus_max": 512.0, "gpus": 0.0, "gpus_max": 2.0},
-		{"name": "equipo-costa", "cpus": 320.0, "cpus_max": 1152.0, "gpus": 0.0, "gpus_max": 0.0}}
-	if err := s.launch(d); err != nil {
-		return err
-	}
-	count := 25
-	if trouble {
-		count *= 4
-	}
-	for i := range count {
-		j := &job{id: fmt.Sprintf("wk-%06d", 100+i), class: "narration-render", team: "equipo-sierra", urgency: "urgent",
-			tasks: 1, cores: 1, cards: 1, memory: 4, estimate: 30, run: 30 * time.Second, quiet: i > 2}
-		if err := s.users.submit(j); err != nil {
+		if err := s.await(40*time.Second, "all replicas of "+lent.id+" run", func() bool { _, n := s.begunOf(lent.id); return n == lent.tasks }); err != nil {
 			return err
 		}
 	}
-	s.rec.add("%d jobs of narration-render are accepted", count)
-	pass := &job{id: "wk-000900", class: "translation-pass", team: "equipo-costa", urgency: "standard", tasks: 2, cores: 4, memory: 16, estimate: 5, run: 5 * time.Second}
-	if err := s.users.submit(pass); err != nil {
+	owed := &job{id: "wk-000005", class: "kiosk", team: "equipo-costa", urgency: "standard", daemon: true, tasks: 1, cores: 8, memory: 16}
+	if err := s.users.submit(owed); err != nil {
 		return err
 	}
 	accepted := s.since()
 	for s.since() < accepted+75*time.Second {
 		time.Sleep(5 * time.Second)
-		s.users.poll(nil, pass.id)
-		if begun, _ := s.begunOf(pass.id); begun > 0 {
+		s.users.poll(nil, owed.id)
+		if begun, _ := s.begunOf(owed.id); begun > 0 {
 			return nil
 		}
 	}
-	return broken("%s, all that its team has and 8 of the 320 CPUs guaranteed to it, has waited 75 s for another team", pass.id)
+	return broken("%s, all that its team has and 8 of the 320 CPUs guaranteed to it, has waited 75 s for a team that uses 480 CPUs, 160 more than its guarantee", owed.id)
 }
 
 // afterRefusal refuses one controller at the state service for a while. A job ends meanwhile, is moved to the
@@ -229,6 +189,91 @@
 	return nil
 }
 
+// forgottenNeed cancels a job that many others need, and crashes all controllers once the job is archived and
+// while the cancellations that follow from its own are being stored.
+func forgottenNeed(s *stand, trouble bool) error {
+	const needing, shown, aborted = 2200, 60, "aborted"
+	d := audioruta()
+	d.leaseS, d.cancelS = 6, 10
+	d.tuning = map[string]any{"keep_done": 100, "pack_settle_s": 1}
+	if err := s.launch(d); err != nil {
+		return err
+	}
+	needed := &job{id: "wk-000001", class: "bundle-pack", team: "equipo-costa", urgency: "standard", tasks: 1, cores: 4, memory: 16, estimate: 600, run: 600 * time.Second}
+	if err := s.users.submit(needed); err != nil {
+		return err
+	}
+	s.submitNeeding(needed.id, needing)
+	s.rec.add("%d jobs that need %s are accepted", needing, needed.id)
+	if status, err := s.users.abort(needed.id, false); err != nil || status != aborted {
+		return fmt.Errorf("%s: %q %v", needed.id, status, err)
+	}
+	told := map[string]bool{}
+	for i := needing - shown; i < needing; i++ {
+		if a := s.users.poll(nil, needingID(i)); a.status == aborted {
+			told[needingID(i)] = true
+		}
+	}
+	s.rec.add("the users of %d of them were told that theirs is aborted too", len(told))
+	if len(told) == 0 {
+		return fmt.Errorf("nobody was told")
+	}
+	if err := s.await(40*time.Second, needed.id+" is archived", func() bool { return !s.stored("shalestage/job/" + needed.id) }); err != nil {
+		return err
+	}
+	if trouble {
+		for _, n := range s.nodes {
+			n.kill()
+			s.rec.add("%s is killed", n.name)
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range s.nodes {
+			s.startController(n)
+		}
+	}
+	if err := s.await(20*time.Second, "all controllers are ready", func() bool {
+		return s.nodes[0].ready() && s.nodes[1].ready() && s.nodes[2].ready()
+	}); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	var back []string
+	for i := needing - shown; i < needing; i++ {
+		id := needingID(i)
+		if a := s.users.poll(nil, id); told[id] && a.code == http.StatusOK && a.status != aborted {
+			back = append(back, id)
+		}
+	}
+	if len(back) == 0 {
+		return nil
+	}
+	time.Sleep(15 * time.Second)
+	for _, n := range s.nodes { // what the last of them is called now; the case does not depend on it
+		s.users.poll(n, back[len(back)-1])
+	}
+	return broken("%d of %d jobs that were called aborted, among them %s, are called something else", len(back), len(told), back[0])
+}
+
+func needingID(i int) string { return fmt.Sprintf("wk-%06d", 10_000+i) }
+
+// submitNeeding submits jobs that need another one.
+func (s *stand) submitNeeding(needed string, count int) {
+	const atOnce = 48
+	var wg sync.WaitGroup
+	for worker := range atOnce {
+		wg.Go(func() {
+			for i := worker; i < count; i += atOnce {
+				j := &job{id: needingID(i), class: "handset-publish", team: "equipo-costa", urgency: "standard", tasks: 1, cores: 1, memory: 6,
+					estimate: 1, run: time.Second, quiet: true, awaits: []string{needed}}
+				if err := s.users.submit(j); err != nil {
+					s.rec.add("%v", err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // showWaiting records what becomes of a job that needs a done one and is submitted at a controller that
 // takes that for unfinished. The case does not depend on it.
 func (s *stand) showWaiting(n *controller, needed string) {
