Transfers of a shard that no worker reaches end by evidence, not by time

What callers saw: an accepted job never ran again after its only machine was taken without notice.

Cause: an owner that no worker reaches releases its shards until all others report the same, but they report it for 60 s only, which five tries outlast; and two leases and 60 s after its own last release an owner released the shard in any case. Each owner counts the machines' leases anew, so none expired.

Change: an owner that no worker has reached since it acquired a shard releases it only to a controller that has redirected a worker of the shard meanwhile (new optional field of the status), or to one whose statuses do not arrive and that has not tried (new optional field of the assignment). Once no worker reaches any controller this ends, whatever the number of controllers and the lease. Late copies of heartbeats count as contact no more: each controller remembers the newest heartbeat of each stored machine. The leader prefers controllers that a worker has reached.

Tests: TestShouldReleaseShards has the new evidence in place of the times of the last release, which are gone; what it asks of numbers, waits and pauses is as it was. TestExpiredOwnerIsReplaced compares records with DeepEqual, as they have a list now.

--- a/internal/core/authority/authority.go
+++ b/internal/core/authority/authority.go
@@ -50,6 +50,9 @@
 	TransferredFrom uint64 `json:"from,omitempty"`
 	// PreviousToken is the fencing token of the previous assignment, however that ended; 0: not known.
 	PreviousToken uint64 `json:"after,omitempty"`
+	// Unreached lists the controllers that have owned the shard since a worker last reached one of its owners,
+	// and released it because no worker reached them. Assignments carry the list on.
+	Unreached []string `json:"unreached,omitempty"`
 }
 
 // DecodeAssignment decodes the stored assignment of a shard. Releases before 0.2 stored the controller's name in
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -186,23 +186,25 @@
 	machineGroups map[string]fleet.Group // stored machine groups, by key
 	machineShard  map[string]int         // shard of each stored machine
 
-	archive         *archive.Manager
-	rollback        *rollback.Recovery
-	cancellations   *cancellations.Tracker // which cancellations are known, and up to when all of them are
-	membership      *membership.Registry
-	election        *election.Election
-	planner         *shardplan.Planner
-	owned           map[int]*ownedShard   // shards that this node owns
-	emptySince      units.Microseconds    // since when it has owned no shard while retiring; 0: not so
-	retiringSince   units.Microseconds    // since when this node is retiring; 0: it is not
-	reachability    liveness.Reachability // whether worker machines can reach this node
-	heartbeats      reconcile.Counters    // answers to heartbeats and probes
-	zones           *zones.View
-	nextTypeFetchAt units.Microseconds
-	cloudFraction   float64
-	peers           *peering.Directory
-	forwarder       *peering.Forwarder // users' requests that controllers forward to each other
-	nextStatusAt    units.Microseconds // when this controller next sends its status
+	archive          *archive.Manager
+	rollback         *rollback.Recovery
+	cancellations    *cancellations.Tracker // which cancellations are known, and up to when all of them are
+	membership       *membership.Registry
+	election         *election.Election
+	planner          *shardplan.Planner
+	owned            map[int]*ownedShard   // shards that this node owns
+	emptySince       units.Microseconds    // since when it has owned no shard while retiring; 0: not so
+	retiringSince    units.Microseconds    // since when this node is retiring; 0: it is not
+	reachability     liveness.Reachability // whether worker machines can reach this node
+	newestHeartbeats liveness.NewestHeartbeats
+	redirectedAt     map[int]units.Microseconds // when this controller last redirected a worker, by the machine's stored shard
+	heartbeats       reconcile.Counters         // answers to heartbeats and probes
+	zones            *zones.View
+	nextTypeFetchAt  units.Microseconds
+	cloudFraction    float64
+	peers            *peering.Directory
+	forwarder        *peering.Forwarder // users' requests that controllers forward to each other
+	nextStatusAt     units.Microseconds // when this controller next sends its status
 
 	transfers *transfer.Receiver // snapshots and replicated state of shards that this node may own next
 }
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -18,12 +18,18 @@
 	c.zones.HeartbeatReceived(heartbeat.Zone)
 	number, stored := c.shardOf(heartbeat.Machine)
 	shard := c.owned[number]
+	newest := stored && c.newestHeartbeats.Record(heartbeat)
 	if admission := c.admitHeartbeat(shard, heartbeat, stored); admission != reconcile.Admitted {
 		c.logRefused(number, heartbeat, admission)
+		if admission == reconcile.NotOwned && newest {
+			c.redirectedAt[number] = c.now
+		}
 		c.refuseHeartbeat(number, request, admission)
 		return
 	}
-	c.reachability.HeartbeatAccepted()
+	if newest {
+		c.reachability.HeartbeatAccepted()
+	}
 	accepted := shard.reconciler.Accept(c.now, heartbeat)
 	if accepted.Status == reconcile.Stale {
 		c.reply(request, http.StatusServiceUnavailable, Problem{"a later heartbeat has arrived"})
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -103,6 +103,11 @@
 // UnreachableByWorkers implements shardplan.Members.
 func (c plannerHost) UnreachableByWorkers(node string) bool { return c.peerUnreachable(node) }
 
+// ReachedByWorkers implements shardplan.Members.
+func (c plannerHost) ReachedByWorkers(node string, shard int) bool {
+	return c.workerReached(node, shard)
+}
+
 // Outdated implements shardplan.Members.
 func (c plannerHost) Outdated(node string) bool { return c.incompatible(node) }
 
--- a/internal/core/liveness/reachability_test.go
+++ b/internal/core/liveness/reachability_test.go
@@ -6,63 +6,90 @@
 	"shalestage.example/shalestage/internal/core/units"
 )
 
+const testInterval = 4 * units.Second // between heartbeats of a machine
+
+// ownerFor returns the Reachability of a controller that has owned a shard for the given time. If heartbeat is
+// set, a worker reached it at the beginning.
+func ownerFor(owned units.Microseconds, heartbeat bool) Reachability {
+	reachability := NewReachability(testInterval)
+	reachability.ShardAcquired()
+	if heartbeat {
+		reachability.HeartbeatReceived()
+		reachability.HeartbeatAccepted()
+	}
+	for now := units.Microseconds(0); now < owned; now += TickInterval {
+		reachability.Tick(now + TickInterval)
+	}
+	return reachability
+}
+
 // TestShouldReleaseShards has a controller receive no heartbeats. With many machines a short time is
-// evidence enough that it is unreachable; with few, or before the first heartbeat, it takes two
-// intervals. A controller that has released its shards for this reason must do so again only if another
-// is known to be reachable, or much later: otherwise the leases of deleted machines would not
-// expire under one owner.
+// evidence enough that it is unreachable; with few, or before the first heartbeat, it takes two intervals. It
+// must not release its shards where no other controller can be better off.
 func TestShouldReleaseShards(t *testing.T) {
-	const interval, lease = 4 * units.Second, 10 * units.Second
+	responsive := []PeerReach{{RedirectedFor: units.MaxTime}}
 	for _, test := range []struct {
 		name           string
 		noHeartbeatFor units.Microseconds
 		heartbeat      bool
 		up             int
-		releasedAt     units.Microseconds // time of an earlier release; 0 for none
-		peer           bool
+		peers          []PeerReach
 		want           bool
 	}{
-		{"a heartbeat's time", 2 * units.Second, true, manyMachines, 0, true, false},
-		{"many machines, at the bound", 3 * units.Second, true, manyMachines, 0, true, false},
-		{"many machines, past it", 3*units.Second + TickInterval, true, manyMachines, 0, true, true},
-		{"few machines", 3*units.Second + TickInterval, true, manyMachines - 1, 0, true, false},
-		{"no heartbeat yet", 3*units.Second + TickInterval, false, manyMachines, 0, true, false},
-		{"few machines, for long", 9*units.Second + TickInterval, true, 1, 0, true, true},
-		{"no machine", 100 * units.Second, true, 0, 0, true, false},
-		{"released recently, no reachable peer", 100 * units.Second, true, 1, 50 * units.Second, false, false},
-		{"released recently, reachable peer", 100 * units.Second, true, 1, 50 * units.Second, true, true},
-		{"just before shards may be released again", 100 * units.Second, true, 1, 20*units.Second + 1, false, false},
-		{"shards may be released again", 100 * units.Second, true, 1, 20 * units.Second, false, true},
+		{"a heartbeat's time", 2 * units.Second, true, manyMachines, responsive, false},
+		{"many machines, at the bound", 3 * units.Second, true, manyMachines, responsive, false},
+		{"many machines, past it", 3*units.Second + TickInterval, true, manyMachines, responsive, true},
+		{"few machines", 3*units.Second + TickInterval, true, manyMachines - 1, responsive, false},
+		{"no heartbeat yet", 3*units.Second + TickInterval, false, manyMachines, []PeerReach{{RedirectedFor: units.Second}}, false},
+		{"few machines, at the bound", 9 * units.Second, true, 1, responsive, false},
+		{"few machines, for long", 9*units.Second + TickInterval, true, 1, responsive, true},
+		{"no machine", 100 * units.Second, true, 0, responsive, false},
+		{"no other controller", 100 * units.Second, true, 1, nil, false},
+		{"only an unreachable one", 100 * units.Second, true, 1, []PeerReach{{RedirectedFor: units.MaxTime, Unreachable: true}}, false},
+		{"a silent one that has tried before the last heartbeat", 100 * units.Second, true, 1, []PeerReach{{Silent: true, Tried: true}}, true},
 	} {
-		reachability := NewReachability(interval, lease)
-		if test.releasedAt > 0 {
-			reachability.ShardsReleased(test.releasedAt)
-		}
-		reachability.ShardAcquired()
-		if test.heartbeat {
-			reachability.HeartbeatReceived()
-			reachability.HeartbeatAccepted()
-		}
-		now := units.Microseconds(0)
-		for ; now < test.noHeartbeatFor; now += TickInterval {
-			reachability.Tick(now + TickInterval)
-		}
-		if test.releasedAt > 0 {
-			now = 100 * units.Second
-		}
-		if got := reachability.ShouldReleaseShards(now, test.up, func() bool { return test.peer }); got != test.want {
+		reachability := ownerFor(test.noHeartbeatFor, test.heartbeat)
+		if got := reachability.ShouldReleaseShards(test.up, test.peers); got != test.want {
 			t.Errorf("%s: should release shards: %v", test.name, got)
 		}
 	}
 }
 
+// TestUnreachedOwnerNeedsEvidence guards against shards that are passed on for ever, so that the leases of
+// deleted machines never expire: an owner that no worker has reached releases its shards only to a controller
+// that a worker has reached meanwhile, or to one that says nothing and has not tried. Waiting alone changes
+// nothing.
+func TestUnreachedOwnerNeedsEvidence(t *testing.T) {
+	for _, owned := range []units.Microseconds{10 * units.Second, 200 * units.Second, 4000 * units.Second} {
+		for _, test := range []struct {
+			name string
+			peer PeerReach
+			want bool
+		}{
+			{"no worker has reached it", PeerReach{RedirectedFor: units.MaxTime}, false},
+			{"a worker has, before this controller acquired the shard", PeerReach{RedirectedFor: owned}, false},
+			{"a worker has", PeerReach{RedirectedFor: owned - units.Second}, true},
+			{"a worker has, long after it released the shard itself", PeerReach{RedirectedFor: owned - units.Second, Tried: true}, true},
+			{"silent, has not tried", PeerReach{Silent: true, RedirectedFor: units.MaxTime}, true},
+			{"silent, has tried", PeerReach{Silent: true, RedirectedFor: units.MaxTime, Tried: true}, false},
+			{"silent, its last status is no evidence", PeerReach{Silent: true, RedirectedFor: units.Second, Tried: true}, false},
+		} {
+			reachability := ownerFor(owned, false)
+			if got := reachability.ShouldReleaseShards(manyMachines, []PeerReach{test.peer}); got != test.want {
+				t.Errorf("%s, owner for %.0f s: should release shards: %v", test.name, owned.Seconds(), got)
+			}
+		}
+	}
+}
+
 // TestPausedProcessStaysReachable guards against counting the time for which the process was paused: a
 // single late tick must not make the controller release its shards.
 func TestPausedProcessStaysReachable(t *testing.T) {
-	reachability := NewReachability(4*units.Second, 10*units.Second)
+	reachability := NewReachability(testInterval)
+	reachability.HeartbeatAccepted()
 	reachability.Tick(units.Second)
 	reachability.Tick(100 * units.Second)
-	if reachability.ShouldReleaseShards(100*units.Second, 1, func() bool { return true }) {
+	if reachability.ShouldReleaseShards(1, []PeerReach{{RedirectedFor: units.MaxTime}}) {
 		t.Error("one late tick made the controller release its shards")
 	}
 }
@@ -70,7 +97,7 @@
 // TestUnreachableAfterRelease checks that a controller which released its shards counts as unreachable
 // until the first heartbeat, or until unreachableFor has passed.
 func TestUnreachableAfterRelease(t *testing.T) {
-	reachability := NewReachability(4*units.Second, 10*units.Second)
+	reachability := NewReachability(testInterval)
 	reachability.ShardsReleased(units.Second)
 	if !reachability.Unreachable(2*units.Second) || reachability.Unreachable(units.Second+unreachableFor) {
 		t.Error("does not count as unreachable for exactly unreachableFor")
--- a/internal/core/new.go
+++ b/internal/core/new.go
@@ -143,7 +143,9 @@
 		HeartbeatInterval: c.cfg.HeartbeatInterval,
 		Log:               c.log,
 	})
-	c.reachability = liveness.NewReachability(c.cfg.HeartbeatInterval, c.leaseBound())
+	c.reachability = liveness.NewReachability(c.cfg.HeartbeatInterval)
+	c.newestHeartbeats = liveness.NewestHeartbeats{}
+	c.redirectedAt = map[int]units.Microseconds{}
 }
 
 // createQueues creates the queues of transactions.
--- a/internal/core/peering/directory.go
+++ b/internal/core/peering/directory.go
@@ -77,6 +77,21 @@
 	return PeerStatus{}
 }
 
+// RedirectedFor returns the time since a controller last redirected a worker of a shard; units.MaxTime if its
+// last status lists no such redirect.
+func (d *Directory) RedirectedFor(now units.Microseconds, node string, shard int) units.Microseconds {
+	known := d.peers[node]
+	if known == nil {
+		return units.MaxTime
+	}
+	for _, redirect := range known.status.Redirected {
+		if redirect.Block == shard && redirect.Ago >= 0 {
+			return redirect.Ago + now - known.receivedAt
+		}
+	}
+	return units.MaxTime
+}
+
 // Alive reports whether the last status of a controller is younger than AliveTimeout.
 func (d *Directory) Alive(now units.Microseconds, node string) bool {
 	known := d.peers[node]
--- a/internal/core/peering/messages.go
+++ b/internal/core/peering/messages.go
@@ -27,11 +27,13 @@
 	Sent     units.Microseconds // on the sender's clock
 	Deaf     bool               // no worker has reached the sender for a while
 	Blocks   []ShardStatus      // shards that the sender owns
-	Release  int                // release that the sender runs; releases before 0.3 send none, which counts as 0
-	Full     bool               // the sender's memory is nearly full
-	Back     units.Microseconds // when the sender last noticed a rollback of the state service; 0: never
-	Zones    []zones.Status     // zones that do not serve, as seen by the sender as an owner of shards
-	Known    uint64             // the sender knows every cancellation up to this revision
+	// Redirected lists the shards of other owners of which a worker has recently reached the sender.
+	Redirected []ShardRedirect
+	Release    int                // release that the sender runs; releases before 0.3 send none, which counts as 0
+	Full       bool               // the sender's memory is nearly full
+	Back       units.Microseconds // when the sender last noticed a rollback of the state service; 0: never
+	Zones      []zones.Status     // zones that do not serve, as seen by the sender as an owner of shards
+	Known      uint64             // the sender knows every cancellation up to this revision
 	// Config is the version of the configuration that the sender uses, and ConfigKnown the
 	// latest version that it knows to be stored. 0 is the configuration of its settings file.
 	Config, ConfigKnown uint64
@@ -47,6 +49,12 @@
 	Over []string
 }
 
+// ShardRedirect says that the sender has refused the heartbeat of a worker whose shard it does not own.
+type ShardRedirect struct {
+	Block int
+	Ago   units.Microseconds // time since the last such heartbeat
+}
+
 // PeerLeaseGrant grants the peer lease that a status requested,
 // and lists the cancellations that the receiver lacks.
 type PeerLeaseGrant struct {
--- a/internal/core/peering/releases.go
+++ b/internal/core/peering/releases.go
@@ -4,7 +4,7 @@
 
 // Release is the protocol release of this program. It is stored with the controller's
 // membership and sent with its status. Releases before 0.3 sent none, which counts as 0.
-const Release = 8
+const Release = 9
 
 // The first release that supports each feature.
 const (
@@ -15,6 +15,7 @@
 	ReleaseReplication   = 6 // acting as the standby of a shard's owner
 	ReleaseCancellations = 7 // lists of cancellations from other controllers
 	ReleaseConfig        = 8 // the stored configuration
+	ReleaseRedirects     = 9 // statuses list the shards of which workers were redirected
 )
 
 // trackedReleases are the releases for which AllUpgradedFor can be asked.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -69,7 +69,7 @@
 
 // status returns this controller's status for the other controllers.
 func (c *Core) status() PeerStatus {
-	status := PeerStatus{StateAge: c.stateAge(), Deaf: c.reachability.Unreachable(c.now), Release: peering.Release,
+	status := PeerStatus{StateAge: c.stateAge(), Deaf: c.reachability.Unreachable(c.now), Redirected: c.redirected(), Release: peering.Release,
 		Full: c.admission.MemoryFull(), Back: c.cache.LastRollback()}
 	// Also after this controller's authority has expired: while all other controllers
 	// still grant it a peer lease, none has taken over its shards.
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -34,8 +34,10 @@
 	fencingToken uint64
 	ready        bool // the shard's state is loaded, so that heartbeats can be answered
 	releasing    bool // heartbeats are no longer answered
-	ownedSince   units.Microseconds
-	attempts     uint64
+	// unreached is stored with the release, see authority.Assignment.
+	unreached  []string
+	ownedSince units.Microseconds
+	attempts   uint64
 
 	writer *shardstore.Writer // stores the shard's changes
 
@@ -200,7 +202,7 @@
 	if current.Version != shard.assignment {
 		return
 	}
-	released := authority.Assignment{Term: current.Term, Number: current.Number, ReleasedBy: c.cfg.Node}
+	released := authority.Assignment{Term: current.Term, Number: current.Number, ReleasedBy: c.cfg.Node, Unreached: shard.unreached}
 	shard.writer.StoreRelease(store.Change{Key: keys.Assignment(shard.number), Value: store.Value(released)})
 }
 
@@ -265,10 +267,7 @@
 		return
 	}
 	if c.unreachable(shard) {
-		c.reachability.ShardsReleased(c.now)
-		for _, number := range sortedShards(c.owned) {
-			c.releaseShard(c.owned[number], "no worker can reach this node")
-		}
+		c.releaseUnreached()
 		return
 	}
 	if shard.scheduler.Tick() {
@@ -294,6 +293,18 @@
 	c.tickCloud(shard)
 }
 
+// releaseUnreached releases all shards because no worker reaches this controller.
+func (c *Core) releaseUnreached() {
+	c.reachability.ShardsReleased(c.now)
+	for _, number := range sortedShards(c.owned) {
+		shard := c.owned[number]
+		if !shard.releasing {
+			shard.unreached = c.unreachedOwners(number)
+		}
+		c.releaseShard(shard, "no worker can reach this node")
+	}
+}
+
 // setRates sets this controller's share of the request budgets of the state service
 // and the cloud, by the share of open shards that it owns.
 func (c *Core) setRates() {
--- a/internal/core/shardplan/assign.go
+++ b/internal/core/shardplan/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"shalestage.example/shalestage/internal/core/authority"
 	"shalestage.example/shalestage/internal/core/keys"
@@ -70,6 +71,7 @@
 		next.PreviousToken = last.Token()
 		if last.Node == "" && last.ReleasedBy != "" {
 			next.TransferredFrom = next.PreviousToken // no other controller has owned it since
+			next.Unreached = last.Unreached
 		}
 	}
 	t.guard(keys.Assignment(shard), last.Version)
@@ -96,8 +98,11 @@
 	// partitioned from each other.
 	costUnresponsive = 3
 	costToBeUpgraded = 100 // its shards would be transferred once more
-	// costUnreachable applies to a controller that workers cannot reach, or that has just released the shard:
-	// it gets the shard only if there is no other controller.
+	// costNotReached applies if the shard was released because no worker could reach its owner, to a controller
+	// that no worker of the shard is known to have reached either.
+	costNotReached = 50
+	// costUnreachable applies to a controller that workers cannot reach, or that has released the shard for lack
+	// of heartbeats or just now: it gets the shard only if there is no other controller.
 	costUnreachable = 1000
 )
 
@@ -149,7 +154,10 @@
 	if last.ReleasedBy != "" && !p.host.Responsive(node) {
 		cost += costUnresponsive
 	}
-	if node == last.ReleasedBy || p.host.UnreachableByWorkers(node) {
+	if len(last.Unreached) > 0 && !p.host.ReachedByWorkers(node, shard) {
+		cost += costNotReached
+	}
+	if node == last.ReleasedBy || slices.Contains(last.Unreached, node) || p.host.UnreachableByWorkers(node) {
 		cost += costUnreachable
 	}
 	if p.host.ToBeUpgraded(node) {
--- a/internal/core/shardplan/shardplan.go
+++ b/internal/core/shardplan/shardplan.go
@@ -74,6 +74,9 @@
 	Responsive(node string) bool
 	// UnreachableByWorkers reports whether it is known that workers cannot reach a controller.
 	UnreachableByWorkers(node string) bool
+	// ReachedByWorkers reports whether a worker of a shard is known to have reached a controller that does not
+	// own the shard, within the last lease of the workers.
+	ReachedByWorkers(node string, shard int) bool
 	// Outdated reports whether a controller runs a release that can no longer own shards, ToBeUpgraded
 	// whether it runs an older release than this controller.
 	Outdated(node string) bool
--- a/internal/core/shardplan/shardplan_test.go
+++ b/internal/core/shardplan/shardplan_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"iter"
 	"maps"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -43,6 +45,7 @@
 	expired      map[string]bool
 	unresponsive map[string]bool
 	unreachable  map[string]bool
+	reached      map[string]bool
 	outdated     map[string]bool
 	olderRelease map[string]bool
 	standby      string
@@ -78,8 +81,11 @@
 func (h *fakeHost) MemberExpired(node string, _ uint64) bool {
 	return h.expired[node]
 }
-func (h *fakeHost) Responsive(node string) bool            { return !h.unresponsive[node] }
-func (h *fakeHost) UnreachableByWorkers(node string) bool  { return h.unreachable[node] }
+func (h *fakeHost) Responsive(node string) bool           { return !h.unresponsive[node] }
+func (h *fakeHost) UnreachableByWorkers(node string) bool { return h.unreachable[node] }
+func (h *fakeHost) ReachedByWorkers(node string, _ int) bool {
+	return h.reached[node]
+}
 func (h *fakeHost) Outdated(node string) bool              { return h.outdated[node] }
 func (h *fakeHost) ToBeUpgraded(node string) bool          { return h.olderRelease[node] }
 func (h *fakeHost) Standby(int) string                     { return h.standby }
@@ -281,6 +287,10 @@
 	assigned := func(node string) Assignment {
 		return Assignment{Assignment: authority.Assignment{Term: 1, Number: 1, Node: node}, Version: 1}
 	}
+	// unreached is the release of a shard after no worker reached the given owners, the last of them last.
+	unreached := func(owners ...string) Assignment {
+		return Assignment{Assignment: authority.Assignment{ReleasedBy: owners[len(owners)-1], Unreached: owners}, Version: 1}
+	}
 	for name, test := range map[string]struct {
 		last   Assignment
 		owned  map[string]int
@@ -297,6 +307,12 @@
 		"unless there is no other":          {assigned("b"), nil, func(h *fakeHost) { h.unreachable = map[string]bool{"a": true, "b": true, "c": true} }, "b"},
 		"not the one that released it": {
 			Assignment{Assignment: authority.Assignment{ReleasedBy: "a"}, Version: 1}, nil, func(h *fakeHost) { h.unresponsive["b"] = true }, "c"},
+		"one that has not tried": {
+			unreached("a", "b"), nil, func(*fakeHost) {}, "c"},
+		"one that has not tried, however many shards it owns": {
+			unreached("a", "b"), map[string]int{"c": 20}, func(*fakeHost) {}, "c"},
+		"one that a worker has reached": {
+			unreached("a"), map[string]int{"c": 3}, func(h *fakeHost) { h.reached = map[string]bool{"c": true}; h.standby = "b" }, "c"},
 		"nobody": {assigned("b"), nil, func(h *fakeHost) { h.members = map[string]uint64{"a": 0, "b": 0, "c": 0} }, ""},
 	} {
 		h := newCluster(3)
@@ -307,6 +323,24 @@
 	}
 }
 
+// The owners that no worker has reached must stay known while the shard passes from owner to owner, and be
+// forgotten once its owner fails.
+func TestUnreachedOwnersAreCarriedOn(t *testing.T) {
+	cluster := newCluster(3)
+	cluster.lead(t)
+	unreached := []string{"a", "b"}
+	cluster.apply(t, keys.Assignment(0), store.Value(authority.Assignment{Term: 1, Number: 1, ReleasedBy: "b", Unreached: unreached}))
+	cluster.plan(t)
+	if next := cluster.planner.records.Assignment(0); next.Node != "c" || !slices.Equal(next.Unreached, unreached) {
+		t.Fatalf("assignment after a release: %+v", next)
+	}
+	cluster.expired["c"], cluster.members["c"] = true, 9
+	cluster.plan(t)
+	if next := cluster.planner.records.Assignment(0); next.Node == "" || len(next.Unreached) != 0 {
+		t.Fatalf("assignment after the owner expired: %+v", next)
+	}
+}
+
 // A shard whose owner's membership has expired must be assigned again, under a higher fencing token that
 // names the previous one. No other assignment may change.
 func TestExpiredOwnerIsReplaced(t *testing.T) {
@@ -318,7 +352,7 @@
 		t.Fatalf("first assignment: %+v", first)
 	}
 	cluster.plan(t)
-	if again := cluster.planner.records.Assignment(0); again != first {
+	if again := cluster.planner.records.Assignment(0); !reflect.DeepEqual(again, first) {
 		t.Fatalf("assigned again without need: %+v after %+v", again, first)
 	}
 	cluster.expired["a"], cluster.members["a"] = true, 9
--- a/internal/core/watchcache.go
+++ b/internal/core/watchcache.go
@@ -113,15 +113,26 @@
 	}
 }
 
+// forgetHeartbeats forgets the newest heartbeats of those machines that are not stored any more.
+func (c *Core) forgetHeartbeats(machines []string) {
+	for _, name := range machines {
+		if _, stored := c.machineShard[name]; !stored {
+			c.newestHeartbeats.Forget(name)
+		}
+	}
+}
+
 // applyMachineGroup applies a stored machine group.
 func (c *Core) applyMachineGroup(key string, event store.Event) error {
 	if old, ok := c.machineGroups[key]; ok {
 		delete(c.machineGroups, key)
-		for _, name := range slices.Concat(old.Up, old.Booting) {
+		names := slices.Concat(old.Up, old.Booting)
+		for _, name := range names {
 			if c.machineShard[name] == old.Shard {
 				delete(c.machineShard, name)
 			}
 		}
+		defer c.forgetHeartbeats(names)
 	}
 	if event.Value == nil {
 		return nil
--- a/internal/emulator/sim/randomfaults.go
+++ b/internal/emulator/sim/randomfaults.go
@@ -139,6 +139,7 @@
 	func(f *scenario.Fault, rng *rand.Rand) {
 		f.Kind, f.Share = scenario.RepeatedRequests, randomSpan(rng, 0.1, 0.8)
 	},
+	func(f *scenario.Fault, _ *rand.Rand) { f.Kind, f.ForS, f.Share = scenario.MachineStop, 0, 1 },
 }
 
 func drawNode(rng *rand.Rand) string { return pickOne(rng, "any", "any", "holder", "leader") }
