Work within a guarantee gets its room back, whatever is lost

Cause: tasks were stopped only if less than a quarter of the other task's run time is lost, also for a guarantee, which is due. A replica has no run time. And only the first job in the ranking could preempt, tasks that complete elsewhere were taken for room to come, and a job with one failed task never preempted.

Change: for what a team beyond its nominal quota owes to a job within another's, the loss does not count, the jobs behind the first are tried, and neither the expected completions nor one failure keep it from preempting. A replica's run time counts as endless where priorities are weighed.

Checks: the checker's waiting rules share one predicate now (mayStart). The world of TestCheckerDetectsEveryRuleViolation has two more jobs for the new rule.

--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -7,6 +7,7 @@
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/jobs"
+	"shalestage.example/shalestage/internal/core/quarantine"
 	"shalestage.example/shalestage/internal/core/ranking"
 	"shalestage.example/shalestage/internal/core/units"
 )
@@ -19,8 +20,8 @@
 	displaceAfter = 3 * units.Second
 	// stopTimeout is how long a stop is assumed to be in progress.
 	stopTimeout = 3 * units.Second
-	// gainFactor is the minimum ratio of the run time of the task that
-	// gains the capacity to the run time that is lost with a victim.
+	// gainFactor is the minimum ratio of the run time of the task that gains the capacity to the run time
+	// that is lost with a victim, unless the capacity is due to the task by its team's nominal quota.
 	gainFactor = 4
 )
 
@@ -47,7 +48,8 @@
 // Preempt returns the commands that stop tasks of a machine for a job with
 // precedence: a job of higher priority, or one within its team's nominal quota
 // where the victim's team exceeds its own. It stops the tasks that lose the least
-// work, and none whose loss is large compared with the run time of the job's task.
+// work. For a higher priority it stops none whose loss is large compared with the
+// run time of the job's task. A nominal quota is due whatever is lost.
 func (s *Scheduler) Preempt(machine *fleet.Machine) []fleet.Command {
 	if len(machine.Tasks) == 0 || len(s.queue.Ranked()) == 0 {
 		return nil
@@ -70,55 +72,105 @@
 	return false
 }
 
-// preempt stops tasks of eligible jobs for the first job in the ranking that has
-// waited for at least the duration after, and is expected to wait that long again.
-func (s *Scheduler) preempt(machine *fleet.Machine, after units.Microseconds, eligible func(*jobs.Job) bool) []fleet.Command {
-	job := s.preemptor(machine, after)
-	if job == nil || job.Spec().Demand.Fits(machine.Free()) {
-		return nil // a task that fits is started by Fill, unless another rule forbids it
-	}
-	victims, costless := s.victims(machine, job, eligible)
-	previous := s.preemptions[job.ID]
-	maxPlaces := 1
-	if costless {
-		maxPlaces = job.Ready() - previous.places
-	}
-	stops, places := s.stop(victims, machine.Free(), job.Spec().Demand, maxPlaces)
-	if places == 0 {
-		return nil
-	}
-	s.preemptions[job.ID] = preemption{previous.places + places, s.host.Now()}
-	s.config.Log.Info("preempting tasks", "machine", machine.Name, "job", job.ID, "stopped", len(stops))
-	return stops
+// maxPreemptors bounds the kinds of jobs for which victims are looked for on one machine.
+const maxPreemptors = 8
+
+// preemptorKind is what decides which tasks of a machine may be stopped for a job. If there are none for one job,
+// there are none for another of the same kind.
+type preemptorKind struct {
+	team     string
+	class    int // equivalence class
+	priority jobs.Priority
+	within   bool // its team's nominal quota
 }
 
-// preemptor returns the first job in the ranking that could use a machine, has waited for at least
-// the duration after, and is expected to wait that long again. It returns nil if there is none.
-func (s *Scheduler) preemptor(machine *fleet.Machine, after units.Microseconds) *jobs.Job {
+// preempt stops tasks of eligible jobs for the first job in the ranking that has waited for at least
+// the duration after, and is expected to wait that long again. If it finds no victims for that job, it
+// tries the jobs that follow and to which capacity of the machine is due. For these it does not matter
+// how soon other tasks are expected to complete: the places that they leave may be too small.
+func (s *Scheduler) preempt(machine *fleet.Machine, after units.Microseconds, eligible func(*jobs.Job) bool) []fleet.Command {
 	now, wall := s.host.Now(), s.host.Wall()
-	if s.completionRate > 0 && units.Seconds(float64(s.readyTasks)/s.completionRate) < after {
-		return nil
-	}
 	if wall-s.queue.EarliestSince() < after {
 		return nil // no job has waited that long
 	}
+	dueOnly := s.completionRate > 0 && units.Seconds(float64(s.readyTasks)/s.completionRate) < after
+	var indebted []string
+	if wall-s.nominalSince >= after {
+		indebted = s.indebtedTeams(machine)
+	}
+	if dueOnly && len(indebted) == 0 {
+		return nil
+	}
+	due := func(candidate ranking.Candidate) bool {
+		return rankedWithinNominal(candidate.Tier) && slices.ContainsFunc(indebted, func(team string) bool { return team != candidate.Job.Spec().Team })
+	}
 	feasible := func(spec *jobs.Spec) bool {
 		return spec.Allows(machine.Record.Type, machine.Record.Zone, machine.Record.Spot) && spec.Demand.Fits(machine.Type.Capacity)
 	}
-	var found *jobs.Job
-	s.queue.Each(feasible, func(candidate ranking.Candidate, _ int) bool {
+	var stops []fleet.Command
+	tried := make([]preemptorKind, 0, maxPreemptors)
+	s.queue.Each(feasible, func(candidate ranking.Candidate, class int) bool {
 		job := candidate.Job
-		spec := job.Spec()
-		if spec == nil || wall-job.Since < after || job.Suspect() || !s.startable(now, job) ||
-			!s.quota.Allows(spec.Team, spec.Demand) || !job.ZoneAllows(machine.Record.Zone) {
+		if dueOnly && candidate.Tier < nominalTier {
+			return false // nothing is due to the jobs that follow
+		}
+		if job.Spec() == nil || dueOnly && !due(candidate) || wall-job.Since < after || !s.mayPreemptOn(now, machine, job) {
 			return true
 		}
-		if job.Ready() > s.pendingPlaces(now, job) {
-			found = job
+		kind := preemptorKind{job.Spec().Team, class, job.Objectives.Priority, rankedWithinNominal(candidate.Tier)}
+		if slices.Contains(tried, kind) {
+			return true
 		}
-		return found == nil
+		tried = append(tried, kind)
+		stops = s.preemptFor(machine, job, eligible)
+		dueOnly = true
+		return stops == nil && len(indebted) > 0 && len(tried) < maxPreemptors
 	})
-	return found
+	return stops
+}
+
+// mayPreemptOn reports whether a job has ready tasks that could start on a machine if there were capacity, and no
+// stops are in progress for them yet. A suspect job may displace others only for what is due to it.
+func (s *Scheduler) mayPreemptOn(now units.Microseconds, machine *fleet.Machine, job *jobs.Job) bool {
+	spec := job.Spec()
+	if !s.startable(now, job) || !s.quota.Allows(spec.Team, spec.Demand) || !job.ZoneAllows(machine.Record.Zone) {
+		return false
+	}
+	if job.Suspect() && (job.FailsEverywhere() || !s.entitlements.WithinNominal[job.ID]) {
+		return false
+	}
+	return s.missingPlaces(now, machine, job) > 0
+}
+
+// missingPlaces returns the number of a job's tasks that may start on a machine and for which no stops are in
+// progress.
+func (s *Scheduler) missingPlaces(now units.Microseconds, machine *fleet.Machine, job *jobs.Job) int {
+	wanted := job.Ready()
+	if job.Suspect() {
+		wanted = quarantine.StartLimit(now, machine, job)
+	}
+	return wanted - s.pendingPlaces(now, job)
+}
+
+// preemptFor stops tasks of eligible jobs on a machine to make places for a job. It returns nil if no tasks may be
+// stopped for it, or if they would not make a place.
+func (s *Scheduler) preemptFor(machine *fleet.Machine, job *jobs.Job, eligible func(*jobs.Job) bool) []fleet.Command {
+	now, taskDemand := s.host.Now(), job.Spec().Demand
+	if taskDemand.Fits(machine.Free()) {
+		return nil // a task that fits is started by Fill, unless another rule forbids it
+	}
+	victims, costless := s.victims(machine, job, eligible)
+	maxPlaces := 1
+	if costless {
+		maxPlaces = s.missingPlaces(now, machine, job)
+	}
+	stops, places := s.stop(victims, machine.Free(), taskDemand, maxPlaces)
+	if places == 0 {
+		return nil
+	}
+	s.preemptions[job.ID] = preemption{s.preemptions[job.ID].places + places, now}
+	s.config.Log.Info("preempting tasks", "machine", machine.Name, "job", job.ID, "stopped", len(stops))
+	return stops
 }
 
 // pendingPlaces returns the number of a job's ready tasks for which stops are in progress. Stops
@@ -135,14 +187,14 @@
 // victims returns the tasks of a machine that may be stopped for a job, the least lost work first.
 // costless reports whether all of them are preemptible, so that stopping several loses nothing.
 func (s *Scheduler) victims(machine *fleet.Machine, job *jobs.Job, eligible func(*jobs.Job) bool) (victims []victim, costless bool) {
-	now, gain := s.host.Now(), s.demand.Runtime(job.Spec())
+	now, gain := s.host.Now(), s.gain(job.Spec())
 	costless = true
 	for _, id := range machine.TaskIDs() {
 		attempt, owner := machine.Tasks[id], s.host.Job(id.Job)
 		if owner == nil || !owner.Active() || attempt.State == fleet.Saving || !eligible(owner) || !s.mayPreempt(job, owner) {
 			continue
 		}
-		if lost := lostWork(now, owner.Spec(), attempt); lost < gain/gainFactor {
+		if lost := lostWork(now, owner.Spec(), attempt); lost < gain/gainFactor || s.owesNominal(job, owner) {
 			victims = append(victims, victim{id, attempt, lost})
 			costless = costless && preemptible(owner)
 		}
@@ -181,7 +233,38 @@
 	if victim.Objectives.Priority < job.Objectives.Priority && (within || !victimWithin) {
 		return true
 	}
-	return within && !sameTeam && !victimWithin && s.quota.ExceedsNominal(team)
+	return s.owesNominal(job, victim)
+}
+
+// owesNominal reports whether victim's team runs its job beyond its nominal quota, and job is within the nominal quota
+// of another team.
+func (s *Scheduler) owesNominal(job, victim *jobs.Job) bool {
+	return s.entitlements.WithinNominal[job.ID] && job.Spec().Team != victim.Spec().Team && s.beyondNominal(victim)
+}
+
+// beyondNominal reports whether a job's team uses more than its nominal quota, and the job is beyond it.
+func (s *Scheduler) beyondNominal(job *jobs.Job) bool {
+	return !s.entitlements.WithinNominal[job.ID] && s.quota.ExceedsNominal(job.Spec().Team)
+}
+
+// indebtedTeams returns the teams that run tasks on a machine beyond their nominal quotas.
+func (s *Scheduler) indebtedTeams(machine *fleet.Machine) []string {
+	var teams []string
+	for id := range machine.Tasks {
+		job := s.host.Job(id.Job)
+		if job != nil && job.Active() && !slices.Contains(teams, job.Spec().Team) && s.beyondNominal(job) {
+			teams = append(teams, job.Spec().Team)
+		}
+	}
+	return teams
+}
+
+// gain returns the run time that a task of a job gains by its start. A replica of a service runs without an end.
+func (s *Scheduler) gain(spec *jobs.Spec) units.Microseconds {
+	if spec.Service {
+		return units.MaxTime
+	}
+	return s.demand.Runtime(spec)
 }
 
 // lostWork returns the run time that is lost if an attempt is stopped now.
--- a/internal/core/scheduler/rank.go
+++ b/internal/core/scheduler/rank.go
@@ -88,7 +88,7 @@
 func (s *Scheduler) rankJobs(now, wall units.Microseconds) {
 	s.queue.BeginRanking()
 	s.reserved = map[string]binpack.Vec{}
-	s.readyTasks, s.completionRate = 0, 0
+	s.readyTasks, s.completionRate, s.nominalSince = 0, 0, units.MaxTime
 	for _, job := range s.queue.Jobs() {
 		spec := job.Spec()
 		if spec == nil {
@@ -101,10 +101,14 @@
 			continue
 		}
 		s.readyTasks += job.StartLimit()
+		within := s.entitlements.WithinNominal[job.ID]
+		if within {
+			s.nominalSince = min(s.nominalSince, job.Since)
+		}
 		s.reserve(wall, job)
 		s.queue.AddCandidate(ranking.Candidate{
 			Job:     job,
-			Tier:    s.tier(job)*int(demand.NumUrgencies) + int(s.urgency(wall, job)),
+			Tier:    s.tier(job, within)*tierStep + int(s.urgency(wall, job)),
 			Deficit: s.deficit(job),
 		})
 	}
@@ -131,11 +135,21 @@
 // outrank every priority because each adds a multiple of it to the tier.
 const numPriorities = int(jobs.Production) + 1
 
+const (
+	// tierStep is the distance between two tiers in the ranking. The urgency orders the jobs between them.
+	tierStep = int(demand.NumUrgencies)
+	// nominalTier is the lowest rank of a job within its team's nominal quota.
+	nominalTier = numPriorities * tierStep
+)
+
+// rankedWithinNominal reports from a job's tier in the ranking whether it was within its team's nominal quota.
+func rankedWithinNominal(tier int) bool { return tier/nominalTier%2 == 1 }
+
 // tier returns the precedence of a job, larger first: jobs of a team in
-// shortfall, then jobs within their team's nominal quota, then by priority.
-func (s *Scheduler) tier(job *jobs.Job) int {
+// shortfall, then jobs within their team's nominal quota (within), then by priority.
+func (s *Scheduler) tier(job *jobs.Job, within bool) int {
 	tier := int(job.Objectives.Priority)
-	if s.entitlements.WithinNominal[job.ID] {
+	if within {
 		tier += numPriorities
 	}
 	if s.inShortfall(job.Spec()) {
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -104,6 +104,7 @@
 	idleOfferPending bool // a ranking had newly ready tasks that idle machines were not offered yet
 	readyTasks       int  // of the ranked jobs
 	completionRate   float64
+	nominalSince     units.Microseconds     // since when the first of the ranked jobs within their nominal quotas waits; units.MaxTime if there is none
 	reserved         map[string]binpack.Vec // by team: part of its limit kept free for the first task of an overdue job
 	preferred        []*fleet.Machine       // machines with free capacity, the most preferred first
 	preemptions      map[string]preemption  // by job: the places that stops are making for it
--- a/internal/core/scheduler/stops_test.go
+++ b/internal/core/scheduler/stops_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -41,6 +42,14 @@
 	teams := []configuration.Team{{Name: "a", Guarantee: binpack.Vec{8000}}, {Name: "b", Guarantee: binpack.Vec{8000}}}
 	checkpointed := recordOf("b", 4, jobs.Low)
 	checkpointed.Spec.Checkpoint, checkpointed.Spec.Save = units.Second, 2*units.Second
+	short := func(record jobs.Record) jobs.Record {
+		record.Spec.Estimate = 5 * units.Second
+		return record
+	}
+	service := func(record jobs.Record) jobs.Record {
+		record.Spec.Service, record.Spec.Estimate = true, 0
+		return record
+	}
 	for _, test := range []struct {
 		name             string
 		running, waiting jobs.Record
@@ -53,14 +62,23 @@
 		{"not if a quarter of the gained run time is lost", recordOf("a", 4, jobs.Normal), recordOf("a", 4, jobs.High), 70 * units.Second, preemptAfter, 0},
 		{"not for a job beyond its nominal quota", recordOf("a", 4, jobs.Normal), recordOf("b", 4, jobs.Normal), 0, preemptAfter, 0},
 		{"job within nominal quota preempts team beyond its own", recordOf("a", 4, jobs.Normal), recordOf("b", 2, jobs.Normal), 0, preemptAfter, 1},
+		{"short tasks within nominal quota preempt long ones beyond", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 3600 * units.Second, preemptAfter, 1},
+		{"and not before they have waited", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 3600 * units.Second, preemptAfter - 1, 0},
+		{"short tasks of higher priority do not preempt long ones", recordOf("a", 4, jobs.Normal), short(recordOf("a", 4, jobs.High)), 3600 * units.Second, preemptAfter, 0},
+		{"service within nominal quota preempts a service beyond", service(recordOf("a", 4, jobs.Normal)), service(recordOf("b", 1, jobs.Normal)), 0, preemptAfter, 1},
+		{"service within nominal quota preempts an array beyond", recordOf("a", 4, jobs.High), service(recordOf("b", 1, jobs.Low)), 3600 * units.Second, preemptAfter, 1},
+		{"service of higher priority preempts an array", recordOf("a", 4, jobs.Normal), service(recordOf("a", 1, jobs.High)), 3600 * units.Second, preemptAfter, 1},
+		{"service beyond nominal quota preempts nothing of its priority", recordOf("a", 4, jobs.Normal), service(recordOf("b", 3, jobs.Normal)), 0, preemptAfter, 0},
+		{"service preempts nothing within another's nominal quota", recordOf("a", 2, jobs.Normal), service(recordOf("b", 1, jobs.Normal)), 0, preemptAfter, 0},
 		{"several preemptible tasks at once, after a short wait", checkpointed, recordOf("a", 3, jobs.Normal), 50 * units.Second, displaceAfter, 3},
 	} {
 		shard := newShard(t, binpack.Params{}, teams, map[string]jobs.Record{"wk-000001": test.running})
 		machine := shard.machines["n-1"]
-		if n := len(shard.scheduler.Fill(machine)); n != 4 {
+		if n := len(shard.scheduler.Fill(machine)); n != test.running.Tasks {
 			t.Fatalf("%s: %d tasks are started", test.name, n)
 		}
 		run(shard, machine)
+		shard.block(machine, 4-test.running.Tasks)
 		shard.advance(test.ran)
 		shard.addJob("wk-000002", test.waiting, shard.wall)
 		shard.advance(test.waited)
@@ -79,6 +97,75 @@
 	}
 }
 
+// block makes a machine full with tasks of 4 CPUs of a team that does not exceed its nominal quota.
+func (f *fakeShard) block(machine *fleet.Machine, tasks int) {
+	if tasks == 0 {
+		return
+	}
+	f.teams["within"] = &configuration.Team{Name: "within", Guarantee: binpack.Vec{64_000}}
+	f.addJob("wk-000003", recordOf("within", tasks, jobs.Normal), f.wall)
+	f.scheduler.rank()
+	f.scheduler.Fill(machine)
+	run(f, machine)
+}
+
+// TestDueCapacityIsFoundBehindOthers guards against work within its team's nominal quota that waits for good behind
+// other jobs: one that ranks before it and finds no victims, tasks that complete elsewhere all the time and leave
+// places that are too small, and a failure of its own on a faulty machine.
+func TestDueCapacityIsFoundBehindOthers(t *testing.T) {
+	owed := recordOf("b", 1, jobs.Normal)
+	for _, test := range []struct {
+		name   string
+		change func(shard *fakeShard)
+		want   int
+	}{
+		{"alone", func(*fakeShard) {}, 1},
+		{"behind a job of the team that exceeds its quota", func(shard *fakeShard) {
+			shard.addJob("wk-000000", recordOf("a", 1, jobs.High), shard.wall-3600*units.Second)
+		}, 1},
+		{"behind many jobs of that team", func(shard *fakeShard) {
+			for i := range 200 {
+				shard.addJob(fmt.Sprintf("wk-1%05d", i), recordOf("a", 1, jobs.High), shard.wall-3600*units.Second)
+			}
+		}, 1},
+		{"behind many larger ones within their quota", func(shard *fakeShard) {
+			for i := range 2 * maxPreemptors {
+				large := recordOf("c", 1, jobs.High)
+				large.Spec.Demand = binpack.Vec{16_000, 0, 1}
+				shard.addJob(fmt.Sprintf("wk-2%05d", i), large, shard.wall-3600*units.Second)
+			}
+		}, 1},
+		{"while short tasks complete elsewhere", func(shard *fakeShard) {
+			small := recordOf("a", 1000, jobs.Normal)
+			small.Spec.Demand, small.Spec.Estimate = binpack.Vec{1}, units.Second
+			shard.addJob("wk-000005", small, shard.wall)
+			for range 1000 {
+				shard.jobs["wk-000005"].PlaceNext(jobs.Place{Machine: "n-9", Zone: "z"})
+			}
+		}, 1},
+		{"after a failure on another machine", func(shard *fakeShard) { shard.jobs["wk-000002"].FailedOn("n-9") }, 1},
+		{"not after failures everywhere", func(shard *fakeShard) {
+			shard.jobs["wk-000002"].FailedOn("n-8")
+			shard.jobs["wk-000002"].FailedOn("n-9")
+		}, 0},
+	} {
+		teams := []configuration.Team{{Name: "a", Guarantee: binpack.Vec{8000}}, {Name: "b", Guarantee: binpack.Vec{8000}}, {Name: "c", Guarantee: binpack.Vec{2 * maxPreemptors * 16_000}}}
+		shard := newShard(t, binpack.Params{}, teams, map[string]jobs.Record{"wk-000001": recordOf("a", 3, jobs.Normal)})
+		machine := shard.machines["n-1"]
+		shard.scheduler.Fill(machine)
+		run(shard, machine)
+		shard.block(machine, 1)
+		shard.advance(3600 * units.Second)
+		shard.addJob("wk-000002", owed, shard.wall)
+		test.change(shard)
+		shard.advance(preemptAfter)
+		shard.scheduler.Fill(machine)
+		if stops := shard.scheduler.Preempt(machine); len(stops) != test.want {
+			t.Errorf("%s: %v, want %d stops", test.name, stops, test.want)
+		}
+	}
+}
+
 // TestEvictIdleAndReclaimed guards against eviction that wastes work. A machine
 // with three tasks is spare, or the cloud is about to reclaim it. Only tasks that
 // gain by starting elsewhere may be stopped, with time to save if there is enough.
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -19,10 +19,11 @@
 	"shalestage.example/shalestage/internal/emulator/eventqueue"
 )
 
-// Team is a team with its resource limit; 0 means unlimited.
+// Team is a team with its resource limit, 0 means unlimited, and its nominal quota, 0 means none.
 type Team struct {
-	Name  string
-	Limit binpack.Vec
+	Name    string
+	Limit   binpack.Vec
+	Nominal binpack.Vec
 }
 
 // Type is a machine type: its capacity and the zones that offer it.
@@ -73,6 +74,7 @@
 	excusedSince    units.Microseconds // waitingSince when its free capacity was found to be transient; 0: it was not
 	// unprovisionedSince is since when a replica has waited for a machine, see CheckProvisioning; 0: none does.
 	unprovisionedSince units.Microseconds
+	withheldSince      units.Microseconds // since when it has waited for its team's nominal quota, see CheckNominalQuotas; 0: it does not
 }
 
 // Checker records events and the rules that they violate. The times that its methods are given must
--- a/internal/emulator/check/provisioning.go
+++ b/internal/emulator/check/provisioning.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/units"
 )
 
@@ -27,7 +26,8 @@
 	for range min(maxJobsChecked, len(c.openJobs)) {
 		c.nextService = (c.nextService + 1) % len(c.openJobs)
 		job := c.openJobs[c.nextService]
-		if !c.needsMachine(job, len(placed[job.id]), usage) || !c.poolFor(job, pools) {
+		waits := job.spec.Service && len(placed[job.id]) < job.spec.Tasks && c.mayStart(job, usage)
+		if !waits || !c.poolFor(job, pools) {
 			job.unprovisionedSince = 0
 			continue
 		}
@@ -41,20 +41,6 @@
 	}
 }
 
-// needsMachine reports whether a replica of a service is on no machine although its team's limit allows it.
-func (c *Checker) needsMachine(job *jobRecord, placed int, usage map[string]binpack.Vec) bool {
-	if !job.spec.Service || placed >= job.spec.Tasks || job.finalStatus != "" || job.malformed || job.failsAlways {
-		return false
-	}
-	if _, asked := c.cancellation(job, nil); asked {
-		return false
-	}
-	if slices.ContainsFunc(job.dependencies, func(needed *jobRecord) bool { return needed.completed.Len() < needed.spec.Tasks }) {
-		return false
-	}
-	return withinLimit(usage[job.spec.Team].Add(job.spec.Demand), c.lowestLimit(job.spec.Team))
-}
-
 // poolFor reports whether one more task of a job may run on a machine of one of the pools.
 func (c *Checker) poolFor(job *jobRecord, pools []Machine) bool {
 	return slices.ContainsFunc(pools, func(pool Machine) bool {
--- a/internal/emulator/check/waiting.go
+++ b/internal/emulator/check/waiting.go
@@ -27,8 +27,11 @@
 	maxJobsChecked = 200
 )
 
-// AvailableMachine is a healthy, reachable machine with its free capacity and the tasks placed on it,
-// including those whose image is still being fetched.
+// Unusable is the free capacity of a machine that cannot be used.
+var Unusable = binpack.Vec{-1, -1, -1}
+
+// AvailableMachine is a machine that is up, with its free capacity and the tasks placed on it, including those
+// whose image is still being fetched.
 type AvailableMachine struct {
 	Machine
 	Free  binpack.Vec
@@ -176,18 +179,22 @@
 // machineFor returns the index of a machine on which a waiting task of a job could start, -1 if there
 // is no such machine or no task is waiting.
 func (c *Checker) machineFor(job *jobRecord, available []AvailableMachine, placed map[int]bool, usage map[string]binpack.Vec) int {
-	if _, asked := c.cancellation(job, nil); asked || job.finalStatus != "" || job.malformed || job.failsAlways {
+	if len(placed) > 0 || !c.mayStart(job, usage) {
 		return -1
 	}
-	for _, a := range job.dependencies {
-		if a.completed.Len() < a.spec.Tasks {
-			return -1
-		}
+	return slices.IndexFunc(available, func(m AvailableMachine) bool { return job.couldStart(m) })
+}
+
+// mayStart reports whether a job is to run and has tasks that have not completed, what it needs is done, and its
+// team's limit allows one more of its tasks. usage is the demand of the tasks on machines, by team.
+func (c *Checker) mayStart(job *jobRecord, usage map[string]binpack.Vec) bool {
+	if _, asked := c.cancellation(job, nil); asked || job.finalStatus != "" || job.malformed || job.failsAlways || !job.incomplete() {
+		return false
 	}
-	if len(placed) > 0 || !job.incomplete() || !withinLimit(usage[job.spec.Team].Add(job.spec.Demand), c.lowestLimit(job.spec.Team)) {
-		return -1
+	if slices.ContainsFunc(job.dependencies, func(needed *jobRecord) bool { return needed.incomplete() }) {
+		return false
 	}
-	return slices.IndexFunc(available, func(m AvailableMachine) bool { return job.couldStart(m) })
+	return withinLimit(usage[job.spec.Team].Add(job.spec.Demand), c.lowestLimit(job.spec.Team))
 }
 
 // incomplete reports whether a job has tasks that have not completed.
--- a/internal/emulator/sim/checker_test.go
+++ b/internal/emulator/sim/checker_test.go
@@ -77,6 +77,7 @@
 		}}},
 		check.LeftWaiting:   {b: Mutation{Commands: withoutStarts("wk-000002")}},
 		check.Unprovisioned: {b: Mutation{Commands: withoutStarts("wk-000006")}},
+		check.NominalQuota:  {b: Mutation{Commands: withoutStarts("wk-000009")}},
 		check.Outdated:      {fault: scenario.Fault{Kind: scenario.ConfigSet, Team: "red", Remove: true, AtS: 25}, b: answering(user.Submit, http.StatusCreated, jobs.Pending)},
 	}
 	for _, rule := range check.Rules {
@@ -113,6 +114,8 @@
 			service.Service, service.Estimate = true, 0
 			w.submitJob(second, service, 0, 0)
 			w.submitJob(60*second, spec("red", 1), units.Second, 0)
+			w.submitJob(70*second, spec("green", 2), 300*second, 0)
+			w.submitJob(80*second, spec("blue", 2), 10*second, 0)
 			w.Run(240 * second)
 			w.Check.Finish(w.now, true)
 			for _, b := range w.Check.Violations() {
--- a/internal/emulator/sim/users.go
+++ b/internal/emulator/sim/users.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/jobs"
 	"shalestage.example/shalestage/internal/core/units"
 	"shalestage.example/shalestage/internal/emulator/check"
@@ -191,11 +190,24 @@
 			available := w.availableMachines()
 			w.Check.CheckWaiting(w.now, available)
 			w.Check.CheckProvisioning(w.now, available, w.poolsWithCapacity())
+			if w.oneShard() {
+				w.Check.CheckNominalQuotas(w.now, available)
+			}
 		}
 		w.scheduleWaitingCheck()
 	})
 }
 
+// oneShard reports whether the first shard has an owner, and no other shard has one.
+func (w *World) oneShard() bool {
+	for shard := 1; shard < len(w.Nodes); shard++ {
+		if w.ShardOwner(shard) != nil {
+			return false
+		}
+	}
+	return w.ShardOwner(0) != nil
+}
+
 // poolsWithCapacity returns a machine of each pool in which the cloud has capacity.
 func (w *World) poolsWithCapacity() (out []check.Machine) {
 	for _, pool := range w.Site.Cloud.PoolsWithCapacity(w.now) {
@@ -204,9 +216,6 @@
 	return out
 }
 
-// unusable is the free capacity of a machine that cannot be used.
-var unusable = binpack.Vec{-1, -1, -1}
-
 // availableMachines returns the machines that are up, with their free capacity.
 func (w *World) availableMachines() (out []check.AvailableMachine) {
 	for _, m := range w.Site.Cloud.Alive() {
@@ -216,7 +225,7 @@
 		}
 		available := check.AvailableMachine{Machine: machineOf(m)}
 		if available.Free, available.Tasks = worker.FreeCapacity(); worker.Hung(w.now) || worker.InboundCut(w.now) || worker.Unreliable() {
-			available.Free = unusable
+			available.Free = check.Unusable
 		}
 		out = append(out, available)
 	}
--- a/internal/scenario/build.go
+++ b/internal/scenario/build.go
@@ -75,7 +75,8 @@
 func (s *Scenario) Check() check.Config {
 	c := check.Config{CancelIn: units.Seconds(s.Workers.CancelS)}
 	for _, t := range s.Teams {
-		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: binpack.Vec{units.MilliDown(t.CPUsMax), units.MilliDown(t.GPUsMax)}})
+		c.Teams = append(c.Teams, check.Team{Name: t.Name, Limit: binpack.Vec{units.MilliDown(t.CPUsMax), units.MilliDown(t.GPUsMax)},
+			Nominal: binpack.Vec{units.MilliDown(t.CPUs), units.MilliDown(t.GPUs)}})
 	}
 	for _, t := range s.Site().Cloud.Types {
 		c.Types = append(c.Types, check.Type{Name: t.Name, Capacity: site.Capacity(t), Zones: t.Zones, Boot: t.Boot})
