What is due waits for places that are left soon

Cause: jobs behind the first could also preempt by the run time that they gain, and tasks of seconds were stopped for what is due though they leave their places at once anyway, to what is due before anything else.

Change: for what is due, a task is stopped only if it is not expected to complete within 60 s, or if its place alone is too small and the job has waited 60 s. Jobs behind the first preempt only for what is due.

--- a/internal/core/demand/demand.go
+++ b/internal/core/demand/demand.go
@@ -61,6 +61,13 @@
 	ratio.add(math.Min(float64(elapsed)/float64(spec.Estimate), maxRatio))
 }
 
+// TimeToComplete returns the expected time until a task that has run for the given time completes. One that has outrun
+// its expected run time is expected to run as long again as it has run beyond it. It is not meant for services.
+func (e *Estimator) TimeToComplete(spec *jobs.Spec, ran units.Microseconds) units.Microseconds {
+	remaining := e.Runtime(spec) - ran
+	return max(remaining, -remaining)
+}
+
 // Runtime returns the expected run time of a job's task: the owner's estimate,
 // corrected by the observations of its class once there are minRatioSamples of them.
 func (e *Estimator) Runtime(spec *jobs.Spec) units.Microseconds {
--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -18,6 +18,12 @@
 	preemptAfter = 30 * units.Second
 	// displaceAfter replaces preemptAfter where the tasks to stop are preemptible.
 	displaceAfter = 3 * units.Second
+	// dueSoon is the expected time to the completion of a task up to which a job waits for its place, though
+	// that is due to the job. Many short tasks would be lost in a shortage if it did not.
+	dueSoon = 2 * preemptAfter
+	// duePatience is how long a job must have waited before such tasks are stopped for it all the same, if a
+	// place that one of them leaves is too small for it.
+	duePatience = 2 * preemptAfter
 	// stopTimeout is how long a stop is assumed to be in progress.
 	stopTimeout = 3 * units.Second
 	// gainFactor is the minimum ratio of the run time of the task that gains the capacity to the run time
@@ -49,7 +55,8 @@
 // precedence: a job of higher priority, or one within its team's nominal quota
 // where the victim's team exceeds its own. It stops the tasks that lose the least
 // work. For a higher priority it stops none whose loss is large compared with the
-// run time of the job's task. A nominal quota is due whatever is lost.
+// run time of the job's task. A nominal quota is due whatever is lost, unless
+// room for the job comes soon by itself.
 func (s *Scheduler) Preempt(machine *fleet.Machine) []fleet.Command {
 	if len(machine.Tasks) == 0 || len(s.queue.Ranked()) == 0 {
 		return nil
@@ -122,7 +129,7 @@
 			return true
 		}
 		tried = append(tried, kind)
-		stops = s.preemptFor(machine, job, eligible)
+		stops = s.preemptFor(machine, job, dueOnly, eligible)
 		dueOnly = true
 		return stops == nil && len(indebted) > 0 && len(tried) < maxPreemptors
 	})
@@ -152,14 +159,14 @@
 	return wanted - s.pendingPlaces(now, job)
 }
 
-// preemptFor stops tasks of eligible jobs on a machine to make places for a job. It returns nil if no tasks may be
-// stopped for it, or if they would not make a place.
-func (s *Scheduler) preemptFor(machine *fleet.Machine, job *jobs.Job, eligible func(*jobs.Job) bool) []fleet.Command {
+// preemptFor stops tasks of eligible jobs on a machine to make places for a job; with dueOnly, only those places that
+// are due to it. It returns nil if no tasks may be stopped for it, or if they would not make a place.
+func (s *Scheduler) preemptFor(machine *fleet.Machine, job *jobs.Job, dueOnly bool, eligible func(*jobs.Job) bool) []fleet.Command {
 	now, taskDemand := s.host.Now(), job.Spec().Demand
 	if taskDemand.Fits(machine.Free()) {
 		return nil // a task that fits is started by Fill, unless another rule forbids it
 	}
-	victims, costless := s.victims(machine, job, eligible)
+	victims, costless := s.victims(machine, job, dueOnly, eligible)
 	maxPlaces := 1
 	if costless {
 		maxPlaces = s.missingPlaces(now, machine, job)
@@ -184,9 +191,10 @@
 	return previous.places
 }
 
-// victims returns the tasks of a machine that may be stopped for a job, the least lost work first.
+// victims returns the tasks of a machine that may be stopped for a job, the least lost work first; with dueOnly, only
+// those whose places are due to it.
 // costless reports whether all of them are preemptible, so that stopping several loses nothing.
-func (s *Scheduler) victims(machine *fleet.Machine, job *jobs.Job, eligible func(*jobs.Job) bool) (victims []victim, costless bool) {
+func (s *Scheduler) victims(machine *fleet.Machine, job *jobs.Job, dueOnly bool, eligible func(*jobs.Job) bool) (victims []victim, costless bool) {
 	now, gain := s.host.Now(), s.gain(job.Spec())
 	costless = true
 	for _, id := range machine.TaskIDs() {
@@ -194,7 +202,8 @@
 		if owner == nil || !owner.Active() || attempt.State == fleet.Saving || !eligible(owner) || !s.mayPreempt(job, owner) {
 			continue
 		}
-		if lost := lostWork(now, owner.Spec(), attempt); lost < gain/gainFactor || s.owesNominal(job, owner) {
+		lost := lostWork(now, owner.Spec(), attempt)
+		if !dueOnly && lost < gain/gainFactor || s.owesNominal(job, owner) && s.blocks(machine, job, owner, attempt) {
 			victims = append(victims, victim{id, attempt, lost})
 			costless = costless && preemptible(owner)
 		}
@@ -242,6 +251,16 @@
 	return s.entitlements.WithinNominal[job.ID] && job.Spec().Team != victim.Spec().Team && s.beyondNominal(victim)
 }
 
+// blocks reports whether a job would wait too long for the place of an attempt of owner. A place that is left soon, and
+// is large enough, is given to what is due before anything else.
+func (s *Scheduler) blocks(machine *fleet.Machine, job, owner *jobs.Job, attempt fleet.Attempt) bool {
+	if owner.Spec().Service || s.demand.TimeToComplete(owner.Spec(), attempt.Runtime(s.host.Now())) >= dueSoon {
+		return true
+	}
+	enough := job.Spec().Demand.Fits(machine.Free().Add(attempt.Demand))
+	return !enough && s.host.Wall()-job.Since >= duePatience
+}
+
 // beyondNominal reports whether a job's team uses more than its nominal quota, and the job is beyond it.
 func (s *Scheduler) beyondNominal(job *jobs.Job) bool {
 	return !s.entitlements.WithinNominal[job.ID] && s.quota.ExceedsNominal(job.Spec().Team)
--- a/internal/core/scheduler/stops_test.go
+++ b/internal/core/scheduler/stops_test.go
@@ -46,6 +46,14 @@
 		record.Spec.Estimate = 5 * units.Second
 		return record
 	}
+	soon := func(record jobs.Record) jobs.Record { // its tasks complete soon after duePatience
+		record.Spec.Estimate = duePatience + preemptAfter/2
+		return record
+	}
+	wide := func(record jobs.Record) jobs.Record {
+		record.Spec.Demand[binpack.CPU] = 8000
+		return short(record)
+	}
 	service := func(record jobs.Record) jobs.Record {
 		record.Spec.Service, record.Spec.Estimate = true, 0
 		return record
@@ -63,6 +71,12 @@
 		{"not for a job beyond its nominal quota", recordOf("a", 4, jobs.Normal), recordOf("b", 4, jobs.Normal), 0, preemptAfter, 0},
 		{"job within nominal quota preempts team beyond its own", recordOf("a", 4, jobs.Normal), recordOf("b", 2, jobs.Normal), 0, preemptAfter, 1},
 		{"short tasks within nominal quota preempt long ones beyond", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 3600 * units.Second, preemptAfter, 1},
+		{"not long ones that complete soon", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 400*units.Second - preemptAfter - dueSoon + 1, preemptAfter, 0},
+		{"long ones that do not", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 400*units.Second - preemptAfter - dueSoon, preemptAfter, 1},
+		{"long ones that have outrun their estimate", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 400*units.Second - preemptAfter + dueSoon, preemptAfter, 1},
+		{"not for a task that needs one of their places", soon(recordOf("a", 4, jobs.Normal)), short(recordOf("b", 1, jobs.Normal)), 0, duePatience, 0},
+		{"but for one that needs two", soon(recordOf("a", 4, jobs.Normal)), wide(recordOf("b", 1, jobs.Normal)), 0, duePatience, 2},
+		{"which waits longer for them", soon(recordOf("a", 4, jobs.Normal)), wide(recordOf("b", 1, jobs.Normal)), 0, duePatience - units.Second, 0},
 		{"and not before they have waited", recordOf("a", 4, jobs.Normal), short(recordOf("b", 2, jobs.Normal)), 3600 * units.Second, preemptAfter - 1, 0},
 		{"short tasks of higher priority do not preempt long ones", recordOf("a", 4, jobs.Normal), short(recordOf("a", 4, jobs.High)), 3600 * units.Second, preemptAfter, 0},
 		{"service within nominal quota preempts a service beyond", service(recordOf("a", 4, jobs.Normal)), service(recordOf("b", 1, jobs.Normal)), 0, preemptAfter, 1},
