The autoscaler counts only on room that will come

Cause: the plan put all work anew onto empty machines, as if what runs could move. Replicas of services never complete. Averages and parts of slots hid that a task does not fit, and tasks that run for an hour were taken for room to come.

Change: what replicas use on their machine is never free, and they need no other place; room beside them in which no whole task fits is no slot.

Checks: unprovisioned holds for arrays too that have nothing on a machine while none will have room; they may wait a lease more, as their tasks may have been on a machine that is gone.

--- a/internal/core/autoscaler/autoscaler.go
+++ b/internal/core/autoscaler/autoscaler.go
@@ -70,10 +70,29 @@
 	// are work without an end, and have no part in Waiting.
 	Replicas int
 	Total    binpack.Vec
-	Waiting  units.Microseconds
-	Slack    units.Microseconds // time that waiting tasks may still wait and meet their deadlines, added up
-	Rate     float64
-	Types    []string
+	// Demands are those of ready tasks that may start at once, each once and at most MaxDemands of them.
+	Demands []binpack.Vec
+	Waiting units.Microseconds
+	Slack   units.Microseconds // time that waiting tasks may still wait and meet their deadlines, added up
+	Rate    float64
+	Types   []string
+}
+
+// MaxDemands bounds the demands that a Need lists.
+const MaxDemands = 16
+
+// AddDemand adds the demand of ready tasks to Demands.
+func (n *Need) AddDemand(demand binpack.Vec) {
+	if len(n.Demands) < MaxDemands && !slices.Contains(n.Demands, demand) {
+		n.Demands = append(n.Demands, demand)
+	}
+}
+
+// Replicas are replicas of services of one group on one machine.
+type Replicas struct {
+	Group  Group
+	Count  int
+	Demand binpack.Vec // of all of them
 }
 
 // Machine is a machine as the autoscaler sees it.
@@ -84,6 +103,7 @@
 	Booted   bool
 	Age      units.Microseconds // time since it was provisioned
 	ZoneLost bool               // it is in a lost zone: it does no work now, but would if its zone recovered
+	Replicas []Replicas         // they never complete, so what they use is never free
 	Needed   bool               // set by Plan if the work at hand needs the machine
 }
 
--- a/internal/core/autoscaler/plan.go
+++ b/internal/core/autoscaler/plan.go
@@ -17,6 +17,9 @@
 	// ZoneLimit returns the number of machines that may be provisioned into a zone; a negative number
 	// means no limit.
 	ZoneLimit func(zone string) int
+	// Staying returns the demand of the tasks on a machine that are not expected to complete for a long time;
+	// nil means that there are none but replicas of services.
+	Staying func(machine string) binpack.Vec
 }
 
 // Plan returns the increases to request and the names of the machines to scale in, given all work at
@@ -67,19 +70,27 @@
 	machines      []Machine
 	market        Market
 	free          []binpack.Vec // free capacity, by index in machines
-	cheapestFirst []int         // indices of machines, the cheapest first
-	backlogs      [2]backlog    // of the groups allocated so far; index 1 if they may use spot machines, else 0
+	rooms         rooms
+	placed        map[Group]float64 // replicas of services on machines, by group
+	cheapestFirst []int             // indices of machines, the cheapest first
+	backlogs      [2]backlog        // of the groups allocated so far; index 1 if they may use spot machines, else 0
 	samePools     map[Group]*backlog
 }
 
 // newPlanning returns a run in which no group has been allocated machines yet.
 func (s *Scaler) newPlanning(now units.Microseconds, machines []Machine, market Market) *planning {
 	run := &planning{Scaler: s, now: now, machines: machines, market: market,
-		free: make([]binpack.Vec, len(machines)), cheapestFirst: make([]int, len(machines)), samePools: map[Group]*backlog{}}
+		free: make([]binpack.Vec, len(machines)), rooms: newRooms(machines, market), placed: map[Group]float64{},
+		cheapestFirst: make([]int, len(machines)), samePools: map[Group]*backlog{}}
 	for i, machine := range machines {
 		run.cheapestFirst[i], machines[i].Needed = i, false
-		if machineType := market.Types[machine.Pool.Type]; machineType != nil {
-			run.free[i] = machineType.Capacity
+		run.free[i] = run.rooms.besideReplicas[i]
+		if machine.ZoneLost {
+			continue // its replicas have to start elsewhere
+		}
+		for _, replicas := range machine.Replicas {
+			machines[i].Needed = true
+			run.placed[replicas.Group] += float64(replicas.Count)
 		}
 	}
 	sort.SliceStable(run.cheapestFirst, func(a, b int) bool {
@@ -103,7 +114,8 @@
 // demand, if any.
 func (p *planning) allocate(group Group, need Need) (Increase, bool) {
 	average := p.averages[group]
-	wanted := math.Max(float64(need.Tasks), average.tasks*(1+p.params.Headroom))
+	placed := p.placed[group] // replicas that have their places
+	wanted := math.Max(0, math.Max(float64(need.Tasks), average.tasks*(1+p.params.Headroom))-placed)
 	limit := math.Inf(1)
 	if group.IdleTime {
 		limit = maxPremium * lowestPricePerCPU(average.types, group.Spot, p.market.Types)
@@ -116,18 +128,19 @@
 	if group.Spot {
 		spotIndex = 1
 	}
-	p.backlogs[spotIndex].add(need, wanted-missing, average.tasks)
+	slots := wanted - missing + placed
+	p.backlogs[spotIndex].add(need, slots, average.tasks)
 	pools := group.pools()
 	if p.samePools[pools] == nil {
 		p.samePools[pools] = &backlog{}
 	}
-	p.samePools[pools].add(need, wanted-missing, average.tasks)
-	unserved := wanted-missing < 0.5
-	missing = math.Max(missing, p.strandedReplicas(group, average, need))
+	p.samePools[pools].add(need, slots, average.tasks)
+	without := p.demandsWithoutRoom(group, average, need)
+	missing = math.Max(missing, math.Max(without, p.strandedReplicas(group, average, need)))
 	if missing < 0.5 {
 		return Increase{}, false
 	}
-	return p.chooseOffer(shortfall{group: group, average: average, slots: missing, replicas: float64(need.Replicas), unserved: unserved,
+	return p.chooseOffer(shortfall{group: group, average: average, slots: missing, certain: float64(need.Replicas) + without, unserved: slots < 0.5,
 		cheapest: lowestPricePerCPU(average.types, group.Spot, p.market.Types),
 		backlog:  p.backlogs[spotIndex], samePools: p.samePools[pools]})
 }
@@ -176,7 +189,7 @@
 		if missing < 0.5 {
 			break
 		}
-		if machine.ZoneLost != limits.zoneLost || !group.usable(average.types, machine.Pool) {
+		if machine.ZoneLost != limits.zoneLost || !group.usable(average.types, machine.Pool) || !p.rooms.holds(i, average.demand) {
 			continue
 		}
 		if p.pricePerCPU(machine.Pool) > limits.price && limits.slots-missing >= 0.5 {
@@ -213,7 +226,7 @@
 	group     Group
 	average   *groupAverage
 	slots     float64
-	replicas  float64  // ready replicas of services
+	certain   float64  // slots that are worth any price: those of ready replicas, and of tasks for which no room will come
 	cheapest  float64  // price of a CPU in the cheapest offer
 	unserved  bool     // the group has no slot at all
 	backlog   backlog  // of the group and those allocated before it that match it in use of spot machines
@@ -267,9 +280,9 @@
 
 // worthwhileSlots returns the number of slots of a machine type that would find enough work to be worth
 // their price. A replica of a service is worth a slot at any price: no existing slot will do its work
-// meanwhile, as it never completes, and no other replica leaves it one.
+// meanwhile, as it never completes, and no other replica leaves it one. So is a task for which no room will come.
 func (p *planning) worthwhileSlots(unmet shortfall, machineType *fleet.Type, spot bool) float64 {
-	return math.Min(unmet.slots, math.Max(0, p.slotsWithEnoughWork(unmet, machineType, spot))+unmet.replicas)
+	return math.Min(unmet.slots, math.Max(0, p.slotsWithEnoughWork(unmet, machineType, spot))+unmet.certain)
 }
 
 // slotsWithEnoughWork returns the number of slots of a machine type that would find enough work that
--- a/internal/core/demand/slots.go
+++ b/internal/core/demand/slots.go
@@ -53,7 +53,7 @@
 		}
 		perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(work.slots)))
 		types := host.CompatibleTypes(spec)
-		group := autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zones: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job), Service: spec.Service}
+		group := e.Group(wall, job, types)
 		if !bindsReplicasToZones(spec) {
 			needed[group] = e.addWork(needed[group], wall, job, work, types)
 			continue
@@ -68,6 +68,13 @@
 	return needed
 }
 
+// Group returns the group of a job whose tasks may use the named machine types. Replicas that have to go to other zones
+// than those that run are in groups of their own.
+func (e *Estimator) Group(wall units.Microseconds, job *jobs.Job, types []string) autoscaler.Group {
+	spec := job.Spec()
+	return autoscaler.Group{Class: spec.Class, Types: strings.Join(types, ","), Zones: spec.Zone, Spot: spec.Spot, IdleTime: e.IsIdleTime(wall, job), Service: spec.Service}
+}
+
 // workload returns a job's workload without regard to its team's limit.
 func (e *Estimator) workload(wall units.Microseconds, job *jobs.Job, host Host) workload {
 	spec := job.Spec()
@@ -150,6 +157,9 @@
 	} else {
 		need.Rate += float64(work.placed) / max(runtime.Seconds(), 1)
 	}
+	if work.startable(job) > 0 {
+		need.AddDemand(job.Spec().Demand)
+	}
 	need.Total = need.Total.Add(job.Spec().Demand.Times(int64(work.slots)))
 	need.Types = types
 	return need
--- a/internal/core/jobs/job.go
+++ b/internal/core/jobs/job.go
@@ -98,6 +98,15 @@
 // PlacedIn returns how many tasks may be running in a zone.
 func (j *Job) PlacedIn(zone string) int { return j.zones[zone] }
 
+// PlacedByMachine returns how many tasks may be running on each machine that has any.
+func (j *Job) PlacedByMachine() map[string]int {
+	count := map[string]int{}
+	for _, place := range j.places {
+		count[place.Machine]++
+	}
+	return count
+}
+
 // Live returns how many tasks run, according to the last heartbeats of their machines.
 func (j *Job) Live() int {
 	n := 0
--- a/internal/core/provisioner.go
+++ b/internal/core/provisioner.go
@@ -44,6 +44,42 @@
 	return h.shard.demand.SlotsNeeded(h.now, h.wall, h.shard.scheduler.Jobs(), h), true
 }
 
+// Replicas implements provisioner.Host.
+func (h provisionerHost) Replicas() map[string][]autoscaler.Replicas {
+	machines := h.shard.reconciler.Machines()
+	replicas := map[string][]autoscaler.Replicas{}
+	for _, job := range h.shard.scheduler.Jobs() {
+		if spec := job.Spec(); spec != nil && spec.Service && job.Placed() > 0 {
+			group := h.shard.demand.Group(h.wall, job, h.compatibleTypes(spec))
+			for name, count := range job.PlacedByMachine() {
+				if machines[name] != nil {
+					replicas[name] = append(replicas[name], autoscaler.Replicas{Group: group, Count: count, Demand: spec.Demand.Times(int64(count))})
+				}
+			}
+		}
+	}
+	return replicas
+}
+
+// stayingAfter is the expected time to its completion from which a task counts as staying: work that has a
+// machine within a minute or two should not wait that long.
+const stayingAfter = 300 * units.Second
+
+// Staying implements provisioner.Host.
+func (h provisionerHost) Staying(machine string) binpack.Vec {
+	staying := binpack.Vec{}
+	for id, attempt := range h.shard.reconciler.Machine(machine).Tasks {
+		job := h.jobs.Get(id.Job)
+		if job == nil || !job.Active() {
+			continue
+		}
+		if spec := job.Spec(); spec.Service || h.shard.demand.TimeToComplete(spec, attempt.Runtime(h.now)) > stayingAfter {
+			staying = staying.Add(attempt.Demand)
+		}
+	}
+	return staying
+}
+
 // Types implements provisioner.Host.
 func (h provisionerHost) Types() map[string]*fleet.Type { return h.types }
 
--- a/internal/core/provisioner/plan.go
+++ b/internal/core/provisioner/plan.go
@@ -40,7 +40,7 @@
 	machines := p.host.Machines()
 	names := slices.Sorted(maps.Keys(machines))
 	capacity := p.capacity(names)
-	increases, surplus := p.scaler.Plan(p.now, work, capacity, autoscaler.Market{Types: p.host.Types(), ZoneLimit: p.zoneLimit()})
+	increases, surplus := p.scaler.Plan(p.now, work, capacity, autoscaler.Market{Types: p.host.Types(), ZoneLimit: p.zoneLimit(), Staying: p.host.Staying})
 	for _, candidate := range capacity {
 		if machine := machines[candidate.Name]; candidate.Needed {
 			machine.SpareSince = 0
@@ -63,7 +63,7 @@
 
 // capacity returns the machines that the autoscaler may count on.
 func (p *Provisioner) capacity(names []string) []autoscaler.Machine {
-	machines := p.host.Machines()
+	machines, replicas := p.host.Machines(), p.host.Replicas()
 	var capacity []autoscaler.Machine
 	slow := 0
 	for _, name := range names {
@@ -76,7 +76,7 @@
 			slow++ // work that waits for this machine must not depend on it alone
 			continue
 		}
-		candidate := autoscaler.Machine{Name: name, Pool: PoolOf(machine), Booted: machine.LastSeen != 0, Age: p.now - machine.ProvisionedAt, ZoneLost: zoneLost}
+		candidate := autoscaler.Machine{Name: name, Pool: PoolOf(machine), Booted: machine.LastSeen != 0, Age: p.now - machine.ProvisionedAt, ZoneLost: zoneLost, Replicas: replicas[name]}
 		if len(machine.Tasks) == 0 {
 			candidate.Idle = p.now - machine.IdleSince + 1
 		}
--- a/internal/core/provisioner/provisioner.go
+++ b/internal/core/provisioner/provisioner.go
@@ -10,6 +10,7 @@
 	"log/slog"
 
 	"shalestage.example/shalestage/internal/core/autoscaler"
+	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/fleet"
 	"shalestage.example/shalestage/internal/core/store"
 	"shalestage.example/shalestage/internal/core/units"
@@ -57,6 +58,10 @@
 	// SlotsNeeded returns the work at hand. ok is false while it is unknown because running tasks are not
 	// all known.
 	SlotsNeeded() (work map[autoscaler.Group]autoscaler.Need, ok bool)
+	// Replicas returns the replicas of services on each machine, by the groups of SlotsNeeded.
+	Replicas() map[string][]autoscaler.Replicas
+	// Staying returns the demand of the tasks on a machine that are not expected to complete for a long time.
+	Staying(machine string) binpack.Vec
 	// Types returns the machine types and their prices, by name.
 	Types() map[string]*fleet.Type
 	// CallRate returns the number of calls per second that the cloud accepts from this shard.
--- a/internal/core/provisioner/provisioner_test.go
+++ b/internal/core/provisioner/provisioner_test.go
@@ -50,6 +50,10 @@
 func (s *fakeShard) Unreconciled() map[string]bool       { return s.unreconciled }
 func (*fakeShard) Types() map[string]*fleet.Type         { return map[string]*fleet.Type{"big": bigType} }
 func (*fakeShard) CallRate() float64                     { return 10 }
+func (*fakeShard) Staying(string) binpack.Vec            { return binpack.Vec{} }
+func (*fakeShard) Replicas() map[string][]autoscaler.Replicas {
+	return nil
+}
 func (*fakeShard) SlotsNeeded() (map[autoscaler.Group]autoscaler.Need, bool) {
 	return map[autoscaler.Group]autoscaler.Need{}, true
 }
--- a/internal/emulator/check/check.go
+++ b/internal/emulator/check/check.go
@@ -39,6 +39,7 @@
 	Teams    []Team
 	Types    []Type             // empty: jobs that fit no machine are not detected
 	CancelIn units.Microseconds // tasks of a cancelled job must have ended after this time
+	Lease    units.Microseconds // tasks of a machine that gets no response end after this time
 }
 
 // Machine is a machine that runs a task.
--- a/internal/emulator/sim/service_test.go
+++ b/internal/emulator/sim/service_test.go
@@ -81,3 +81,46 @@
 		})
 	}
 }
+
+// TestArrayGetsMachineBesideStayingWork guards against an array that waits for good, or for hours, for room on machines
+// that other work does not leave: the plan counted on moving it.
+func TestArrayGetsMachineBesideStayingWork(t *testing.T) {
+	t.Parallel()
+	const began, patience = 150 * second, 60 * second // by then no idle machine is left
+	array := func(tasks int, cpu float64, change func(*jobs.Spec)) *jobs.Spec {
+		return service(tasks, cpu, func(s *jobs.Spec) {
+			s.Service, s.Class, s.Estimate = false, "batch", 5*second
+			if change != nil {
+				change(s)
+			}
+		})
+	}
+	long := func(tasks int, cpu float64) *jobs.Spec {
+		return array(tasks, cpu, func(s *jobs.Spec) { s.Class, s.Estimate = "long", 3600*second })
+	}
+	for name, test := range map[string]struct {
+		stays, waits *jobs.Spec
+		cancelled    *jobs.Spec // shares the machines with stays until it is cancelled
+	}{
+		"beside replicas":                  {stays: service(4, 6, nil), waits: array(2, 12, nil), cancelled: service(4, 10, nil)},
+		"beside long tasks":                {stays: long(4, 6), waits: array(2, 12, nil), cancelled: service(4, 10, nil)},
+		"in the only zone that it allows":  {stays: service(3, 12, func(s *jobs.Spec) { s.Zone = "a" }), waits: array(2, 3, func(s *jobs.Spec) { s.Zone = "b" })},
+		"beside spot work on its machines": {stays: service(4, 6, func(s *jobs.Spec) { s.Spot = true }), waits: array(2, 12, nil), cancelled: service(4, 10, nil)},
+		"smaller tasks of its class fit":   {stays: service(4, 6, nil), waits: array(2, 12, nil), cancelled: array(4, 10, func(s *jobs.Spec) { s.Estimate = 20 * second })},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				w := newWorld(seed+1, 3, 0)
+				if test.cancelled != nil {
+					w.submitJob(second, test.cancelled, 40*second, 35*second)
+				}
+				w.submitJob(20*second, test.stays, 3600*second, 0)
+				waits := w.submitJob(began, test.waits, 5*second, 0).ID
+				w.Run(began + patience)
+				if at := w.Check.FirstStart(waits); at == 0 {
+					t.Errorf("seed %d: the array has not begun after %.0f s (%d machines)", seed+1, patience.Seconds(), len(w.aliveMachines()))
+				}
+			}
+		})
+	}
+}
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -63,6 +63,9 @@
 func Simulate(file string, spec *scenario.Scenario, opt sim.Options) Verdict {
 	startTime := time.Now()
 	var triggered []TriggeredFault
+	if spec.Draw.Jobs > 0 {
+		spec = DrawJobs(spec, opt.Seed)
+	}
 	if spec.Draw.Meet > 0 {
 		spec, triggered = DrawAtEvents(spec, opt)
 		opt.Noise = true
@@ -116,13 +119,13 @@
 
 // Shrink minimizes a scenario that violates a rule. It removes faults and jobs as long as a run still
 // violates the same rule, with about tries runs at most, and returns the rest and the number of runs. Drawn
-// faults become fixed.
+// faults and jobs become fixed.
 func Shrink(spec *scenario.Scenario, seed uint64, v Verdict, tries int) (*scenario.Scenario, int) {
 	if len(v.Violations) == 0 {
 		return spec, 0
 	}
 	rule := v.Violations[0].Rule
-	best := *spec
+	best := *DrawJobs(spec, seed)
 	// Drawn faults are replaced by fixed ones, so that single faults can be removed.
 	noise := spec.Draw.ToS > 0
 	best.Faults, best.Draw = slices.Clone(v.Faults), scenario.Draw{}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -178,7 +178,7 @@
 	CancelAfterS float64  `toml:"cancel_after_s"`
 }
 
-// Draw configures faults of any kind that are drawn from the seed.
+// Draw configures faults and jobs of any kind that are drawn from the seed.
 type Draw struct {
 	FromS float64 `toml:"from_s"`
 	ToS   float64 `toml:"to_s"` // 0: no faults are drawn
@@ -189,6 +189,8 @@
 	// none allows any.
 	Meet   int      `toml:"meet"`
 	Events []string `toml:"events"`
+	// Jobs is the number of jobs of any kind that are drawn from the seed, in addition to those of the file.
+	Jobs int `toml:"jobs"`
 }
 
 // Expect holds the expectations that a run must meet in addition to the rules.
@@ -429,6 +431,7 @@
 	c.checkRange("draw.from_s", s.Draw.FromS, 0, 1e6)
 	c.checkRange("draw.to_s", s.Draw.ToS, 0, 1e6)
 	c.checkRange("draw.gap_s", s.Draw.GapS, 0, 1e6)
+	c.checkRange("draw.jobs", float64(s.Draw.Jobs), 0, 1000)
 	c.checkDraw(s.Draw)
 	c.checkExpectedEvents(s.Expect)
 	if _, err := s.tuning(); err != nil {
