Replicas that run keep their part of a team's limit in plans and reservations

Change: a reservation is made only if it fits beside the replicas, and replicas that run are deducted first.

--- a/internal/core/demand/demand_test.go
+++ b/internal/core/demand/demand_test.go
@@ -145,6 +145,32 @@
 	}
 }
 
+// TestReplicasKeepTheirPartOfLimit guards against jobs without any slot behind an earlier job that can never start: what
+// it wanted was deducted from the team's limit before the replicas that run, which never leave theirs. The limit is 6 CPUs.
+func TestReplicasKeepTheirPartOfLimit(t *testing.T) {
+	large, service, small := jobOf("large", 1), jobOf("service", 3), jobOf("small", 4)
+	large.Spec().Demand[binpack.CPU] = 5000
+	service.Spec().Service, service.Spec().Estimate = true, 0
+	for range 2 {
+		service.PlaceNext(jobs.Place{Machine: "n-1"})
+	}
+	got := map[string]int{}
+	for group, need := range New(nil, 0.5).SlotsNeeded(0, large.Since, []*jobs.Job{large, service, small}, fakeHost{}) {
+		got[group.Class] = need.Tasks
+	}
+	if want := map[string]int{"service": 3, "small": 1}; !reflect.DeepEqual(got, want) {
+		t.Errorf("slots %v, want %v: two replicas run, a third and the small tasks fit", got, want)
+	}
+	large.Spec().Demand[binpack.CPU] = 4000 // it fits beside the two replicas
+	got = map[string]int{}
+	for group, need := range New(nil, 0.5).SlotsNeeded(0, large.Since, []*jobs.Job{large, service, small}, fakeHost{}) {
+		got[group.Class] = need.Tasks
+	}
+	if want := map[string]int{"large": 1, "service": 2}; !reflect.DeepEqual(got, want) {
+		t.Errorf("slots %v, want %v: the earliest job goes first", got, want)
+	}
+}
+
 // TestSlotsNeededWithinTimeAndLimit guards against scaling out too far or too little.
 // Jobs must get as many slots as they need to finish in time, within their team's limit.
 func TestSlotsNeededWithinTimeAndLimit(t *testing.T) {
--- a/internal/core/demand/slots.go
+++ b/internal/core/demand/slots.go
@@ -40,18 +40,22 @@
 // in time: if there is time to run several tasks one after the other, fewer machines suffice.
 func (e *Estimator) SlotsNeeded(now, wall units.Microseconds, order []*jobs.Job, host Host) map[autoscaler.Group]autoscaler.Need {
 	needed := map[autoscaler.Group]autoscaler.Need{}
-	perTeam := map[string]binpack.Vec{}
+	perTeam := placedReplicas(order)
 	for _, job := range order {
 		spec := job.Spec()
 		if spec == nil || now < job.NotBefore {
 			continue
 		}
 		work := e.workload(wall, job, host)
-		work.slots = slotsWithin(host.Limit(spec.Team), perTeam[spec.Team], spec.Demand, work.slots)
+		counted := 0 // slots that perTeam has already
+		if spec.Service {
+			counted = job.Placed()
+		}
+		work.slots = counted + slotsWithin(host.Limit(spec.Team), perTeam[spec.Team], spec.Demand, max(0, work.slots-counted))
 		if work.slots <= 0 {
 			continue
 		}
-		perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(work.slots)))
+		perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(work.slots - counted)))
 		types := host.CompatibleTypes(spec)
 		group := e.Group(wall, job, types)
 		if !bindsReplicasToZones(spec) {
@@ -134,7 +138,20 @@
 	return append(parts, next)
 }
 
-// slotsWithin bounds the slots of a job by what its team's limit leaves after the team's earlier jobs.
+// placedReplicas returns the demand of the replicas of services that run, by team. They never leave their part of the
+// team's limit to an earlier job.
+func placedReplicas(order []*jobs.Job) map[string]binpack.Vec {
+	perTeam := map[string]binpack.Vec{}
+	for _, job := range order {
+		if spec := job.Spec(); spec != nil && spec.Service && job.Placed() > 0 {
+			perTeam[spec.Team] = perTeam[spec.Team].Add(spec.Demand.Times(int64(job.Placed())))
+		}
+	}
+	return perTeam
+}
+
+// slotsWithin bounds the slots of a job by what its team's limit leaves after the team's replicas that run and its
+// earlier jobs.
 func slotsWithin(limit, used, demand binpack.Vec, slots int) int {
 	for i, most := range limit {
 		if most > 0 && demand[i] > 0 {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -84,6 +84,12 @@
 	return WithinLimit(t.Allocation(settings.Limit), total)
 }
 
+// Fits reports whether a usage is within the shard's part of a team's limit.
+func (t *Tracker) Fits(team string, usage binpack.Vec) bool {
+	settings := t.host.Teams()[team]
+	return settings != nil && WithinLimit(t.Allocation(settings.Limit), usage)
+}
+
 // sumUnreconciled adds up the capacity of the unreconciled machines.
 func (t *Tracker) sumUnreconciled() {
 	t.unreconciledCapacity, t.unknownCapacity, t.unreconciledStale = binpack.Vec{}, false, false
--- a/internal/core/scheduler/rank.go
+++ b/internal/core/scheduler/rank.go
@@ -229,11 +229,23 @@
 // reserve keeps part of a team's limit free for the first task of the team's first overdue job.
 func (s *Scheduler) reserve(wall units.Microseconds, job *jobs.Job) {
 	spec := job.Spec()
-	if _, reserved := s.reserved[spec.Team]; !reserved && overdue(wall, job) && wall-job.Since < overdueAfter+reservationTime {
+	if _, reserved := s.reserved[spec.Team]; !reserved && overdue(wall, job) && wall-job.Since < overdueAfter+reservationTime && s.limitComes(spec) {
 		s.reserved[spec.Team] = spec.Demand
 	}
 }
 
+// limitComes reports whether a team's limit will have room for a task of one of its jobs once tasks that complete have
+// completed. Replicas of services never leave their part of it.
+func (s *Scheduler) limitComes(spec *jobs.Spec) bool {
+	staying := binpack.Vec{}
+	for _, job := range s.queue.Jobs() {
+		if other := job.Spec(); other != nil && other.Service && other.Team == spec.Team {
+			staying = staying.Add(other.Demand.Times(int64(job.Placed())))
+		}
+	}
+	return s.quota.Fits(spec.Team, staying.Add(spec.Demand))
+}
+
 // demandOnLimit returns what a team's limit must have left for one more task of a job: the demand
 // of the task plus the team's reservation. Without the reservation, tasks of smaller demand would
 // repeatedly use up the capacity that an overdue job needs. The overdue job itself may use it.
--- a/internal/core/scheduler/scheduler_test.go
+++ b/internal/core/scheduler/scheduler_test.go
@@ -155,6 +155,36 @@
 	}
 }
 
+// TestNoLimitIsReservedThatNeverComes guards against jobs that wait for nothing while an overdue job of their team has
+// the rest of the limit reserved: replicas of services use so much of it that it can never start.
+func TestNoLimitIsReservedThatNeverComes(t *testing.T) {
+	record := func(tasks int, cpu int64) jobs.Record {
+		return jobs.Record{Status: jobs.Pending, Tasks: tasks, Submitted: 1000 * units.Second,
+			Spec: &jobs.Spec{Team: "t", Tasks: tasks, AnyType: true, Demand: binpack.Vec{cpu, 0, 1}, Estimate: 20 * units.Second}}
+	}
+	for _, test := range []struct {
+		cpu     int64 // that a task of the team uses
+		service bool  // it is a replica, and does not complete
+		want    int   // small tasks that start
+	}{{5000, true, 3}, {4000, true, 0}, {5000, false, 0}} {
+		shard := newShard(t, binpack.Params{}, []configuration.Team{{Name: "t", Limit: binpack.Vec{8000, 0, 0}}}, nil)
+		staying := record(1, test.cpu)
+		staying.Spec.Service = test.service
+		shard.addJob("wk-000001", staying, shard.wall)
+		machine := shard.machines["n-1"]
+		shard.scheduler.Fill(machine)
+		large := record(minOverdueTasks, 4000)
+		large.Spec.AnyType, large.Spec.Types = false, []string{"sold-out"}
+		shard.addJob("wk-000002", large, shard.wall)
+		shard.advance(overdueAfter + units.Second)
+		shard.addJob("wk-000003", record(3, 1000), shard.wall)
+		shard.scheduler.rank()
+		if started := len(shard.scheduler.Fill(machine)); started != test.want {
+			t.Errorf("service %v of %d thousandths of a CPU: %d small tasks start, want %d", test.service, test.cpu, started, test.want)
+		}
+	}
+}
+
 // TestLargestJobNotStarved guards against starvation of a large job in a team at its limit whose small
 // jobs keep coming. Ordering by least remaining work delays the large job, and the capacity that its tasks
 // need is never free at once. After overdueAfter its first task must take precedence, with the limit
--- a/internal/peer/limits_test.go
+++ b/internal/peer/limits_test.go
@@ -101,6 +101,9 @@
 	for k := range peering.MaxPeers + 1 {
 		status.Blocks = append(status.Blocks, core.ShardStatus{Block: k, Share: 1<<64 - 1, Use: 1.0 / 3})
 	}
+	for k := range peering.MaxPeers + 1 {
+		status.Redirected = append(status.Redirected, peering.ShardRedirect{Block: k, Ago: 1 << 62})
+	}
 	for remaining := core.MaxOverQuotaBytes; remaining >= configuration.MaxNameBytes+4; remaining -= configuration.MaxNameBytes + 4 {
 		status.Blocks[0].Over = append(status.Blocks[0].Over, fmt.Sprintf("%0*d", configuration.MaxNameBytes, remaining))
 	}
