--- a/internal/core/override.go
+++ b/internal/core/override.go
@@ -53,7 +53,8 @@
 
 // OverrideWrite returns the write that stores an operator's override of a zone, given the keys of the state
 // service. A cleared override is stored too: if its record were deleted, a late copy of the write that stored the
-// first override would be carried out again, since its guard is that there is none. OverrideWrite returns an error that names the known zones if no machine type is offered in the zone.
+// first override would be carried out again, since its guard is that there is none. OverrideWrite returns an error that
+// names the known zones if no machine type is offered in the zone.
 func OverrideWrite(items map[string]store.Event, zone string, override zones.Override) (*store.Write, error) {
 	known := map[string]bool{}
 	for itemKey, event := range items {
--- a/internal/emulator/check/rules.go
+++ b/internal/emulator/check/rules.go
@@ -9,8 +9,9 @@
 // The rules of the protocol and of dependencies between jobs, and some that go beyond them: no
 // accepted job is lost, a shard has one owner, no write exceeds the size limit of the state service,
 // no job is accepted that can never run, no job is left waiting while a machine has capacity for it,
-// no replica of a service is left without a machine while the cloud has capacity for one, no job waits for its
-// team's nominal quota while other teams exceed theirs, and no job is accepted under a configuration that was replaced before the job was submitted.
+// no work is left without a machine while the cloud has capacity for one, no job waits for its
+// team's nominal quota while other teams exceed theirs, and no job is accepted under a configuration that was
+// replaced before the job was submitted.
 // Reports and tests identify the rules by these values.
 const (
 	RanTwice     = "ran_twice"
--- a/internal/emulator/sim/repeats.go
+++ b/internal/emulator/sim/repeats.go
@@ -38,16 +38,17 @@
 // sendDirect sends a request with commands to a machine. It returns false if the machine did not respond.
 func (n *Node) sendDirect(name string, token, incarnation uint64, commands []fleet.Command) (heartbeat *fleet.Heartbeat, accepted, found bool) {
 	w := n.world
-	send := func() {
+	send := func() (heartbeat *fleet.Heartbeat, accepted, found bool) {
 		heartbeat, _, accepted, found = w.Site.HandleDirect(w.now, name, token, incarnation, commands)
 		w.handleSiteEvents()
+		return heartbeat, accepted, found
 	}
-	send()
-	if answer, carriedOut, responded := heartbeat, accepted, found; responded {
-		w.repeatLater(n, send)
-		return answer, carriedOut, responded
+	heartbeat, accepted, found = send()
+	if !found {
+		return nil, false, false
 	}
-	return nil, false, false
+	w.repeatLater(n, func() { send() })
+	return heartbeat, accepted, true
 }
 
 // startCopies is the number of copies of each request of Mutation.DirectStarts, a second apart.
