--- a/internal/core/scheduler/preempt.go
+++ b/internal/core/scheduler/preempt.go
@@ -176,7 +176,8 @@
 		return nil
 	}
 	s.preemptions[job.ID] = preemption{s.preemptions[job.ID].places + places, now}
-	s.config.Log.Info("preempting tasks", "machine", machine.Name, "job", job.ID, "stopped", len(stops))
+	s.config.Log.Info("preempting tasks", "machine", machine.Name, "job", job.ID, "stopped", len(stops),
+		"within_nominal", s.entitlements.WithinNominal[job.ID], "waited_s", (s.host.Wall() - job.Since).Seconds())
 	return stops
 }
 
--- a/internal/core/shard.go
+++ b/internal/core/shard.go
@@ -189,7 +189,7 @@
 	if shard.releasing {
 		return
 	}
-	c.log.Warn("releasing a shard", "shard", shard.number, "why", why)
+	c.log.Warn("releasing a shard", "shard", shard.number, "why", why, "unreached", shard.unreached)
 	shard.releasing = true
 	shard.replication.Close(c.now)
 	c.sendSnapshot(shard)
