A ranking adds up the replicas that run once, not once an overdue job

Cause: found by reading once more. Whether a reservation on a team's limit can come was decided by a pass over all jobs for each overdue job, in every ranking, though package demand has that sum for the plan of machines.

Change: both use demand.PlacedReplicas, and a ranking calls it at most once, when its first overdue job asks. The checker looks machine types up in one place.

--- a/internal/core/demand/slots.go
+++ b/internal/core/demand/slots.go
@@ -40,7 +40,7 @@
 // in time: if there is time to run several tasks one after the other, fewer machines suffice.
 func (e *Estimator) SlotsNeeded(now, wall units.Microseconds, order []*jobs.Job, host Host) map[autoscaler.Group]autoscaler.Need {
 	needed := map[autoscaler.Group]autoscaler.Need{}
-	perTeam := placedReplicas(order)
+	perTeam := PlacedReplicas(order)
 	for _, job := range order {
 		spec := job.Spec()
 		if spec == nil || now < job.NotBefore {
@@ -138,9 +138,9 @@
 	return append(parts, next)
 }
 
-// placedReplicas returns the demand of the replicas of services that run, by team. They never leave their part of the
+// PlacedReplicas returns the demand of the replicas of services that run, by team. They never leave their part of the
 // team's limit to an earlier job.
-func placedReplicas(order []*jobs.Job) map[string]binpack.Vec {
+func PlacedReplicas(order []*jobs.Job) map[string]binpack.Vec {
 	perTeam := map[string]binpack.Vec{}
 	for _, job := range order {
 		if spec := job.Spec(); spec != nil && spec.Service && job.Placed() > 0 {
--- a/internal/core/scheduler/rank.go
+++ b/internal/core/scheduler/rank.go
@@ -87,7 +87,7 @@
 // rankJobs ranks the jobs whose ready tasks may start.
 func (s *Scheduler) rankJobs(now, wall units.Microseconds) {
 	s.queue.BeginRanking()
-	s.reserved = map[string]binpack.Vec{}
+	s.reserved, s.placedReplicas = map[string]binpack.Vec{}, nil
 	s.readyTasks, s.completionRate, s.nominalSince = 0, 0, units.MaxTime
 	for _, job := range s.queue.Jobs() {
 		spec := job.Spec()
@@ -237,13 +237,10 @@
 // limitComes reports whether a team's limit will have room for a task of one of its jobs once tasks that complete have
 // completed. Replicas of services never leave their part of it.
 func (s *Scheduler) limitComes(spec *jobs.Spec) bool {
-	staying := binpack.Vec{}
-	for _, job := range s.queue.Jobs() {
-		if other := job.Spec(); other != nil && other.Service && other.Team == spec.Team {
-			staying = staying.Add(other.Demand.Times(int64(job.Placed())))
-		}
+	if s.placedReplicas == nil {
+		s.placedReplicas = demand.PlacedReplicas(s.queue.Jobs())
 	}
-	return s.quota.Fits(spec.Team, staying.Add(spec.Demand))
+	return s.quota.Fits(spec.Team, s.placedReplicas[spec.Team].Add(spec.Demand))
 }
 
 // demandOnLimit returns what a team's limit must have left for one more task of a job: the demand
--- a/internal/core/scheduler/scheduler.go
+++ b/internal/core/scheduler/scheduler.go
@@ -106,6 +106,7 @@
 	completionRate   float64
 	nominalSince     units.Microseconds     // since when the first of the ranked jobs within their nominal quotas waits; units.MaxTime if there is none
 	reserved         map[string]binpack.Vec // by team: part of its limit kept free for the first task of an overdue job
+	placedReplicas   map[string]binpack.Vec // by team: demand of the replicas of services that run; nil: not needed by this ranking yet
 	preferred        []*fleet.Machine       // machines with free capacity, the most preferred first
 	preemptions      map[string]preemption  // by job: the places that stops are making for it
 
--- a/internal/emulator/check/nominal.go
+++ b/internal/emulator/check/nominal.go
@@ -1,8 +1,6 @@
 package check
 
 import (
-	"slices"
-
 	"shalestage.example/shalestage/internal/core/binpack"
 	"shalestage.example/shalestage/internal/core/jobs"
 	"shalestage.example/shalestage/internal/core/units"
@@ -98,9 +96,8 @@
 func (c *Checker) providedShare(available []AvailableMachine) float64 {
 	capacity, nominal := int64(0), int64(0)
 	for _, machine := range available {
-		if i := slices.IndexFunc(c.config.Types, func(t Type) bool { return t.Name == machine.Type }); i >= 0 {
-			capacity += c.config.Types[i].Capacity[binpack.CPU]
-		}
+		provided, _ := c.capacityOf(machine.Type)
+		capacity += provided[binpack.CPU]
 	}
 	for _, team := range c.config.Teams {
 		nominal += team.Nominal[binpack.CPU]
--- a/internal/emulator/check/provisioning.go
+++ b/internal/emulator/check/provisioning.go
@@ -54,11 +54,10 @@
 		if !job.mayRun(machine) {
 			return false
 		}
-		i := slices.IndexFunc(c.config.Types, func(t Type) bool { return t.Name == machine.Type })
-		if i < 0 {
+		room, known := c.capacityOf(machine.Type)
+		if !known {
 			return true
 		}
-		room := c.config.Types[i].Capacity
 		for _, id := range machine.Tasks {
 			if other := c.jobs[id.Job]; other != nil && other.spec.Service {
 				room = room.Sub(other.spec.Demand)
--- a/internal/emulator/check/waiting.go
+++ b/internal/emulator/check/waiting.go
@@ -150,8 +150,17 @@
 
 // fitsType reports whether a demand fits an empty machine of a type; true if the type is unknown.
 func (c *Checker) fitsType(demand binpack.Vec, name string) bool {
+	capacity, known := c.capacityOf(name)
+	return !known || demand.Fits(capacity)
+}
+
+// capacityOf returns the capacity of a machine type, or false if the type is unknown.
+func (c *Checker) capacityOf(name string) (capacity binpack.Vec, known bool) {
 	i := slices.IndexFunc(c.config.Types, func(t Type) bool { return t.Name == name })
-	return i < 0 || demand.Fits(c.config.Types[i].Capacity)
+	if i < 0 {
+		return binpack.Vec{}, false
+	}
+	return c.config.Types[i].Capacity, true
 }
 
 // freeThroughout reports whether a machine has had free capacity for a task of a job at every check of
